--- /dev/null
+++ b/src/cli/session.cpp
@@ -0,0 +1,49 @@
+#include "cli/session.hpp"
+
+#include <utility>
+
+namespace mulberryramp {
+
+Session::Session(std::vector<std::string> Daemons, Millis Timeout)
+    : Daemons{std::move(Daemons)}, Timeout{Timeout} {}
+
+std::optional<ToolAnswer>
+Session::read(const tl::expected<ClientResponse, ClientError> &Response) {
+  if (!Response) {
+    Error = Response.error().Text;
+    return std::nullopt;
+  }
+  ToolAnswer Answer;
+  Answer.HttpStatus = Response->Status;
+  Answer.Body = nlohmann::json::parse(Response->Body, nullptr, false);
+  if (!Answer.Body.is_object()) {
+    Error = "the answer is no JSON object";
+    return std::nullopt;
+  }
+  return Answer;
+}
+
+std::optional<ToolAnswer> Session::get(const std::string &Path) {
+  for (const std::string &Daemon : Daemons) {
+    auto Answer = read(Client.get("http://" + Daemon + Path, Timeout));
+    if (Answer) {
+      return Answer;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<ToolAnswer> Session::post(const std::string &Path,
+                                        const nlohmann::json &Body) {
+  for (const std::string &Daemon : Daemons) {
+    const auto Response =
+        Client.post("http://" + Daemon + Path, Body.dump(), Timeout);
+    auto Answer = read(Response);
+    if (Answer || (!Response && !Response.error().IsUnsent)) {
+      return Answer;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,235 @@
+#include "daemon/daemon.hpp"
+
+#include "daemon/identity.hpp"
+#include "daemon/state_log.hpp"
+#include "mulberryramp/core/time.hpp"
+#include "mulberryramp/http/server.hpp"
+#include "mulberryramp/net/peer_links.hpp"
+#include "mulberryramp/node/node.hpp"
+#include "mulberryramp/telemetry/metrics.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Reactor.h>
+
+#include <glog/logging.h>
+
+#include <csignal>
+#include <random>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr long TickMicroseconds = 10000;
+constexpr Millis LeaveWithin{10000};
+constexpr int MaxBatchesPerStep = 64;
+constexpr int ExitStorage = 3;
+
+volatile std::sig_atomic_t StopRequested = 0;
+
+/// Lets the HTTP server work when it has to.
+class HttpWaker final : public ACE_Event_Handler {
+public:
+  HttpWaker(ACE_Reactor &Loop, HttpServer &Http)
+      : ACE_Event_Handler{&Loop}, Http{Http} {
+    Loop.register_handler(this, READ_MASK);
+  }
+  ~HttpWaker() override {
+    reactor()->remove_handler(this, READ_MASK | DONT_CALL);
+  }
+  ACE_HANDLE get_handle() const override { return Http.descriptor(); }
+  int handle_input(ACE_HANDLE /*Handle*/) override {
+    Http.run();
+    return 0;
+  }
+
+private:
+  HttpServer &Http;
+};
+
+std::uint64_t randomSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32U) | Source();
+}
+
+} // namespace internal
+
+struct Daemon::Impl {
+  explicit Impl(const Settings &Deployment) : Deployment{Deployment} {}
+
+  Settings Deployment;
+  ACE_Reactor Loop{new ACE_Dev_Poll_Reactor, true};
+  std::unique_ptr<FileSystem> Files;
+  std::unique_ptr<Node> Core;
+  std::unique_ptr<PeerLinks> Links;
+  std::unique_ptr<HttpServer> Http;
+  std::unique_ptr<internal::HttpWaker> Waker;
+  Metrics Metrics_;
+  StateLog Changes;
+  bool IsLeaving = false;
+  Instant LeaveUntil;
+
+  void onRequest(std::uint64_t Id, const ApiRequest &Request);
+  void answerCall(const LocalResult &Done);
+  void answerPoll(const PollDone &Done);
+  void beginToLeave();
+  [[nodiscard]] bool step();
+};
+
+Daemon::Daemon(std::unique_ptr<Impl> Parts) : Parts{std::move(Parts)} {}
+Daemon::~Daemon() = default;
+
+void Daemon::requestStop() noexcept { internal::StopRequested = 1; }
+
+tl::expected<std::unique_ptr<Daemon>, std::string>
+Daemon::start(const Settings &Deployment) {
+  auto Parts = std::make_unique<Impl>(Deployment);
+  Impl &Self = *Parts;
+  std::uint64_t Incarnation = newIncarnation(wallNow());
+  if (!Deployment.DataFolder.empty()) {
+    auto Files = openDiskFiles(Deployment.DataFolder);
+    if (!Files) {
+      return tl::make_unexpected(Files.error().Text);
+    }
+    Self.Files = std::move(*Files);
+    const auto Identity = openIdentity(*Self.Files, wallNow());
+    if (!Identity) {
+      return tl::make_unexpected(Identity.error().Text);
+    }
+    Incarnation = *Identity;
+  }
+  auto Core = Node::start(Deployment, Self.Files.get(), Incarnation,
+                          internal::randomSeed(), SuspendAwareClock::now());
+  if (!Core) {
+    return tl::make_unexpected(Core.error().Text);
+  }
+  Self.Core = std::move(*Core);
+  auto Links =
+      PeerLinks::open(Deployment, Self.Loop, [&Self](PeerMessage Message) {
+        Self.Core->receive(Message, SuspendAwareClock::now(), wallNow());
+      });
+  if (!Links) {
+    return tl::make_unexpected(Links.error());
+  }
+  Self.Links = std::move(*Links);
+  auto Http = HttpServer::listen(
+      findNode(Deployment, Deployment.Self)->Http,
+      [&Self](std::uint64_t Id, const ApiRequest &Request) {
+        Self.onRequest(Id, Request);
+      },
+      [&Self](std::uint64_t Id) { Self.Core->abandonPoll(Id); });
+  if (!Http) {
+    return tl::make_unexpected(Http.error());
+  }
+  Self.Http = std::move(*Http);
+  Self.Waker = std::make_unique<internal::HttpWaker>(Self.Loop, *Self.Http);
+  LOG(INFO) << "daemon " << Deployment.Self << " started, incarnation "
+            << Incarnation;
+  return std::unique_ptr<Daemon>{new Daemon{std::move(Parts)}};
+}
+
+void Daemon::Impl::onRequest(std::uint64_t Id, const ApiRequest &Request) {
+  const Instant Now = SuspendAwareClock::now();
+  const WallTime Wall = wallNow();
+  auto Action = parseApiRequest(Request, Wall);
+  if (!Action) {
+    Http->respond(Id, {Action.error().Status, "application/json",
+                       renderFindings(Action.error().Report)});
+    return;
+  }
+  if (auto *Call = std::get_if<CallBody>(&*Action)) {
+    Core->call(Id, std::move(*Call), Now, Wall);
+  } else if (const auto *Poll = std::get_if<WorkerPoll>(&*Action)) {
+    Core->poll(Id, *Poll, Now, Wall);
+  } else if (std::holds_alternative<HealthQuery>(*Action)) {
+    Http->respond(Id, {200, "application/json", R"({"health":"ok"})"});
+  } else if (std::holds_alternative<ReadyQuery>(*Action)) {
+    const bool Ready = Core->isReadyForCallers(Now);
+    Http->respond(Id, {Ready ? 200 : 503, "application/json",
+                       Ready ? R"({"ready":true})" : R"({"ready":false})"});
+  } else {
+    Http->respond(Id, {200, "text/plain; version=0.0.4",
+                       Metrics_.render({*Core, Links->counters(), Now,
+                                        Http->openRequests()})});
+  }
+}
+
+void Daemon::Impl::answerCall(const LocalResult &Done) {
+  Http->respond(Done.CallId, {httpStatusOf(Done.Result), "application/json",
+                              renderResult(Done.Result)});
+}
+
+/// The lease is read again right before the answer goes out: the process may
+/// have been paused since the decision.
+void Daemon::Impl::answerPoll(const PollDone &Done) {
+  WorkerReply Reply = Done.Reply;
+  if (SuspendAwareClock::now() >= Done.NotAfter) {
+    Reply = {};
+    Reply.Verdict = PollVerdict::NotLeader;
+  }
+  const bool Taken = Reply.Verdict != PollVerdict::Refused;
+  Http->respond(Done.PollId,
+                {Taken ? 200 : 409, "application/json", renderReply(Reply)});
+}
+
+bool Daemon::Impl::step() {
+  const Instant Begin = SuspendAwareClock::now();
+  auto Output = Core->step(Begin, wallNow());
+  if (!Output) {
+    LOG(ERROR) << "storage failed: " << Output.error().Text;
+    return false;
+  }
+  for (const PeerMessage &Message : Output->Messages) {
+    Links->send(Message);
+  }
+  for (const PollDone &Done : Output->Polls) {
+    answerPoll(Done);
+  }
+  for (const LocalResult &Done : Output->Results) {
+    answerCall(Done);
+  }
+  Http->run();
+  const Instant End = SuspendAwareClock::now();
+  Metrics_.observeStep(std::chrono::duration<double>(End - Begin).count());
+  Links->tick(End);
+  Changes.note(*Core, End);
+  return true;
+}
+
+void Daemon::Impl::beginToLeave() {
+  IsLeaving = true;
+  const Instant Now = SuspendAwareClock::now();
+  LeaveUntil = Now + internal::LeaveWithin;
+  LOG(INFO) << "leaving: leadership is handed over, open requests are answered";
+  Core->leave(Now);
+  Http->stopListening();
+}
+
+int Daemon::run() {
+  Impl &Self = *Parts;
+  while (true) {
+    ACE_Time_Value Wait{0, internal::TickMicroseconds};
+    for (int Batch = 0; Batch < internal::MaxBatchesPerStep; ++Batch) {
+      if (Self.Loop.handle_events(Wait) <= 0) {
+        break;
+      }
+      Wait = ACE_Time_Value::zero;
+    }
+    Self.Http->run();
+    if (internal::StopRequested != 0 && !Self.IsLeaving) {
+      Self.beginToLeave();
+    }
+    if (!Self.step()) {
+      return internal::ExitStorage;
+    }
+    const bool Left = Self.Core->hasLeft() && Self.Http->openRequests() == 0;
+    if (Self.IsLeaving &&
+        (Left || SuspendAwareClock::now() >= Self.LeaveUntil)) {
+      LOG(INFO) << "left "
+                << (Left ? "with nothing open" : "at the time limit");
+      return Left ? 0 : 1;
+    }
+  }
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/daemon/identity.cpp
@@ -0,0 +1,70 @@
+#include "daemon/identity.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <vector>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr const char *IdentityFile = "identity";
+constexpr std::uint64_t FounderIncarnation = 1;
+
+StorageStatus writeIdentity(FileSystem &Files, std::uint64_t Incarnation) {
+  const std::string Draft = std::string{IdentityFile} + ".tmp";
+  return Files.write(Draft, std::to_string(Incarnation) + "\n")
+      .and_then([&] { return Files.sync(Draft); })
+      .and_then([&] { return Files.rename(Draft, IdentityFile); })
+      .and_then([&] { return Files.syncFolder("."); });
+}
+
+} // namespace internal
+
+std::uint64_t newIncarnation(WallTime Wall) noexcept {
+  return static_cast<std::uint64_t>(Wall.time_since_epoch().count());
+}
+
+tl::expected<std::uint64_t, StorageError> openIdentity(FileSystem &Files,
+                                                       WallTime Wall) {
+  const auto Names = Files.list(".");
+  if (!Names) {
+    return tl::make_unexpected(Names.error());
+  }
+  const bool Known = std::find(Names->begin(), Names->end(),
+                               internal::IdentityFile) != Names->end();
+  if (!Known) {
+    const std::uint64_t Fresh = newIncarnation(Wall);
+    auto Written = internal::writeIdentity(Files, Fresh);
+    if (!Written) {
+      return tl::make_unexpected(Written.error());
+    }
+    return Fresh;
+  }
+  const auto Text = Files.read(internal::IdentityFile);
+  if (!Text) {
+    return tl::make_unexpected(Text.error());
+  }
+  std::uint64_t Incarnation = 0;
+  const auto [End, Error] =
+      std::from_chars(Text->data(), Text->data() + Text->size(), Incarnation);
+  if (Error != std::errc{} || Incarnation == 0) {
+    return tl::make_unexpected(StorageError{"identity: no number"});
+  }
+  return Incarnation;
+}
+
+StorageStatus foundIdentity(FileSystem &Files) {
+  const auto Names = Files.list(".");
+  if (!Names) {
+    return tl::make_unexpected(Names.error());
+  }
+  if (!Names->empty()) {
+    return tl::make_unexpected(
+        StorageError{"the data folder is not empty; a founder starts empty"});
+  }
+  return internal::writeIdentity(Files, internal::FounderIncarnation);
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/daemon/identity.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "mulberryramp/core/fwd.hpp"
+#include "mulberryramp/storage/file_system.hpp"
+
+#include <cstdint>
+
+namespace mulberryramp {
+
+/// @brief Reads the incarnation of a data folder, or gives it a new one.
+/// @param Files The data folder.
+/// @param Wall Present time, for a new incarnation.
+/// @return The incarnation, or why the folder cannot be used.
+[[nodiscard]] tl::expected<std::uint64_t, StorageError>
+openIdentity(FileSystem &Files, WallTime Wall);
+
+/// @brief Marks an empty data folder as one of the founders.
+/// @param Files The data folder.
+/// @return Nothing, or why it could not be marked.
+[[nodiscard]] StorageStatus foundIdentity(FileSystem &Files);
+
+/// @brief Makes an incarnation for a daemon without a disk.
+/// @param Wall Present time.
+[[nodiscard]] std::uint64_t newIncarnation(WallTime Wall) noexcept;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,129 @@
+#include "daemon/daemon.hpp"
+#include "daemon/identity.hpp"
+#include "mulberryramp/node/node.hpp"
+
+#include <cxxopts.hpp>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+using namespace mulberryramp;
+
+constexpr int ExitUsage = 2;
+
+struct Arguments {
+  std::string SettingsFile;
+  std::string DataFolder;
+  NodeId Id = 0;
+  bool IsCheck = false;
+  bool IsInit = false;
+};
+
+std::optional<Arguments> readArguments(int Count, char **Values) {
+  cxxopts::Options Options{"mulberryrampd",
+                           "Daemon of the mulberryramp cluster scheduler"};
+  Options.add_options()("s,settings", "settings file (INI)",
+                        cxxopts::value<std::string>())(
+      "id", "number of this daemon; goes before the file",
+      cxxopts::value<NodeId>()->default_value("0"))(
+      "data-folder", "data folder; goes before the file",
+      cxxopts::value<std::string>()->default_value(""))(
+      "check", "check the settings and exit")(
+      "init", "prepare the data folder of a founder and exit")("h,help",
+                                                               "this help");
+  try {
+    const auto Parsed = Options.parse(Count, Values);
+    if (Parsed.count("help") != 0) {
+      std::cout << Options.help();
+      std::exit(0);
+    }
+    Arguments Given;
+    Given.SettingsFile = Parsed["settings"].as<std::string>();
+    Given.DataFolder = Parsed["data-folder"].as<std::string>();
+    Given.Id = Parsed["id"].as<NodeId>();
+    Given.IsCheck = Parsed.count("check") != 0;
+    Given.IsInit = Parsed.count("init") != 0;
+    return Given;
+  } catch (const std::exception &Error) {
+    std::cerr << "mulberryrampd: " << Error.what() << "\n" << Options.help();
+    return std::nullopt;
+  }
+}
+
+std::optional<Settings> readSettings(const Arguments &Given) {
+  std::ifstream Source{Given.SettingsFile};
+  if (!Source) {
+    std::cerr << Given.SettingsFile << ": cannot be read\n";
+    return std::nullopt;
+  }
+  const std::string Text{std::istreambuf_iterator<char>{Source}, {}};
+  auto Parsed = parseSettings(Given.SettingsFile, Text, Given.Id);
+  if (!Parsed) {
+    std::cerr << Parsed.error().render();
+    return std::nullopt;
+  }
+  if (!Given.DataFolder.empty()) {
+    Parsed->DataFolder = Given.DataFolder;
+  }
+  const bool HasDisk = findNode(*Parsed, Parsed->Self)->HasDisk;
+  if (HasDisk == Parsed->DataFolder.empty()) {
+    std::cerr << Given.SettingsFile << ": daemon " << Parsed->Self
+              << (HasDisk ? " has disk = yes but no data-folder\n"
+                          : " has a data-folder but not disk = yes\n");
+    return std::nullopt;
+  }
+  return *Parsed;
+}
+
+int initFolder(const Settings &Deployment) {
+  auto Files = openDiskFiles(Deployment.DataFolder);
+  if (!Files) {
+    std::cerr << Files.error().Text << "\n";
+    return 1;
+  }
+  const auto Done = foundIdentity(**Files).and_then(
+      [&] { return Node::found(Deployment, **Files); });
+  if (!Done) {
+    std::cerr << Deployment.DataFolder << ": " << Done.error().Text << "\n";
+    return 1;
+  }
+  return 0;
+}
+
+void onSignal(int /*Signal*/) { Daemon::requestStop(); }
+
+} // namespace
+
+int main(int Count, char **Values) {
+  google::InitGoogleLogging(Values[0]);
+  FLAGS_logtostderr = true;
+  const auto Given = readArguments(Count, Values);
+  if (!Given) {
+    return ExitUsage;
+  }
+  const auto Deployment = readSettings(*Given);
+  if (!Deployment) {
+    return ExitUsage;
+  }
+  if (Given->IsCheck) {
+    std::cout << "settings are good\n";
+    return 0;
+  }
+  if (Given->IsInit) {
+    return initFolder(*Deployment);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, onSignal);
+  std::signal(SIGINT, onSignal);
+  auto Started = Daemon::start(*Deployment);
+  if (!Started) {
+    std::cerr << "mulberryrampd: " << Started.error() << "\n";
+    return 1;
+  }
+  return (*Started)->run();
+}
--- /dev/null
+++ b/src/mulberryramp/admin/api.cpp
@@ -0,0 +1,535 @@
+#include "mulberryramp/admin/api.hpp"
+
+#include "mulberryramp/admin/json_reader.hpp"
+#include "mulberryramp/core/names.hpp"
+
+#include <charconv>
+#include <limits>
+#include <optional>
+
+namespace mulberryramp {
+
+namespace internal {
+
+using nlohmann::json;
+
+constexpr std::int64_t MostAmount = 1'000'000'000;
+constexpr std::int64_t MostTimeMs = 10'000'000'000'000;
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int BadMethod = 405;
+
+ApiError makeError(int Status, std::string Source, std::string Text) {
+  ApiError Error;
+  Error.Status = Status;
+  Error.Report.add({std::move(Source), 0, 0, std::move(Text)});
+  return Error;
+}
+
+template <typename Enum>
+Enum readNamed(JsonReader &Reader, const char *Key, Enum Default) {
+  const std::string Name = Reader.text(Key, false, MaxNameBytes);
+  if (Name.empty()) {
+    return Default;
+  }
+  const auto Value = parseName<Enum>(Name);
+  if (!Value) {
+    Reader.add(Key, "`" + Name + "` is none of its values");
+  }
+  return Value.value_or(Default);
+}
+
+Resources readResources(JsonReader &Reader, std::int64_t DefaultSlots) {
+  Resources Amounts;
+  Amounts.MilliCpus = Reader.number("milli_cpus", 0, 0, MostAmount);
+  Amounts.MemoryMb = Reader.number("memory_mb", 0, 0, MostAmount);
+  Amounts.Accelerators = Reader.number("accelerators", 0, 0, MostAmount);
+  Amounts.Slots = Reader.number("slots", DefaultSlots, 0, MostAmount);
+  Amounts.Connections = Reader.number("connections", 0, 0, MostAmount);
+  return Amounts;
+}
+
+WallTime readTime(JsonReader &Reader, const char *Key) {
+  return WallTime{Millis{Reader.number(Key, 0, 0, MostTimeMs)}};
+}
+
+void checkSubmit(JsonReader &Reader, const RequestSpec &Spec, WallTime Wall) {
+  constexpr Millis MostAhead{60000};
+  if (Spec.Need.MilliCpus == 0 && Spec.Need.MemoryMb == 0 &&
+      Spec.Need.Accelerators == 0) {
+    Reader.add("need", "asks for no processor, memory or accelerator");
+  }
+  if (!Spec.IsIdempotent && Spec.IssuedAt == WallTime{}) {
+    Reader.add("issued_at_ms", "is needed for a request that is not "
+                               "idempotent; keep it on a resend");
+  }
+  if (Spec.IssuedAt > Wall + MostAhead) {
+    Reader.add("issued_at_ms", "lies in the future");
+  }
+  if (!Spec.IsIdempotent && Spec.Kind == WorkKind::Service) {
+    Reader.add("idempotent", "a service starts again after a loss, so it has "
+                             "to be idempotent");
+  }
+}
+
+tl::expected<ApiAction, ApiError> readSubmit(const json &Body, WallTime Wall) {
+  ApiError Error;
+  JsonReader Reader{Body, "", Error.Report};
+  SubmitCall Call;
+  Call.ReceivedAt = Wall;
+  RequestSpec &Spec = Call.Spec;
+  Call.Home = Reader.text("home", false, MaxNameBytes);
+  Spec.Customer = Reader.text("customer", true, MaxNameBytes);
+  Spec.Team = Reader.text("team", true, MaxNameBytes);
+  Spec.Key = Reader.text("key", true, MaxNameBytes);
+  Spec.ClassName = Reader.text("class", false, MaxNameBytes);
+  if (Spec.ClassName.empty()) {
+    Spec.ClassName = "normal";
+  }
+  Spec.Kind = readNamed(Reader, "kind", WorkKind::Batch);
+  Spec.TaskCount = static_cast<std::uint32_t>(
+      Reader.number("tasks", 1, 1, MaxTasksPerRequest));
+  Spec.IsIdempotent = Reader.flag("idempotent", true);
+  Spec.IssuedAt = readTime(Reader, "issued_at_ms");
+  Spec.StartBy = readTime(Reader, "start_by_ms");
+  Spec.DeclaredRun = Millis{Reader.number("run_ms", 0, 0, MostTimeMs)};
+  Spec.MaxPerRack = static_cast<std::uint32_t>(
+      Reader.number("max_per_rack", 0, 0, MaxTasksPerRequest));
+  Spec.Payload = Reader.text("payload", false, MaxPayloadBytes);
+  if (const json *Need = Reader.member("need")) {
+    JsonReader Inner{*Need, Reader.pathOf("need"), Error.Report};
+    Spec.Need = readResources(Inner, 1);
+    Inner.rejectOthers();
+  }
+  checkSubmit(Reader, Spec, Wall);
+  Reader.rejectOthers();
+  if (!Error.Report.empty()) {
+    return tl::make_unexpected(Error);
+  }
+  return CallBody{std::move(Call)};
+}
+
+AttemptReport readReport(const json &Item, const std::string &Path,
+                         Findings &Report) {
+  JsonReader Reader{Item, Path, Report};
+  AttemptReport Read;
+  Read.Attempt = Reader.count("attempt", true);
+  Read.Phase = readNamed(Reader, "phase", AttemptPhase::Running);
+  Read.Reason = Reader.text("reason", false, MaxAnswerBytes);
+  Read.UsedMilliCpus = Reader.number("used_milli_cpus", 0, 0, MostAmount);
+  Read.UsedMemoryMb = Reader.number("used_memory_mb", 0, 0, MostAmount);
+  if (const json *Part = Reader.member("part")) {
+    JsonReader Inner{*Part, Reader.pathOf("part"), Report};
+    AnswerPart Got;
+    Got.Index =
+        static_cast<std::uint32_t>(Inner.number("index", 0, 0, MaxAnswerParts));
+    Got.Count =
+        static_cast<std::uint32_t>(Inner.number("count", 1, 1, MaxAnswerParts));
+    Got.Data = Inner.text("data", false, MaxAnswerBytes);
+    Inner.rejectOthers();
+    Read.Part = std::move(Got);
+  }
+  Reader.rejectOthers();
+  return Read;
+}
+
+tl::expected<ApiAction, ApiError> readPoll(const json &Body) {
+  ApiError Error;
+  JsonReader Reader{Body, "", Error.Report};
+  WorkerPoll Poll;
+  Poll.Name = Reader.text("name", true, MaxNameBytes);
+  Poll.Incarnation = Reader.count("incarnation", true);
+  Poll.Centre = Reader.text("centre", true, MaxNameBytes);
+  Poll.Rack = Reader.text("rack", true, MaxNameBytes);
+  Poll.Epoch = Reader.count("epoch", true);
+  Poll.Ack = Reader.count("ack", true);
+  Poll.IsFull = Reader.flag("full", false);
+  Poll.IsLeaving = Reader.flag("leaving", false);
+  if (const json *Capacity = Reader.member("capacity")) {
+    JsonReader Inner{*Capacity, Reader.pathOf("capacity"), Error.Report};
+    Poll.Capacity = readResources(Inner, 0);
+    Inner.rejectOthers();
+  } else {
+    Reader.add("capacity", "is missing");
+  }
+  const json *Reports = Reader.member("reports");
+  if (Reports != nullptr &&
+      (!Reports->is_array() || Reports->size() > MaxReportsPerPoll)) {
+    Reader.add("reports", "expected an array of at most " +
+                              std::to_string(MaxReportsPerPoll));
+  } else if (Reports != nullptr) {
+    for (std::size_t Index = 0; Index < Reports->size(); ++Index) {
+      Poll.Reports.push_back(
+          readReport((*Reports)[Index],
+                     Reader.pathOf("reports") + "/" + std::to_string(Index),
+                     Error.Report));
+    }
+  }
+  Reader.rejectOthers();
+  if (!Error.Report.empty()) {
+    return tl::make_unexpected(Error);
+  }
+  return ApiAction{std::move(Poll)};
+}
+
+tl::expected<ApiAction, ApiError> readRulesChange(const json &Body) {
+  ApiError Error;
+  JsonReader Reader{Body, "", Error.Report};
+  RulesApplyCall Call;
+  Call.ChangeKey = Reader.text("change_key", true, MaxNameBytes);
+  Call.Operator = Reader.text("operator", true, MaxNameBytes);
+  Call.Base = Reader.count("base", true);
+  Call.Text = Reader.text("text", false, MaxRulesBytes);
+  Reader.rejectOthers();
+  if (!Error.Report.empty()) {
+    return tl::make_unexpected(Error);
+  }
+  return ApiAction{CallBody{std::move(Call)}};
+}
+
+std::vector<std::string> splitPath(std::string_view Path) {
+  std::vector<std::string> Parts;
+  while (!Path.empty()) {
+    Path.remove_prefix(Path.front() == '/' ? 1 : 0);
+    const std::size_t End = std::min(Path.find('/'), Path.size());
+    Parts.emplace_back(Path.substr(0, End));
+    Path.remove_prefix(End);
+  }
+  return Parts;
+}
+
+std::string queryText(const ApiRequest &Request, const char *Key) {
+  const auto Found = Request.Query.find(Key);
+  return Found == Request.Query.end() ? "" : Found->second;
+}
+
+std::optional<std::int64_t> queryNumber(const ApiRequest &Request,
+                                        const char *Key, std::int64_t Default,
+                                        std::int64_t Most) {
+  const std::string Text = queryText(Request, Key);
+  if (Text.empty()) {
+    return Default;
+  }
+  std::int64_t Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  const bool Good = Error == std::errc{} && End == Text.data() + Text.size() &&
+                    Value >= 0 && Value <= Most;
+  return Good ? std::optional{Value} : std::nullopt;
+}
+
+tl::expected<ApiAction, ApiError>
+readStatus(const ApiRequest &Request, const std::vector<std::string> &Parts) {
+  StatusCall Call;
+  Call.Customer = Parts[2];
+  Call.Key = Parts[3];
+  Call.Home = queryText(Request, "home");
+  const auto Wait = queryNumber(Request, "wait_ms", 0, MaxCallWait.count());
+  if (!Wait) {
+    return tl::make_unexpected(
+        makeError(BadRequest, "wait_ms",
+                  "expected a whole number from 0 to " +
+                      std::to_string(MaxCallWait.count())));
+  }
+  Call.Wait = Millis{*Wait};
+  return ApiAction{CallBody{std::move(Call)}};
+}
+
+tl::expected<ApiAction, ApiError> readHistory(const ApiRequest &Request) {
+  constexpr std::int64_t MostRecords = 1000;
+  const auto Most = queryNumber(Request, "most", 20, MostRecords);
+  if (!Most) {
+    return tl::make_unexpected(makeError(
+        BadRequest, "most", "expected a whole number from 0 to 1000"));
+  }
+  return ApiAction{
+      CallBody{RulesHistoryCall{static_cast<std::uint32_t>(*Most)}}};
+}
+
+tl::expected<ApiAction, ApiError>
+readGet(const ApiRequest &Request, const std::vector<std::string> &Parts) {
+  const std::string &Path = Request.Path;
+  if (Path == "/healthz") {
+    return ApiAction{HealthQuery{}};
+  }
+  if (Path == "/readyz") {
+    return ApiAction{ReadyQuery{}};
+  }
+  if (Path == "/metrics") {
+    return ApiAction{MetricsQuery{}};
+  }
+  if (Path == "/v1/status") {
+    return ApiAction{CallBody{NodeStatusCall{}}};
+  }
+  if (Path == "/v1/rules") {
+    return ApiAction{CallBody{RulesShowCall{}}};
+  }
+  if (Path == "/v1/rules/history") {
+    return readHistory(Request);
+  }
+  if (Path == "/v1/rules/status") {
+    return ApiAction{CallBody{RulesStatusCall{}}};
+  }
+  if (Path == "/v1/workers") {
+    return ApiAction{CallBody{WorkersCall{queryText(Request, "home")}}};
+  }
+  if (Parts.size() == 4 && Parts[0] == "v1" && Parts[1] == "requests") {
+    return readStatus(Request, Parts);
+  }
+  return tl::make_unexpected(makeError(NotFound, Path, "no such resource"));
+}
+
+tl::expected<ApiAction, ApiError>
+readPost(const ApiRequest &Request, const std::vector<std::string> &Parts,
+         WallTime Wall) {
+  const bool IsCancel = Parts.size() == 5 && Parts[0] == "v1" &&
+                        Parts[1] == "requests" && Parts[4] == "cancel";
+  if (IsCancel) {
+    return ApiAction{
+        CallBody{CancelCall{queryText(Request, "home"), Parts[2], Parts[3]}}};
+  }
+  const json Body = json::parse(Request.Body, nullptr, false);
+  if (Body.is_discarded()) {
+    return tl::make_unexpected(makeError(BadRequest, "body", "is not JSON"));
+  }
+  if (Request.Path == "/v1/requests") {
+    return readSubmit(Body, Wall);
+  }
+  if (Request.Path == "/v1/worker/poll") {
+    return readPoll(Body);
+  }
+  if (Request.Path == "/v1/rules") {
+    return readRulesChange(Body);
+  }
+  return tl::make_unexpected(
+      makeError(NotFound, Request.Path, "no such resource"));
+}
+
+json toJson(const Resources &Amounts) {
+  return {{"milli_cpus", Amounts.MilliCpus},
+          {"memory_mb", Amounts.MemoryMb},
+          {"accelerators", Amounts.Accelerators},
+          {"slots", Amounts.Slots},
+          {"connections", Amounts.Connections}};
+}
+
+json toJson(const TaskView &Item) {
+  json Out{{"ordinal", Item.Ordinal},
+           {"state", nameOf(Item.State)},
+           {"attempts", Item.Attempts}};
+  if (!Item.WorkerName.empty()) {
+    Out["worker"] = Item.WorkerName;
+  }
+  if (Item.State == TaskState::Done) {
+    Out["answer"] = Item.Answer;
+  }
+  if (!Item.Reason.empty()) {
+    Out["reason"] = Item.Reason;
+  }
+  return Out;
+}
+
+json toJson(const RequestView &Item) {
+  json Tasks = json::array();
+  for (const TaskView &Each : Item.Tasks) {
+    Tasks.push_back(toJson(Each));
+  }
+  return {{"customer", Item.Customer},
+          {"key", Item.Key},
+          {"home", Item.Home},
+          {"class", Item.ClassName},
+          {"kind", nameOf(Item.Kind)},
+          {"outcome", nameOf(Item.Result)},
+          {"reason", Item.Reason},
+          {"cancelled", Item.IsCancelled},
+          {"accepted_at_ms", Item.AcceptedAt.time_since_epoch().count()},
+          {"tasks", std::move(Tasks)}};
+}
+
+json toJson(const ChangeRecord &Item) {
+  return {{"change_key", Item.ChangeKey},
+          {"operator", Item.Operator},
+          {"base", Item.Base},
+          {"revision", Item.Number},
+          {"verdict", nameOf(Item.Verdict)},
+          {"winner", Item.Winner},
+          {"added", Item.Added},
+          {"removed", Item.Removed},
+          {"at_ms", Item.At.time_since_epoch().count()}};
+}
+
+json toJson(const WorkerInfo &Item) {
+  return {{"name", Item.Name},
+          {"rack", Item.Rack},
+          {"capacity", toJson(Item.Capacity)},
+          {"granted", toJson(Item.Granted)},
+          {"tasks", Item.TaskCount},
+          {"leaving", Item.IsLeaving},
+          {"drained", Item.IsDrained},
+          {"confirmed", Item.IsConfirmed},
+          {"quarantined", Item.IsQuarantined}};
+}
+
+json toJson(const GroupInfo &Item) {
+  json Voters = json::array();
+  for (const Member &Voter : Item.Voters) {
+    Voters.push_back(
+        {{"node", Voter.Node}, {"incarnation", Voter.Incarnation}});
+  }
+  return {{"group", Item.Group},   {"role", Item.Role},
+          {"leader", Item.Leader}, {"term", Item.InTerm},
+          {"last", Item.Last},     {"commit", Item.Commit},
+          {"ready", Item.IsReady}, {"voters", std::move(Voters)}};
+}
+
+json toJson(const NodeInForce &Item) {
+  return {{"node", Item.Node},
+          {"current", Item.IsCurrent},
+          {"heard", Item.IsHeard}};
+}
+
+json toJson(const StartOrder &Order) {
+  return {{"attempt", Order.Attempt},
+          {"customer", Order.Customer},
+          {"key", Order.Key},
+          {"ordinal", Order.Ordinal},
+          {"tasks", Order.TaskCount},
+          {"kind", nameOf(Order.Kind)},
+          {"idempotent", Order.IsIdempotent},
+          {"need", toJson(Order.Need)},
+          {"payload", Order.Payload},
+          {"checkpoint", Order.Checkpoint}};
+}
+
+json toJson(const StopOrder &Order) {
+  return {{"attempt", Order.Attempt}, {"mode", nameOf(Order.Mode)}};
+}
+
+template <typename Items> json listOf(const Items &Source) {
+  json List = json::array();
+  for (const auto &Item : Source) {
+    List.push_back(toJson(Item));
+  }
+  return List;
+}
+
+/// What a caller may rely on; `not run` only where it is recorded.
+std::string_view outcomeOf(const CallResult &Result) {
+  if (Result.Item) {
+    return nameOf(Result.Item->Result);
+  }
+  return nameOf(Outcome::Unknown);
+}
+
+std::string dump(const json &Value) {
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace internal
+
+tl::expected<ApiAction, ApiError> parseApiRequest(const ApiRequest &Request,
+                                                  WallTime Wall) {
+  const std::vector<std::string> Parts = internal::splitPath(Request.Path);
+  if (Request.Method == "GET") {
+    return internal::readGet(Request, Parts);
+  }
+  if (Request.Method == "POST") {
+    return internal::readPost(Request, Parts, Wall);
+  }
+  return tl::make_unexpected(internal::makeError(
+      internal::BadMethod, Request.Method, "expected GET or POST"));
+}
+
+int httpStatusOf(const CallResult &Result) {
+  switch (Result.Status) {
+  case CallStatus::Done:
+    return 200;
+  case CallStatus::Refused:
+    return 422;
+  case CallStatus::Invalid:
+    return 400;
+  case CallStatus::Conflict:
+    return 409;
+  case CallStatus::NotFound:
+    return 404;
+  case CallStatus::Unavailable:
+    return 503;
+  case CallStatus::Unknown:
+    return 504;
+  }
+  return 500;
+}
+
+std::string renderResult(const CallResult &Result) {
+  internal::json Out{{"status", nameOf(Result.Status)}};
+  if (!Result.Reason.empty()) {
+    Out["reason"] = Result.Reason;
+  }
+  if (Result.Status != CallStatus::Done || Result.Item) {
+    Out["outcome"] = internal::outcomeOf(Result);
+  }
+  if (Result.Item) {
+    Out["request"] = internal::toJson(*Result.Item);
+  }
+  if (Result.Change) {
+    Out["change"] = internal::toJson(*Result.Change);
+  }
+  if (!Result.History.empty()) {
+    Out["history"] = internal::listOf(Result.History);
+  }
+  if (Result.Rules) {
+    Out["rules"] = {{"revision", Result.Rules->Number},
+                    {"text", Result.Rules->Text},
+                    {"current", Result.Rules->IsCurrent}};
+  }
+  if (!Result.InForce.empty()) {
+    Out["in_force"] = internal::listOf(Result.InForce);
+  }
+  if (!Result.Workers.empty()) {
+    Out["workers"] = internal::listOf(Result.Workers);
+  }
+  if (!Result.Groups.empty()) {
+    Out["groups"] = internal::listOf(Result.Groups);
+  }
+  return internal::dump(Out);
+}
+
+std::string renderFindings(const Findings &Report) {
+  internal::json Items = internal::json::array();
+  for (const Finding &Item : Report.items()) {
+    Items.push_back({{"place", Item.Source},
+                     {"line", Item.Line},
+                     {"column", Item.Column},
+                     {"text", Item.Text}});
+  }
+  return internal::dump({{"status", nameOf(CallStatus::Invalid)},
+                         {"reason", Report.render()},
+                         {"findings", std::move(Items)}});
+}
+
+std::string renderReply(const WorkerReply &Reply) {
+  internal::json Out{{"verdict", nameOf(Reply.Verdict)}};
+  if (!Reply.Leader.empty()) {
+    Out["leader"] = Reply.Leader;
+  }
+  if (!Reply.Reason.empty()) {
+    Out["reason"] = Reply.Reason;
+  }
+  if (Reply.Verdict == PollVerdict::Taken) {
+    Out["epoch"] = Reply.Epoch;
+    Out["sequence"] = Reply.Sequence;
+    Out["lease_ms"] = Reply.Lease.count();
+  }
+  if (!Reply.Starts.empty()) {
+    Out["starts"] = internal::listOf(Reply.Starts);
+  }
+  if (!Reply.Stops.empty()) {
+    Out["stops"] = internal::listOf(Reply.Stops);
+  }
+  if (!Reply.Forgets.empty()) {
+    Out["forgets"] = Reply.Forgets;
+  }
+  return internal::dump(Out);
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/admin/fwd.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+/// @file
+/// @brief Forward declarations and limits of the admin module: the HTTP API of
+/// callers, workers and operators as typed messages.
+
+namespace mulberryramp {
+
+inline constexpr std::size_t MaxPayloadBytes = 64U * 1024U;
+inline constexpr std::size_t MaxNameBytes = 128;
+inline constexpr std::uint32_t MaxTasksPerRequest = 2000;
+
+struct ApiRequest;
+struct ApiError;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/config/fwd.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+/// @file
+/// @brief Forward declarations and limits of the config module: settings of
+/// the deployment and operators' rules.
+
+namespace mulberryramp {
+
+using Revision = std::uint64_t;
+
+inline constexpr std::size_t MaxRulesBytes = 256U * 1024U;
+
+struct Settings;
+struct Rules;
+struct RulesLog;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/config/settings.cpp
@@ -0,0 +1,374 @@
+#include "mulberryramp/config/settings.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <functional>
+#include <ini.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <xxhash.h>
+
+namespace mulberryramp {
+
+namespace internal {
+
+struct IniPair {
+  std::string Section;
+  std::string Key;
+  std::string Value;
+  std::size_t Line = 0;
+};
+
+struct IniText {
+  std::vector<std::string> Lines;
+  std::vector<IniPair> Pairs;
+  std::size_t Read = 0;
+};
+
+char *readIniLine(char *Buffer, int Size, void *Stream) {
+  auto &Text = *static_cast<IniText *>(Stream);
+  if (Text.Read >= Text.Lines.size()) {
+    return nullptr;
+  }
+  const std::string Line = Text.Lines[Text.Read] + "\n";
+  Text.Read += 1;
+  const auto Length = std::min(Line.size(), static_cast<std::size_t>(Size) - 1);
+  std::copy_n(Line.data(), Length, Buffer);
+  Buffer[Length] = '\0';
+  return Buffer;
+}
+
+int takeIniPair(void *User, const char *Section, const char *Key,
+                const char *Value) {
+  auto &Text = *static_cast<IniText *>(User);
+  Text.Pairs.push_back({Section, Key, Value, Text.Read});
+  return 1;
+}
+
+std::vector<std::string> splitLines(const std::string &Text) {
+  std::vector<std::string> Lines;
+  std::size_t Begin = 0;
+  while (Begin <= Text.size()) {
+    const std::size_t End = std::min(Text.find('\n', Begin), Text.size());
+    Lines.push_back(Text.substr(Begin, End - Begin));
+    Begin = End + 1;
+  }
+  return Lines;
+}
+
+template <typename Number>
+std::optional<Number> parseNumber(std::string_view Text, Number Least,
+                                  Number Most) {
+  Number Value{};
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc{} || End != Text.data() + Text.size() ||
+      Value < Least || Value > Most) {
+    return std::nullopt;
+  }
+  return Value;
+}
+
+std::optional<Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto Port = parseNumber<std::uint16_t>(
+      std::string_view{Text}.substr(Colon + 1), 1, 65535);
+  in_addr Address{};
+  const std::string Host = Text.substr(0, Colon);
+  if (!Port || inet_pton(AF_INET, Host.c_str(), &Address) != 1) {
+    return std::nullopt;
+  }
+  return Endpoint{Host, *Port};
+}
+
+class SettingsParser {
+public:
+  SettingsParser(const std::string &Source, const std::string &Text)
+      : Source{Source} {
+    Ini.Lines = splitLines(Text);
+    const int Bad = ini_parse_stream(readIniLine, &Ini, takeIniPair, &Ini);
+    if (Bad > 0) {
+      add(static_cast<std::size_t>(Bad), 1,
+          "neither a section nor `key = value`");
+    }
+  }
+
+  Settings parse(NodeId Self) {
+    for (const IniPair &Pair : Ini.Pairs) {
+      noteRepeat(Pair);
+      take(Pair);
+    }
+    if (Self != 0) {
+      All.Self = Self;
+    }
+    for (auto &[Id, Node] : Nodes) {
+      All.Nodes.push_back(Node);
+    }
+    check();
+    return All;
+  }
+
+  Findings Report;
+
+private:
+  void add(std::size_t Line, std::size_t Column, std::string Text) {
+    Report.add({Source, Line, Column, std::move(Text)});
+  }
+
+  std::size_t columnOf(const IniPair &Pair, const std::string &Part) {
+    const std::size_t At = Ini.Lines[Pair.Line - 1].rfind(Part);
+    return At == std::string::npos ? 1 : At + 1;
+  }
+
+  void badValue(const IniPair &Pair, const std::string &Wanted) {
+    add(Pair.Line, columnOf(Pair, Pair.Value),
+        Pair.Key + " = " + Pair.Value + ": expected " + Wanted);
+  }
+
+  void noteRepeat(const IniPair &Pair) {
+    if (!Seen.insert({Pair.Section, Pair.Key}).second) {
+      add(Pair.Line, columnOf(Pair, Pair.Key),
+          "[" + Pair.Section + "] sets " + Pair.Key + " twice");
+    }
+  }
+
+  void take(const IniPair &Pair) {
+    if (Pair.Section == "daemon") {
+      takeDaemon(Pair);
+    } else if (Pair.Section == "timing") {
+      takeTiming(Pair);
+    } else if (Pair.Section.starts_with("node.")) {
+      takeNode(Pair);
+    } else {
+      add(Pair.Line, 1, "unknown section [" + Pair.Section + "]");
+    }
+  }
+
+  void unknownKey(const IniPair &Pair) {
+    add(Pair.Line, columnOf(Pair, Pair.Key),
+        "[" + Pair.Section + "] has no setting " + Pair.Key);
+  }
+
+  void takeDaemon(const IniPair &Pair) {
+    if (Pair.Key == "id") {
+      takeNumber<NodeId>(Pair, 1, 65535, [this](NodeId Id) { All.Self = Id; });
+    } else if (Pair.Key == "data-folder") {
+      All.DataFolder = Pair.Value;
+    } else {
+      unknownKey(Pair);
+    }
+  }
+
+  template <typename Number>
+  void takeNumber(const IniPair &Pair, Number Least, Number Most,
+                  const std::function<void(Number)> &Store) {
+    const auto Value = parseNumber<Number>(Pair.Value, Least, Most);
+    if (!Value) {
+      badValue(Pair, "a whole number from " + std::to_string(Least) + " to " +
+                         std::to_string(Most));
+      return;
+    }
+    Store(*Value);
+  }
+
+  void takeTiming(const IniPair &Pair) {
+    static const std::map<std::string, Millis TimingSettings::*> Times{
+        {"heartbeat-ms", &TimingSettings::Heartbeat},
+        {"election-min-ms", &TimingSettings::ElectionMin},
+        {"election-max-ms", &TimingSettings::ElectionMax},
+        {"config-heartbeat-ms", &TimingSettings::ConfigHeartbeat},
+        {"worker-lease-ms", &TimingSettings::WorkerLease},
+        {"worker-wait-ms", &TimingSettings::WorkerWait}};
+    if (Pair.Key == "snapshot-every") {
+      takeNumber<std::size_t>(Pair, 16, 1000000, [this](std::size_t Count) {
+        All.Timing.SnapshotEvery = Count;
+      });
+      return;
+    }
+    const auto Found = Times.find(Pair.Key);
+    if (Found == Times.end()) {
+      unknownKey(Pair);
+      return;
+    }
+    takeNumber<std::int64_t>(Pair, 1, 600000, [&](std::int64_t Value) {
+      All.Timing.*(Found->second) = Millis{Value};
+    });
+  }
+
+  void takeNode(const IniPair &Pair) {
+    const auto Id =
+        parseNumber<NodeId>(std::string_view{Pair.Section}.substr(5), 1, 65535);
+    if (!Id) {
+      add(Pair.Line, 1, "[" + Pair.Section + "]: expected [node.NUMBER]");
+      return;
+    }
+    NodeSettings &Node = Nodes[*Id];
+    Node.Id = *Id;
+    NodeLines.try_emplace(*Id, Pair.Line);
+    if (Pair.Key == "centre") {
+      Node.Centre = Pair.Value;
+    } else if (Pair.Key == "region") {
+      Node.Region = Pair.Value;
+    } else if (Pair.Key == "witness-for") {
+      Node.WitnessFor = Pair.Value;
+    } else if (Pair.Key == "peer") {
+      takeEndpoint(Pair, Node.Peer);
+    } else if (Pair.Key == "http") {
+      takeEndpoint(Pair, Node.Http);
+    } else if (Pair.Key == "disk") {
+      takeFlag(Pair, Node.HasDisk);
+    } else {
+      unknownKey(Pair);
+    }
+  }
+
+  void takeEndpoint(const IniPair &Pair, Endpoint &Where) {
+    if (const auto Value = parseEndpoint(Pair.Value)) {
+      Where = *Value;
+    } else {
+      badValue(Pair, "an IP number and a port, as 10.0.0.1:7000");
+    }
+  }
+
+  void takeFlag(const IniPair &Pair, bool &Flag) {
+    if (Pair.Value != "yes" && Pair.Value != "no") {
+      badValue(Pair, "yes or no");
+      return;
+    }
+    Flag = Pair.Value == "yes";
+  }
+
+  void check() {
+    if (All.Nodes.empty()) {
+      add(0, 0, "no [node.NUMBER] section");
+    }
+    if (findNode(All, All.Self) == nullptr) {
+      add(0, 0,
+          "daemon " + std::to_string(All.Self) + " has no [node." +
+              std::to_string(All.Self) + "] section");
+    }
+    checkNodes();
+    checkCentres();
+    checkTiming();
+  }
+
+  void checkNodes() {
+    std::map<std::string, NodeId> Taken;
+    for (const NodeSettings &Node : All.Nodes) {
+      const std::size_t Line = NodeLines[Node.Id];
+      const std::string Name = "[node." + std::to_string(Node.Id) + "] ";
+      if (Node.Centre.empty() || Node.Region.empty()) {
+        add(Line, 0, Name + "needs centre and region");
+      }
+      if (Node.Peer.Port == 0 || Node.Http.Port == 0) {
+        add(Line, 0, Name + "needs peer and http");
+        continue;
+      }
+      for (const Endpoint &Where : {Node.Peer, Node.Http}) {
+        const auto [Other, Fresh] = Taken.try_emplace(render(Where), Node.Id);
+        if (!Fresh) {
+          add(Line, 0,
+              Name + "uses " + render(Where) + " of node " +
+                  std::to_string(Other->second) + " again");
+        }
+      }
+    }
+  }
+
+  void checkCentres() {
+    const std::vector<std::string> Centres = centresOf(All);
+    for (const std::string &Centre : Centres) {
+      const bool HasDisk = std::any_of(
+          All.Nodes.begin(), All.Nodes.end(), [&](const NodeSettings &Node) {
+            return Node.Centre == Centre && Node.HasDisk;
+          });
+      if (!HasDisk) {
+        add(0, 0, "data centre " + Centre + " has no node with disk = yes");
+      }
+    }
+    for (const NodeSettings &Node : All.Nodes) {
+      const bool Known = Node.WitnessFor.empty() ||
+                         (std::find(Centres.begin(), Centres.end(),
+                                    Node.WitnessFor) != Centres.end() &&
+                          Node.WitnessFor != Node.Centre);
+      if (!Known) {
+        add(NodeLines[Node.Id], 0,
+            "witness-for = " + Node.WitnessFor + ": no other data centre");
+      }
+    }
+  }
+
+  void checkTiming() {
+    const TimingSettings &Timing = All.Timing;
+    if (Timing.ElectionMin < Timing.Heartbeat * 3) {
+      add(0, 0, "election-min-ms must be at least 3 times heartbeat-ms");
+    }
+    if (Timing.ElectionMax <= Timing.ElectionMin) {
+      add(0, 0, "election-max-ms must exceed election-min-ms");
+    }
+    if (Timing.WorkerLease < Timing.WorkerWait * 2) {
+      add(0, 0, "worker-lease-ms must be at least 2 times worker-wait-ms");
+    }
+  }
+
+  std::string Source;
+  IniText Ini;
+  Settings All;
+  std::map<NodeId, NodeSettings> Nodes;
+  std::map<NodeId, std::size_t> NodeLines;
+  std::set<std::pair<std::string, std::string>> Seen;
+};
+
+} // namespace internal
+
+std::string render(const Endpoint &Where) {
+  return Where.Host + ":" + std::to_string(Where.Port);
+}
+
+tl::expected<Settings, Findings>
+parseSettings(const std::string &Source, const std::string &Text, NodeId Self) {
+  internal::SettingsParser Parser{Source, Text};
+  Settings All = Parser.parse(Self);
+  if (!Parser.Report.empty()) {
+    return tl::make_unexpected(Parser.Report);
+  }
+  return All;
+}
+
+const NodeSettings *findNode(const Settings &All, NodeId Id) {
+  const auto Found =
+      std::find_if(All.Nodes.begin(), All.Nodes.end(),
+                   [Id](const NodeSettings &Node) { return Node.Id == Id; });
+  return Found == All.Nodes.end() ? nullptr : &*Found;
+}
+
+std::vector<std::string> centresOf(const Settings &All) {
+  std::set<std::string> Names;
+  for (const NodeSettings &Node : All.Nodes) {
+    Names.insert(Node.Centre);
+  }
+  return {Names.begin(), Names.end()};
+}
+
+std::string homeOf(const std::vector<std::string> &Centres,
+                   std::string_view Customer, std::string_view Key) {
+  std::string Best;
+  std::uint64_t BestHash = 0;
+  for (const std::string &Centre : Centres) {
+    std::string Input = Centre;
+    Input.append(1, '\0').append(Customer).append(1, '\0').append(Key);
+    const std::uint64_t Hash = XXH3_64bits(Input.data(), Input.size());
+    if (Best.empty() || Hash > BestHash) {
+      Best = Centre;
+      BestHash = Hash;
+    }
+  }
+  return Best;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/core/time.cpp
@@ -0,0 +1,19 @@
+#include "mulberryramp/core/time.hpp"
+
+#include <ctime>
+
+namespace mulberryramp {
+
+Instant SuspendAwareClock::now() noexcept {
+  timespec Spec{};
+  clock_gettime(CLOCK_BOOTTIME, &Spec);
+  const auto Since = std::chrono::seconds{Spec.tv_sec} +
+                     std::chrono::nanoseconds{Spec.tv_nsec};
+  return Instant{std::chrono::duration_cast<Millis>(Since)};
+}
+
+WallTime wallNow() noexcept {
+  return std::chrono::time_point_cast<Millis>(std::chrono::system_clock::now());
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/http/server.cpp
@@ -0,0 +1,199 @@
+#include "mulberryramp/http/server.hpp"
+
+#include <arpa/inet.h>
+#include <map>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <optional>
+#include <unistd.h>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr int PayloadTooLarge = 413;
+
+struct Exchange {
+  std::uint64_t Id = 0;
+  ApiRequest Request;
+  MHD_Connection *Connection = nullptr;
+  std::optional<HttpResponse> Response;
+  bool IsTooLarge = false;
+  bool IsHanded = false;
+  bool IsSuspended = false;
+};
+
+MHD_Result sendResponse(MHD_Connection *Connection,
+                        const HttpResponse &Answer) {
+  MHD_Response *Response = MHD_create_response_from_buffer(
+      Answer.Body.size(), const_cast<char *>(Answer.Body.data()), // NOLINT
+      MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(Response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                          Answer.ContentType.c_str());
+  const MHD_Result Queued = MHD_queue_response(
+      Connection, static_cast<unsigned>(Answer.Status), Response);
+  MHD_destroy_response(Response);
+  return Queued;
+}
+
+MHD_Result takeQuery(void *Into, MHD_ValueKind /*Kind*/, const char *Key,
+                     const char *Value) {
+  auto &Query = *static_cast<std::map<std::string, std::string> *>(Into);
+  Query[Key] = Value == nullptr ? "" : Value;
+  return MHD_YES;
+}
+
+} // namespace internal
+
+struct HttpServer::Impl {
+  RequestHandler OnRequest;
+  ClosedHandler OnClosed;
+  MHD_Daemon *Daemon = nullptr;
+  int Descriptor = -1;
+  std::uint64_t NextId = 1;
+  std::map<std::uint64_t, internal::Exchange *> Open;
+
+  MHD_Result begin(MHD_Connection *Connection, const char *Url,
+                   const char *Method, void **Slot) {
+    auto *Item = new internal::Exchange; // NOLINT: freed in finish.
+    Item->Id = NextId;
+    NextId += 1;
+    Item->Connection = Connection;
+    Item->Request.Method = Method;
+    Item->Request.Path = Url;
+    MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND,
+                              internal::takeQuery, &Item->Request.Query);
+    Open[Item->Id] = Item;
+    *Slot = Item;
+    return MHD_YES;
+  }
+
+  MHD_Result take(internal::Exchange &Item, const char *Data,
+                  std::size_t *Size) {
+    if (*Size != 0) {
+      Item.IsTooLarge =
+          Item.IsTooLarge || Item.Request.Body.size() + *Size > MaxBodyBytes;
+      if (!Item.IsTooLarge) {
+        Item.Request.Body.append(Data, *Size);
+      }
+      *Size = 0;
+      return MHD_YES;
+    }
+    if (Item.IsTooLarge) {
+      return internal::sendResponse(
+          Item.Connection,
+          {internal::PayloadTooLarge, "application/json",
+           R"({"status":"invalid","reason":"the body is too large"})"});
+    }
+    if (Item.Response) {
+      return internal::sendResponse(Item.Connection, *Item.Response);
+    }
+    if (!Item.IsHanded) {
+      Item.IsHanded = true;
+      OnRequest(Item.Id, std::move(Item.Request));
+    }
+    if (Item.Response) {
+      return internal::sendResponse(Item.Connection, *Item.Response);
+    }
+    Item.IsSuspended = true;
+    MHD_suspend_connection(Item.Connection);
+    return MHD_YES;
+  }
+
+  void finish(internal::Exchange *Item) {
+    Open.erase(Item->Id);
+    if (Item->IsHanded && !Item->Response) {
+      OnClosed(Item->Id);
+    }
+    delete Item; // NOLINT: made in begin.
+  }
+
+  static MHD_Result onAccess(void *Self, MHD_Connection *Connection,
+                             const char *Url, const char *Method,
+                             const char * /*Version*/, const char *Data,
+                             std::size_t *Size, void **Slot) {
+    auto &Server = *static_cast<Impl *>(Self);
+    if (*Slot == nullptr) {
+      return Server.begin(Connection, Url, Method, Slot);
+    }
+    return Server.take(*static_cast<internal::Exchange *>(*Slot), Data, Size);
+  }
+
+  static void onCompleted(void *Self, MHD_Connection * /*Connection*/,
+                          void **Slot, MHD_RequestTerminationCode /*Code*/) {
+    if (*Slot != nullptr) {
+      static_cast<Impl *>(Self)->finish(
+          static_cast<internal::Exchange *>(*Slot));
+      *Slot = nullptr;
+    }
+  }
+};
+
+HttpServer::HttpServer(std::unique_ptr<Impl> Parts) : Parts{std::move(Parts)} {}
+
+HttpServer::~HttpServer() {
+  for (auto &[Id, Item] : Parts->Open) {
+    if (Item->IsSuspended) {
+      Item->IsSuspended = false;
+      MHD_resume_connection(Item->Connection);
+    }
+  }
+  MHD_stop_daemon(Parts->Daemon);
+}
+
+tl::expected<std::unique_ptr<HttpServer>, std::string>
+HttpServer::listen(const Endpoint &Where, RequestHandler OnRequest,
+                   ClosedHandler OnClosed) {
+  auto Parts = std::make_unique<Impl>();
+  Parts->OnRequest = std::move(OnRequest);
+  Parts->OnClosed = std::move(OnClosed);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Where.Port);
+  inet_pton(AF_INET, Where.Host.c_str(), &Address.sin_addr);
+  Parts->Daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Where.Port, nullptr, nullptr,
+      &Impl::onAccess, Parts.get(), MHD_OPTION_SOCK_ADDR, &Address,
+      MHD_OPTION_CONNECTION_LIMIT, MaxHttpConnections,
+      MHD_OPTION_CONNECTION_TIMEOUT, HttpIdleTimeoutSeconds,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+      &Impl::onCompleted, Parts.get(), MHD_OPTION_END);
+  if (Parts->Daemon == nullptr) {
+    return tl::make_unexpected("cannot listen for HTTP on " + render(Where));
+  }
+  const MHD_DaemonInfo *Info =
+      MHD_get_daemon_info(Parts->Daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  Parts->Descriptor = Info->epoll_fd;
+  return std::unique_ptr<HttpServer>{new HttpServer{std::move(Parts)}};
+}
+
+int HttpServer::descriptor() const noexcept { return Parts->Descriptor; }
+
+void HttpServer::run() { MHD_run(Parts->Daemon); }
+
+void HttpServer::respond(std::uint64_t Id, HttpResponse Response) {
+  const auto Found = Parts->Open.find(Id);
+  if (Found == Parts->Open.end() || Found->second->Response) {
+    return;
+  }
+  internal::Exchange &Item = *Found->second;
+  Item.Response = std::move(Response);
+  if (Item.IsSuspended) {
+    Item.IsSuspended = false;
+    MHD_resume_connection(Item.Connection);
+  }
+}
+
+std::size_t HttpServer::openRequests() const noexcept {
+  return Parts->Open.size();
+}
+
+void HttpServer::stopListening() {
+  const MHD_socket Listener = MHD_quiesce_daemon(Parts->Daemon);
+  if (Listener != MHD_INVALID_SOCKET) {
+    ::close(Listener);
+  }
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/ledger/ledger.cpp
@@ -0,0 +1,614 @@
+#include "mulberryramp/ledger/ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr int GenerationShift = 48;
+
+void releasePlace(Ledger &State, TaskId Id) {
+  Task &Row = State.Tasks[Id];
+  const RequestSpec &Spec = State.Requests[Row.Owner].Spec;
+  if (Worker *Place = State.Workers.find(Row.Place)) {
+    Place->Granted -= Spec.Need;
+    std::erase(Place->Tasks, Id);
+  }
+  State.GrantedByTeam[Spec.Team] -= Spec.Need;
+  State.ByAttempt.erase(Row.Attempt);
+  Row.Place = {};
+}
+
+void settleTask(Ledger &State, TaskId Id, TaskState To, std::string Reason) {
+  Task &Row = State.Tasks[Id];
+  Row.State = To;
+  Row.Reason = std::move(Reason);
+  if (To == TaskState::Unknown) {
+    State.ByAttempt[Row.Attempt] = Id;
+  }
+}
+
+/// A task that waits ends as not run only if no attempt of it ever began.
+void settleWaiting(Ledger &State, TaskId Id, const std::string &Reason) {
+  const bool Ran = State.Tasks[Id].MayHaveRun;
+  settleTask(State, Id, Ran ? TaskState::Failed : TaskState::NotRun, Reason);
+}
+
+struct StateCounts {
+  std::size_t Open = 0;
+  std::size_t Assigned = 0;
+  std::size_t Done = 0;
+  std::size_t Failed = 0;
+  std::size_t NotRun = 0;
+  std::size_t Unknown = 0;
+  std::string Reason;
+};
+
+StateCounts countStates(const Ledger &State, const Request &Row) {
+  StateCounts Counts;
+  for (const TaskId Id : Row.Tasks) {
+    const Task &Item = State.Tasks[Id];
+    Counts.Open += isSettled(Item.State) ? 0 : 1;
+    Counts.Assigned += Item.State == TaskState::Assigned ? 1 : 0;
+    Counts.Done += Item.State == TaskState::Done ? 1 : 0;
+    Counts.Failed += Item.State == TaskState::Failed ? 1 : 0;
+    Counts.NotRun += Item.State == TaskState::NotRun ? 1 : 0;
+    Counts.Unknown += Item.State == TaskState::Unknown ? 1 : 0;
+    if (Counts.Reason.empty()) {
+      Counts.Reason = Item.Reason;
+    }
+  }
+  return Counts;
+}
+
+Outcome outcomeOf(const StateCounts &Counts) {
+  if (Counts.Unknown != 0) {
+    return Outcome::Unknown;
+  }
+  if (Counts.Failed != 0) {
+    return Outcome::Failed;
+  }
+  if (Counts.NotRun == 0) {
+    return Outcome::Done;
+  }
+  return Counts.Done == 0 ? Outcome::NotRun : Outcome::Failed;
+}
+
+void settleWaitingTasks(Ledger &State, const Request &Row,
+                        const std::string &Reason) {
+  for (const TaskId Id : Row.Tasks) {
+    if (State.Tasks[Id].State == TaskState::Queued) {
+      settleWaiting(State, Id, Reason);
+    }
+  }
+}
+
+void restartGang(Ledger &State, Request &Row) {
+  Row.IsRestarting = false;
+  for (const TaskId Id : Row.Tasks) {
+    Task &Item = State.Tasks[Id];
+    Item.State = TaskState::Queued;
+    Item.Answer.clear();
+  }
+}
+
+void refreshWaiting(Ledger &State, RequestId Id) {
+  const Request &Row = State.Requests[Id];
+  const bool Waits =
+      std::any_of(Row.Tasks.begin(), Row.Tasks.end(), [&State](TaskId Item) {
+        return State.Tasks[Item].State == TaskState::Queued;
+      });
+  if (Waits) {
+    State.Waiting.insert(Id);
+  } else {
+    State.Waiting.erase(Id);
+  }
+}
+
+void settleRequest(Ledger &State, RequestId Id, WallTime At) {
+  Request &Row = State.Requests[Id];
+  if (Row.IsFailing) {
+    settleWaitingTasks(State, Row, "another task of the gang failed");
+  }
+  const StateCounts Counts = countStates(State, Row);
+  if (Row.IsRestarting && !Row.IsFailing && !Row.IsCancelled &&
+      Counts.Assigned == 0) {
+    restartGang(State, Row);
+    return;
+  }
+  if (Counts.Open != 0) {
+    return;
+  }
+  const Outcome Result = outcomeOf(Counts);
+  if (Result == Row.Result) {
+    return;
+  }
+  if (Row.Result != Outcome::Pending) {
+    State.BySettledAt.erase({Row.SettledAt, Id});
+  }
+  Row.Result = Result;
+  Row.Reason = Counts.Reason;
+  Row.SettledAt = At;
+  State.BySettledAt.insert({At, Id});
+}
+
+/// Carries a change of tasks over to their request.
+void updateRequest(Ledger &State, RequestId Id, WallTime At) {
+  settleRequest(State, Id, At);
+  refreshWaiting(State, Id);
+}
+
+void failGangTask(Ledger &State, TaskId Id, const std::string &Reason) {
+  Task &Row = State.Tasks[Id];
+  Request &Owner = State.Requests[Row.Owner];
+  const bool Again = Owner.Spec.IsIdempotent && !Owner.IsCancelled &&
+                     Row.Attempts < Owner.Spec.MaxAttempts;
+  if (Again && !Owner.IsFailing) {
+    Row.State = TaskState::Queued;
+    Owner.IsRestarting = true;
+    return;
+  }
+  Owner.IsFailing = true;
+  settleTask(State, Id, TaskState::Failed, Reason);
+}
+
+Millis backoffOf(const Request &Owner, const Task &Row) {
+  constexpr std::uint32_t MaxDoublings = 6;
+  const std::uint32_t Doublings =
+      std::min(Row.Attempts > 0 ? Row.Attempts - 1 : 0, MaxDoublings);
+  return Owner.Spec.RetryBackoff * (1U << Doublings);
+}
+
+void failTask(Ledger &State, TaskId Id, const std::string &Reason,
+              WallTime At) {
+  Task &Row = State.Tasks[Id];
+  const Request &Owner = State.Requests[Row.Owner];
+  if (Owner.Spec.Kind == WorkKind::Gang) {
+    failGangTask(State, Id, Reason);
+    return;
+  }
+  const bool Endless = Owner.Spec.Kind == WorkKind::Service;
+  const bool Again = Owner.Spec.IsIdempotent && !Owner.IsCancelled &&
+                     (Endless || Row.Attempts < Owner.Spec.MaxAttempts);
+  if (!Again) {
+    settleTask(State, Id, TaskState::Failed, Reason);
+    return;
+  }
+  Row.State = TaskState::Queued;
+  Row.NotBefore = At + backoffOf(Owner, Row);
+  Row.Reason = Reason;
+}
+
+void refuseTask(Ledger &State, TaskId Id, const std::string &Reason,
+                WallTime At) {
+  Task &Row = State.Tasks[Id];
+  Request &Owner = State.Requests[Row.Owner];
+  Row.Attempts -= 1;
+  Row.Refusals += 1;
+  Row.State = TaskState::Queued;
+  Row.NotBefore = At + Owner.Spec.RetryBackoff;
+  if (Owner.IsCancelled || Row.Refusals >= MaxRefusals) {
+    settleWaiting(State, Id, Owner.IsCancelled ? "cancelled" : Reason);
+    Owner.IsFailing = Owner.Spec.Kind == WorkKind::Gang && !Owner.IsCancelled;
+    return;
+  }
+  if (Owner.Spec.Kind == WorkKind::Gang) {
+    Owner.IsRestarting = true;
+  }
+}
+
+/// A stopped task starts again from its checkpoint.
+void stopTask(Ledger &State, TaskId Id, const std::string &Reason,
+              const std::string &Checkpoint) {
+  Task &Row = State.Tasks[Id];
+  Request &Owner = State.Requests[Row.Owner];
+  Row.MayHaveRun = true;
+  if (Owner.IsCancelled || Owner.IsFailing || !Owner.Spec.IsIdempotent) {
+    settleTask(State, Id, TaskState::Failed,
+               Owner.IsCancelled ? "cancelled while running" : Reason);
+    return;
+  }
+  Row.State = TaskState::Queued;
+  Row.Answer = Checkpoint;
+  Row.Attempts -= 1;
+  if (Owner.Spec.Kind == WorkKind::Gang) {
+    Owner.IsRestarting = true;
+  }
+}
+
+void loseTask(Ledger &State, TaskId Id, const std::string &Reason) {
+  Task &Row = State.Tasks[Id];
+  Request &Owner = State.Requests[Row.Owner];
+  Row.MayHaveRun = true;
+  if (Owner.IsCancelled || Owner.IsFailing || !Owner.Spec.IsIdempotent) {
+    settleTask(State, Id, TaskState::Unknown, Reason);
+    return;
+  }
+  Row.State = TaskState::Queued;
+  Row.Attempts -= 1;
+  if (Owner.Spec.Kind == WorkKind::Gang) {
+    Owner.IsRestarting = true;
+  }
+}
+
+/// A late report may still say what became of an attempt in doubt.
+void resolveUnknown(Ledger &State, TaskId Id, const Settlement &Item) {
+  if (Item.End == AttemptEnd::Lost) {
+    return;
+  }
+  Task &Row = State.Tasks[Id];
+  State.ByAttempt.erase(Row.Attempt);
+  Row.Answer = Item.Answer;
+  if (Item.End == AttemptEnd::Refused && Row.Attempts <= 1 &&
+      Row.Refusals == 0) {
+    settleTask(State, Id, TaskState::NotRun, Item.Reason);
+  } else {
+    const bool Done = Item.End == AttemptEnd::Done;
+    settleTask(State, Id, Done ? TaskState::Done : TaskState::Failed,
+               Item.Reason);
+  }
+}
+
+void settleAssigned(Ledger &State, TaskId Id, const Settlement &Item,
+                    WallTime At) {
+  releasePlace(State, Id);
+  Task &Row = State.Tasks[Id];
+  switch (Item.End) {
+  case AttemptEnd::Done:
+    Row.MayHaveRun = true;
+    Row.Answer = Item.Answer;
+    settleTask(State, Id, TaskState::Done, "");
+    break;
+  case AttemptEnd::Failed:
+    Row.MayHaveRun = true;
+    failTask(State, Id, Item.Reason, At);
+    break;
+  case AttemptEnd::Refused:
+    refuseTask(State, Id, Item.Reason, At);
+    break;
+  case AttemptEnd::Stopped:
+    stopTask(State, Id, Item.Reason, Item.Answer);
+    break;
+  case AttemptEnd::Lost:
+    loseTask(State, Id, Item.Reason);
+    break;
+  }
+}
+
+void settleOne(Ledger &State, const Settlement &Item, WallTime At,
+               ApplyResult &Result) {
+  const auto Found = State.ByAttempt.find(Item.Attempt);
+  if (Found == State.ByAttempt.end()) {
+    return;
+  }
+  const TaskId Id = Found->second;
+  const RequestId Owner = State.Tasks[Id].Owner;
+  if (State.Tasks[Id].State == TaskState::Assigned) {
+    settleAssigned(State, Id, Item, At);
+  } else {
+    resolveUnknown(State, Id, Item);
+  }
+  updateRequest(State, Owner, At);
+  Result.Changed.push_back(Owner);
+}
+
+/// A refusal is kept until no delayed copy of the request can still arrive.
+ApplyResult recordRefusal(Ledger &State, const AcceptCommand &Command) {
+  Request Row;
+  Row.Spec = Command.Spec;
+  Row.Spec.Payload.clear();
+  Row.Digest = Command.Digest;
+  Row.AcceptedAt = Command.At;
+  Row.SettledAt = Command.At - AnswerRetention + RefusalRetention;
+  Row.Result = Outcome::NotRun;
+  Row.Reason = Command.Refusal;
+  const WallTime SettledAt = Row.SettledAt;
+  const RequestId Id = State.Requests.insert(std::move(Row));
+  State.ByIdentity[{Command.Spec.Customer, Command.Spec.Key}] = Id;
+  State.BySettledAt.insert({SettledAt, Id});
+  ApplyResult Result;
+  Result.Accept = AcceptVerdict::Refused;
+  Result.Accepted = Id;
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const AcceptCommand &Command) {
+  ApplyResult Result;
+  const RequestSpec &Spec = Command.Spec;
+  const RequestId Known = findRequest(State, Spec.Customer, Spec.Key);
+  if (Known.isSet()) {
+    const bool Same = State.Requests[Known].Digest == Command.Digest;
+    Result.Accept = Same ? AcceptVerdict::Resend : AcceptVerdict::Conflict;
+    Result.Accepted = Known;
+    return Result;
+  }
+  if (isDoubtful(State, Spec, Command.At)) {
+    Result.Accept = AcceptVerdict::Doubtful;
+    return Result;
+  }
+  if (!Command.Refusal.empty()) {
+    return recordRefusal(State, Command);
+  }
+  Request Row;
+  Row.Spec = Spec;
+  Row.Digest = Command.Digest;
+  Row.AcceptedAt = Command.At;
+  const RequestId Id = State.Requests.insert(std::move(Row));
+  for (std::uint32_t Ordinal = 0; Ordinal < Spec.TaskCount; ++Ordinal) {
+    Task Item;
+    Item.Owner = Id;
+    Item.Ordinal = Ordinal;
+    const TaskId Added = State.Tasks.insert(std::move(Item));
+    State.Requests[Id].Tasks.push_back(Added);
+  }
+  State.ByIdentity[{Spec.Customer, Spec.Key}] = Id;
+  State.Waiting.insert(Id);
+  Result.Accept = AcceptVerdict::Accepted;
+  Result.Accepted = Id;
+  Result.Changed.push_back(Id);
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const CancelCommand &Command) {
+  ApplyResult Result;
+  const RequestId Id = findRequest(State, Command.Customer, Command.Key);
+  Result.IsFound = Id.isSet();
+  if (!Id.isSet() || State.Requests[Id].Result != Outcome::Pending) {
+    return Result;
+  }
+  State.Requests[Id].IsCancelled = true;
+  settleWaitingTasks(State, State.Requests[Id], "cancelled");
+  updateRequest(State, Id, Command.At);
+  Result.Changed.push_back(Id);
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const AnnounceCommand &Command) {
+  ApplyResult Result;
+  if (findWorker(State, Command.Name).isSet()) {
+    return Result;
+  }
+  Worker Row;
+  Row.Name = Command.Name;
+  Row.Incarnation = Command.Incarnation;
+  Row.Rack = Command.Rack;
+  Row.Capacity = Command.Capacity;
+  State.ByWorkerName[Command.Name] = State.Workers.insert(std::move(Row));
+  Result.IsFound = true;
+  return Result;
+}
+
+Worker *findLife(Ledger &State, const std::string &Name,
+                 std::uint64_t Incarnation) {
+  Worker *Row = State.Workers.find(findWorker(State, Name));
+  return Row != nullptr && Row->Incarnation == Incarnation ? Row : nullptr;
+}
+
+ApplyResult run(Ledger &State, const LeavingCommand &Command) {
+  ApplyResult Result;
+  if (Worker *Row = findLife(State, Command.Name, Command.Incarnation)) {
+    Row->IsLeaving = Command.IsLeaving;
+    Result.IsFound = true;
+  }
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const RemoveWorkerCommand &Command) {
+  ApplyResult Result;
+  const Worker *Row = findLife(State, Command.Name, Command.Incarnation);
+  if (Row == nullptr || (Command.OnlyIfIdle && !Row->Tasks.empty())) {
+    return Result;
+  }
+  Result.IsFound = true;
+  const std::vector<TaskId> Lost = Row->Tasks;
+  for (const TaskId Id : Lost) {
+    Settlement Item;
+    Item.Attempt = State.Tasks[Id].Attempt;
+    Item.Reason = "the lease of worker " + Command.Name + " ended";
+    settleOne(State, Item, Command.At, Result);
+  }
+  State.Workers.erase(findWorker(State, Command.Name));
+  State.ByWorkerName.erase(Command.Name);
+  return Result;
+}
+
+bool isGrantable(const Ledger &State, const Placement &Wanted) {
+  const Request *Owner = State.Requests.find(Wanted.Owner);
+  if (Owner == nullptr || hasToStop(*Owner)) {
+    return false;
+  }
+  const bool Whole = Owner->Spec.Kind != WorkKind::Gang ||
+                     Wanted.Tasks.size() == Owner->Tasks.size();
+  std::map<WorkerId, Resources> Room;
+  for (const Assignment &Item : Wanted.Tasks) {
+    const Task *Row = State.Tasks.find(Item.Item);
+    const Worker *Place = State.Workers.find(Item.Place);
+    if (Row == nullptr || Place == nullptr || Row->Owner != Wanted.Owner ||
+        Row->State != TaskState::Queued || Place->IsLeaving) {
+      return false;
+    }
+    Resources &Left =
+        Room.try_emplace(Item.Place, freeOf(*Place)).first->second;
+    if (!fitsIn(Owner->Spec.Need, Left)) {
+      return false;
+    }
+    Left -= Owner->Spec.Need;
+  }
+  return Whole;
+}
+
+void grant(Ledger &State, const Assignment &Item, WallTime At) {
+  Task &Row = State.Tasks[Item.Item];
+  const RequestSpec &Spec = State.Requests[Row.Owner].Spec;
+  Worker &Place = State.Workers[Item.Place];
+  Place.Granted += Spec.Need;
+  Place.Tasks.push_back(Item.Item);
+  State.GrantedByTeam[Spec.Team] += Spec.Need;
+  Row.State = TaskState::Assigned;
+  Row.Attempt = State.NextAttempt;
+  Row.Attempts += 1;
+  Row.Place = Item.Place;
+  Row.AssignedAt = At;
+  State.ByAttempt[Row.Attempt] = Item.Item;
+  State.NextAttempt += 1;
+}
+
+ApplyResult run(Ledger &State, const AssignCommand &Command) {
+  ApplyResult Result;
+  for (const Placement &Wanted : Command.Placements) {
+    if (!isGrantable(State, Wanted)) {
+      continue;
+    }
+    for (const Assignment &Item : Wanted.Tasks) {
+      grant(State, Item, Command.At);
+    }
+    refreshWaiting(State, Wanted.Owner);
+    Result.Changed.push_back(Wanted.Owner);
+  }
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const SettleCommand &Command) {
+  ApplyResult Result;
+  for (const Settlement &Item : Command.Items) {
+    settleOne(State, Item, Command.At, Result);
+  }
+  return Result;
+}
+
+void dropRequest(Ledger &State, RequestId Id) {
+  const Request &Row = State.Requests[Id];
+  for (const TaskId Item : Row.Tasks) {
+    State.ByAttempt.erase(State.Tasks[Item].Attempt);
+    State.Tasks.erase(Item);
+  }
+  State.ByIdentity.erase({Row.Spec.Customer, Row.Spec.Key});
+  State.BySettledAt.erase({Row.SettledAt, Id});
+  State.Waiting.erase(Id);
+  State.Requests.erase(Id);
+}
+
+bool isOverdue(const Ledger &State, const Request &Row, WallTime At) {
+  if (Row.Result != Outcome::Pending || Row.Spec.StartBy == WallTime{} ||
+      Row.Spec.StartBy > At) {
+    return false;
+  }
+  const auto Began = [&State](TaskId Id) {
+    return State.Tasks[Id].MayHaveRun ||
+           State.Tasks[Id].State == TaskState::Assigned;
+  };
+  return Row.Spec.Kind != WorkKind::Gang ||
+         std::none_of(Row.Tasks.begin(), Row.Tasks.end(), Began);
+}
+
+bool settleOverdue(Ledger &State, const Request &Row) {
+  bool Changed = false;
+  for (const TaskId Id : Row.Tasks) {
+    const Task &Item = State.Tasks[Id];
+    if (Item.State == TaskState::Queued && !Item.MayHaveRun) {
+      settleWaiting(State, Id, "not started by its latest start");
+      Changed = true;
+    }
+  }
+  return Changed;
+}
+
+ApplyResult run(Ledger &State, const ExpireCommand &Command) {
+  ApplyResult Result;
+  const std::vector<RequestId> Waiting{State.Waiting.begin(),
+                                       State.Waiting.end()};
+  for (const RequestId Id : Waiting) {
+    const Request &Row = State.Requests[Id];
+    if (isOverdue(State, Row, Command.At) && settleOverdue(State, Row)) {
+      updateRequest(State, Id, Command.At);
+      Result.Changed.push_back(Id);
+    }
+  }
+  while (!State.BySettledAt.empty()) {
+    const auto [SettledAt, Id] = *State.BySettledAt.begin();
+    if (SettledAt + AnswerRetention + MaxClockSkew >= Command.At) {
+      break;
+    }
+    dropRequest(State, Id);
+  }
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const RejectCommand &Command) {
+  ApplyResult Result;
+  const Request *Row = State.Requests.find(Command.Owner);
+  if (Row == nullptr || Row->Result != Outcome::Pending) {
+    return Result;
+  }
+  settleWaitingTasks(State, *Row, Command.Reason);
+  updateRequest(State, Command.Owner, Command.At);
+  Result.Changed.push_back(Command.Owner);
+  return Result;
+}
+
+ApplyResult run(Ledger &State, const DoubtCommand &Command) {
+  State.DoubtUntil = std::max(State.DoubtUntil, Command.Until);
+  State.NeedsDoubt = false;
+  return {};
+}
+
+} // namespace internal
+
+ApplyResult apply(Ledger &State, const LedgerCommand &Command) {
+  return std::visit(
+      [&State](const auto &Item) { return internal::run(State, Item); },
+      Command);
+}
+
+void markRecovery(Ledger &State) {
+  const AttemptId Generation = State.NextAttempt >> internal::GenerationShift;
+  State.NextAttempt = ((Generation + 1) << internal::GenerationShift) + 1;
+  State.NeedsDoubt = true;
+}
+
+RequestId findRequest(const Ledger &State, const std::string &Customer,
+                      const std::string &Key) {
+  const auto Found = State.ByIdentity.find({Customer, Key});
+  return Found == State.ByIdentity.end() ? RequestId{} : Found->second;
+}
+
+WorkerId findWorker(const Ledger &State, const std::string &Name) {
+  const auto Found = State.ByWorkerName.find(Name);
+  return Found == State.ByWorkerName.end() ? WorkerId{} : Found->second;
+}
+
+bool isDoubtful(const Ledger &State, const RequestSpec &Spec, WallTime At) {
+  if (Spec.IsIdempotent) {
+    return false;
+  }
+  return Spec.IssuedAt <= State.DoubtUntil ||
+         Spec.IssuedAt + AnswerRetention <= At;
+}
+
+std::vector<std::string> checkLedger(const Ledger &State) {
+  std::vector<std::string> Broken;
+  for (const Worker &Row : State.Workers.rows()) {
+    Resources Sum;
+    for (const TaskId Id : Row.Tasks) {
+      Sum += State.Requests[State.Tasks[Id].Owner].Spec.Need;
+    }
+    if (Sum != Row.Granted) {
+      Broken.push_back("grants of worker " + Row.Name + " do not add up");
+    }
+    if (!fitsIn(Row.Granted, Row.Capacity)) {
+      Broken.push_back("worker " + Row.Name + " is overcommitted");
+    }
+  }
+  for (const TaskId Id : State.Tasks.ids()) {
+    const Task &Row = State.Tasks[Id];
+    const bool Placed = Row.State == TaskState::Assigned;
+    if (Placed != State.Workers.contains(Row.Place)) {
+      Broken.push_back("a task and its place disagree");
+    }
+  }
+  return Broken;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/ledger/ledger.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "mulberryramp/core/table.hpp"
+#include "mulberryramp/ledger/command.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace mulberryramp {
+
+/// @brief Identity of a request.
+struct Identity {
+  std::string Customer;
+  std::string Key;
+
+  auto operator<=>(const Identity &) const = default;
+};
+
+/// @brief Everything that a data centre agrees on.
+///
+/// The rows are replicated and snapshotted; the indexes behind them follow
+/// from the rows.
+struct Ledger {
+  Table<Worker> Workers;
+  Table<Task> Tasks;
+  Table<Request> Requests;
+  AttemptId NextAttempt = 1;
+  bool NeedsDoubt = false; ///< A recovery waits for its doubt command.
+  WallTime DoubtUntil;     ///< Earlier requests may have left no trace.
+
+  std::map<Identity, RequestId> ByIdentity;
+  std::unordered_map<std::string, WorkerId> ByWorkerName;
+  std::unordered_map<AttemptId, TaskId> ByAttempt;
+  std::map<std::string, Resources> GrantedByTeam;
+  std::set<std::pair<WallTime, RequestId>> BySettledAt;
+  std::set<RequestId> Waiting; ///< Requests with a task that is queued.
+
+  static constexpr auto fields() {
+    return std::make_tuple(&Ledger::Workers, &Ledger::Tasks, &Ledger::Requests,
+                           &Ledger::NextAttempt, &Ledger::NeedsDoubt,
+                           &Ledger::DoubtUntil);
+  }
+};
+
+/// @brief How a request to accept ended.
+enum class AcceptVerdict : std::uint8_t {
+  Accepted,
+  Resend,
+  Conflict,
+  Doubtful,
+  Refused
+};
+
+/// @brief Names of the verdicts.
+constexpr std::array<std::string_view, 5>
+nameTable(AcceptVerdict /*Verdict*/) noexcept {
+  return {"accepted", "resend", "conflict", "doubtful", "refused"};
+}
+
+/// @brief What a command changed.
+struct ApplyResult {
+  std::vector<RequestId> Changed; ///< Requests with a change to report.
+  std::optional<AcceptVerdict> Accept;
+  RequestId Accepted;
+  bool IsFound = false; ///< The named request or worker was there.
+};
+
+/// @brief Applies a command; the same on every member.
+/// @param State The ledger.
+/// @param Command The command.
+/// @return What changed.
+ApplyResult apply(Ledger &State, const LedgerCommand &Command);
+
+/// @brief Notes a recovery of the group with a log that may lack entries.
+/// @param State The ledger.
+void markRecovery(Ledger &State);
+
+/// @brief Finds a request by its identity.
+/// @return Its identifier, null if there is none.
+[[nodiscard]] RequestId findRequest(const Ledger &State,
+                                    const std::string &Customer,
+                                    const std::string &Key);
+
+/// @brief Finds a worker by its name.
+/// @return Its identifier, null if there is none.
+[[nodiscard]] WorkerId findWorker(const Ledger &State, const std::string &Name);
+
+/// @brief Tells whether a request without a trace may have been accepted.
+/// @param State The ledger.
+/// @param Spec The request.
+/// @param At The present time.
+/// @return True if it must not be run as new.
+[[nodiscard]] bool isDoubtful(const Ledger &State, const RequestSpec &Spec,
+                              WallTime At);
+
+/// @brief Encodes the rows for a snapshot.
+[[nodiscard]] std::string encodeLedger(const Ledger &State);
+
+/// @brief Restores a ledger from a snapshot; an empty one from no bytes.
+/// @return The ledger, or nothing if the bytes are none of `encodeLedger`.
+[[nodiscard]] std::optional<Ledger> decodeLedger(std::string_view Data);
+
+/// @brief Computes the digest of what a caller asked for.
+/// @param Spec The request; priority and limits by rules are left out.
+/// @return The digest.
+[[nodiscard]] std::uint64_t digestOf(const RequestSpec &Spec);
+
+/// @brief Lists what is wrong in the ledger itself.
+/// @param State The ledger.
+/// @return A sentence for each broken invariant; empty if all hold.
+[[nodiscard]] std::vector<std::string> checkLedger(const Ledger &State);
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/net/fwd.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "mulberryramp/core/fwd.hpp"
+
+#include <cstddef>
+
+/// @file
+/// @brief Forward declarations and limits of the net module: links between
+/// daemons.
+
+namespace mulberryramp {
+
+inline constexpr std::size_t MaxQueuedBytes = 16U * 1024U * 1024U;
+inline constexpr Millis RedialEvery{200};
+inline constexpr Millis StalledAfter{3000};
+
+class PeerLinks;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/centre_service.cpp
@@ -0,0 +1,474 @@
+#include "mulberryramp/node/centre_service.hpp"
+
+#include "mulberryramp/system/admission.hpp"
+#include "mulberryramp/system/eligibility.hpp"
+#include "mulberryramp/system/failures.hpp"
+#include "mulberryramp/system/preemption.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr Millis PlaceEvery{50};
+constexpr Millis SweepEvery{250};
+constexpr Millis CalmEvery{1000};
+constexpr std::uint64_t CalmedRetries = 5;
+constexpr std::uint64_t AttemptWindow = 2000;
+
+constexpr const char *LeaderChanged =
+    "the leader changed; ask again under the same key";
+
+} // namespace internal
+
+CentreService::CentreService(CentreOptions Options)
+    : Options{std::move(Options)} {
+  View.Centre = this->Options.Centre;
+  View.CentreIndex = this->Options.CentreIndex;
+  View.CentreCount = this->Options.CentreCount;
+}
+
+void CentreService::onEntry(const Entry &Item) {
+  IsDirty = true;
+  if (Item.Kind == EntryKind::Recovery) {
+    markRecovery(State);
+    return;
+  }
+  if (Item.Kind != EntryKind::Command) {
+    return;
+  }
+  const auto Command = decodeCommand(Item.Data);
+  if (!Command) {
+    return;
+  }
+  const ApplyResult Result = apply(State, *Command);
+  if (!IsServing) {
+    return;
+  }
+  answerOpen(Item.Index, *Command, Result);
+  if (const auto *Announced = std::get_if<AnnounceCommand>(&*Command)) {
+    Announcing.erase(Announced->Name);
+  } else if (const auto *Removed =
+                 std::get_if<RemoveWorkerCommand>(&*Command)) {
+    Removing.erase(Removed->Name);
+    Counters.LostWorkers += Result.IsFound ? 1 : 0;
+  } else if (const auto *Ended = std::get_if<SettleCommand>(&*Command)) {
+    for (const Settlement &One : Ended->Items) {
+      Settling.erase(One.Attempt);
+      Parts.erase(One.Attempt);
+    }
+    Counters.Settled += Ended->Items.size();
+  } else if (const auto *Granted = std::get_if<AssignCommand>(&*Command)) {
+    countAttempts(*Granted);
+  }
+  if (Item.Index == AssignInFlight) {
+    AssignInFlight = 0;
+  }
+  if (Item.Index == ExpireInFlight) {
+    ExpireInFlight = 0;
+  }
+}
+
+void CentreService::onRestore(const std::string &Data) {
+  State = decodeLedger(Data).value_or(Ledger{});
+  IsDirty = true;
+}
+
+std::string CentreService::snapshotData() const { return encodeLedger(State); }
+
+void CentreService::countAttempts(const AssignCommand &Command) {
+  for (const Placement &Item : Command.Placements) {
+    for (const Assignment &One : Item.Tasks) {
+      const Task *Row = State.Tasks.find(One.Item);
+      if (Row == nullptr || Row->State != TaskState::Assigned) {
+        continue;
+      }
+      Counters.Starts += 1;
+      View.AttemptCount += 1;
+      View.RetryCount += Row->Attempts > 1 ? 1 : 0;
+    }
+  }
+  if (View.AttemptCount > internal::AttemptWindow) {
+    View.AttemptCount /= 2;
+    View.RetryCount /= 2;
+  }
+}
+
+bool CentreService::proposeCommand(Replica &Member,
+                                   const LedgerCommand &Command) {
+  return propose(Member, encodeCommand(Command)).has_value();
+}
+
+void CentreService::startServing(Replica &Member, Instant Now, WallTime Wall) {
+  IsServing = true;
+  IsReleasing = false;
+  ServedTerm = Member.Hard.Current;
+  View.Workers.clear();
+  View.Preempted.clear();
+  View.Held.clear();
+  View.Failures.clear();
+  View.AttemptCount = 0;
+  View.RetryCount = 0;
+  for (const WorkerId Id : State.Workers.ids()) {
+    (void)seenOf(Id, Now);
+  }
+  if (State.NeedsDoubt) {
+    (void)proposeCommand(Member, DoubtCommand{Wall + MaxClockSkew});
+  }
+}
+
+void CentreService::stopServing() {
+  IsServing = false;
+  for (const auto &[Index, Call] : Open) {
+    DoneCalls.push_back({Call.Origin, makeResult(CallStatus::Unknown,
+                                                 internal::LeaderChanged)});
+  }
+  for (const Waiter &Item : Waiters) {
+    DoneCalls.push_back({Item.Origin, makeResult(CallStatus::Unavailable,
+                                                 internal::LeaderChanged)});
+  }
+  for (const ParkedPoll &Item : Parked) {
+    finishPoll(Item.PollId, PollVerdict::NotLeader, "", Instant::max());
+  }
+  Open.clear();
+  Waiters.clear();
+  Parked.clear();
+  Announcing.clear();
+  Removing.clear();
+  Settling.clear();
+  Settlements.clear();
+  Parts.clear();
+  AssignInFlight = 0;
+  ExpireInFlight = 0;
+}
+
+void CentreService::call(Replica &Member, const CallOrigin &Origin,
+                         const CallBody &Body, const Rules &InForce,
+                         Instant Now, WallTime Wall) {
+  const DecisionInput Input{State, InForce, Now, Wall};
+  if (const auto *Submit = std::get_if<SubmitCall>(&Body)) {
+    submit(Member, Origin, *Submit, Input);
+  } else if (const auto *Status = std::get_if<StatusCall>(&Body)) {
+    status(Origin, *Status, Now, Input);
+  } else if (const auto *Cancel = std::get_if<CancelCall>(&Body)) {
+    cancel(Member, Origin, *Cancel, Wall);
+  } else {
+    DoneCalls.push_back({Origin, listWorkers(InForce, Now)});
+  }
+}
+
+void CentreService::submit(Replica &Member, const CallOrigin &Origin,
+                           const SubmitCall &Call, const DecisionInput &Input) {
+  if (State.NeedsDoubt) {
+    DoneCalls.push_back({Origin, makeResult(CallStatus::Unavailable,
+                                            "the data centre recovers")});
+    return;
+  }
+  if (Call.ReceivedAt + MaxCallAge < Input.Wall) {
+    DoneCalls.push_back({Origin, makeResult(CallStatus::Unavailable,
+                                            "the call came too late")});
+    return;
+  }
+  AcceptCommand Command;
+  Command.Spec = Call.Spec;
+  Command.Digest = digestOf(Call.Spec);
+  Command.At = Input.Wall;
+  Command.Refusal = refusalOf(Input, View, Call.Spec).value_or("");
+  applyRules(Input.InForce, Command.Spec, Input.Wall);
+  const auto Index = propose(Member, encodeCommand(Command));
+  if (!Index) {
+    DoneCalls.push_back({Origin, makeResult(CallStatus::Unavailable,
+                                            "leadership is handed over")});
+    return;
+  }
+  Open.emplace(*Index,
+               OpenCall{Origin, false, Call.Spec.Customer, Call.Spec.Key});
+}
+
+void CentreService::status(const CallOrigin &Origin, const StatusCall &Call,
+                           Instant Now, const DecisionInput &Input) {
+  const RequestId Id = findRequest(State, Call.Customer, Call.Key);
+  if (!Id.isSet()) {
+    DoneCalls.push_back(
+        {Origin, makeResult(CallStatus::NotFound, "no such request")});
+    return;
+  }
+  const Request &Row = State.Requests[Id];
+  if (Call.Wait > Millis{0} && !isAwaited(Row)) {
+    Waiters.push_back({Origin, Id, Now + std::min(Call.Wait, MaxCallWait)});
+    return;
+  }
+  CallResult Result = resultOf(Id);
+  if (State.Waiting.contains(Id)) {
+    Result.Item->Reason = waitReason(Input, View, Row);
+  }
+  DoneCalls.push_back({Origin, std::move(Result)});
+}
+
+void CentreService::cancel(Replica &Member, const CallOrigin &Origin,
+                           const CancelCall &Call, WallTime Wall) {
+  const auto Index = propose(
+      Member, encodeCommand(CancelCommand{Call.Customer, Call.Key, Wall}));
+  if (!Index) {
+    DoneCalls.push_back({Origin, makeResult(CallStatus::Unavailable,
+                                            "leadership is handed over")});
+    return;
+  }
+  Open.emplace(*Index, OpenCall{Origin, true, Call.Customer, Call.Key});
+}
+
+void CentreService::answerOpen(LogIndex Index, const LedgerCommand &Command,
+                               const ApplyResult &Result) {
+  const auto Found = Open.find(Index);
+  if (Found == Open.end()) {
+    return;
+  }
+  const OpenCall Call = Found->second;
+  Open.erase(Found);
+  const RequestId Id = findRequest(State, Call.Customer, Call.Key);
+  if (Call.IsCancel || std::holds_alternative<CancelCommand>(Command)) {
+    DoneCalls.push_back(
+        {Call.Origin,
+         Id.isSet() ? resultOf(Id)
+                    : makeResult(CallStatus::NotFound, "no such request")});
+    return;
+  }
+  const AcceptVerdict Verdict = Result.Accept.value_or(AcceptVerdict::Conflict);
+  if (Verdict == AcceptVerdict::Doubtful) {
+    DoneCalls.push_back(
+        {Call.Origin,
+         makeResult(CallStatus::Unknown,
+                    "it may have run before; what is known of it was lost or "
+                    "is no longer kept")});
+    return;
+  }
+  Counters.Accepted += Verdict == AcceptVerdict::Accepted ? 1 : 0;
+  Counters.Refused += Verdict == AcceptVerdict::Refused ? 1 : 0;
+  CallResult Done = resultOf(Id);
+  if (Verdict == AcceptVerdict::Conflict) {
+    Done.Status = CallStatus::Conflict;
+    Done.Reason = "the key was used for another request";
+    Done.Item.reset();
+  } else if (Done.Item->Result == Outcome::NotRun && Done.Item->Tasks.empty()) {
+    Done.Status = CallStatus::Refused;
+    Done.Reason = Done.Item->Reason;
+  }
+  DoneCalls.push_back({Call.Origin, std::move(Done)});
+}
+
+bool CentreService::isAwaited(const Request &Row) const {
+  if (Row.Result != Outcome::Pending) {
+    return true;
+  }
+  return Row.Spec.Kind == WorkKind::Service &&
+         std::all_of(Row.Tasks.begin(), Row.Tasks.end(), [this](TaskId Id) {
+           const Task &Item = State.Tasks[Id];
+           const auto Seen = View.Workers.find(Item.Place);
+           return Item.State == TaskState::Assigned &&
+                  Seen != View.Workers.end() &&
+                  Seen->second.Reported.contains(Item.Attempt);
+         });
+}
+
+void CentreService::answerWaiters(Instant Now) {
+  for (auto Item = Waiters.begin(); Item != Waiters.end();) {
+    const Request *Row = State.Requests.find(Item->Owner);
+    if (Row == nullptr) {
+      DoneCalls.push_back(
+          {Item->Origin, makeResult(CallStatus::NotFound, "no longer kept")});
+    } else if (isAwaited(*Row) || Now >= Item->Until || IsReleasing) {
+      DoneCalls.push_back({Item->Origin, resultOf(Item->Owner)});
+    } else {
+      ++Item;
+      continue;
+    }
+    Item = Waiters.erase(Item);
+  }
+}
+
+RequestView CentreService::viewOf(const Request &Row) const {
+  RequestView Shown;
+  Shown.Customer = Row.Spec.Customer;
+  Shown.Key = Row.Spec.Key;
+  Shown.Home = Options.Centre;
+  Shown.ClassName = Row.Spec.ClassName;
+  Shown.Kind = Row.Spec.Kind;
+  Shown.Result = Row.Result;
+  Shown.Reason = Row.Reason;
+  Shown.IsCancelled = Row.IsCancelled;
+  Shown.AcceptedAt = Row.AcceptedAt;
+  for (const TaskId Id : Row.Tasks) {
+    const Task &Item = State.Tasks[Id];
+    const Worker *Place = State.Workers.find(Item.Place);
+    const bool Ended = Item.State == TaskState::Done;
+    Shown.Tasks.push_back({Item.Ordinal, Item.State, Item.Attempts,
+                           Place == nullptr ? "" : Place->Name,
+                           Ended ? Item.Answer : "", Item.Reason});
+  }
+  return Shown;
+}
+
+CallResult CentreService::resultOf(RequestId Id) const {
+  CallResult Result;
+  Result.Item = viewOf(State.Requests[Id]);
+  return Result;
+}
+
+CallResult CentreService::listWorkers(const Rules &InForce, Instant Now) const {
+  CallResult Result;
+  for (const WorkerId Id : State.Workers.ids()) {
+    const Worker &Row = State.Workers[Id];
+    WorkerInfo Info;
+    Info.Name = Row.Name;
+    Info.Rack = Row.Rack;
+    Info.Capacity = Row.Capacity;
+    Info.Granted = Row.Granted;
+    Info.TaskCount = static_cast<std::uint32_t>(Row.Tasks.size());
+    Info.IsLeaving = Row.IsLeaving;
+    Info.IsDrained = isDrained(InForce, Row.Name, Row.Rack, Options.Centre);
+    const auto Seen = View.Workers.find(Id);
+    if (Seen != View.Workers.end()) {
+      Info.IsConfirmed = Seen->second.IsConfirmed;
+      Info.IsQuarantined = Seen->second.QuarantineEnd > Now;
+    }
+    Result.Workers.push_back(std::move(Info));
+  }
+  return Result;
+}
+
+void CentreService::settle(AttemptId Attempt, AttemptEnd End,
+                           std::string Answer, std::string Reason) {
+  if (!Settling.insert(Attempt).second) {
+    return;
+  }
+  Settlements.push_back({Attempt, End, std::move(Answer), std::move(Reason)});
+}
+
+void CentreService::flushSettlements(Replica &Member,
+                                     const DecisionInput &Input) {
+  if (Settlements.empty()) {
+    return;
+  }
+  for (const Settlement &Item : Settlements) {
+    noteAttemptEnd(Input, View, Item);
+  }
+  SettleCommand Command;
+  Command.Items = std::exchange(Settlements, {});
+  Command.At = Input.Wall;
+  if (!proposeCommand(Member, Command)) {
+    for (const Settlement &Item : Command.Items) {
+      Settling.erase(Item.Attempt);
+    }
+  }
+}
+
+void CentreService::sweepLeases(Replica &Member, Instant Now, WallTime Wall) {
+  for (const WorkerId Id : State.Workers.ids()) {
+    const Worker &Row = State.Workers[Id];
+    if (Now <= seenOf(Id, Now).LeaseEnd || Removing.contains(Row.Name)) {
+      continue;
+    }
+    if (proposeCommand(Member, RemoveWorkerCommand{Row.Name, Row.Incarnation,
+                                                   false, Wall})) {
+      Removing.insert(Row.Name);
+    }
+  }
+}
+
+void CentreService::sweepViews() {
+  std::erase_if(View.Workers, [this](const auto &Item) {
+    return !State.Workers.contains(Item.first);
+  });
+  std::erase_if(View.Failures, [this](const auto &Item) {
+    return !State.Requests.contains(Item.first);
+  });
+}
+
+void CentreService::sweepExpired(Replica &Member, Instant Now, WallTime Wall) {
+  if (ExpireInFlight != 0 || Now - SweptAt < internal::SweepEvery) {
+    return;
+  }
+  SweptAt = Now;
+  sweepViews();
+  const bool Overdue = std::any_of(
+      State.Waiting.begin(), State.Waiting.end(), [&](RequestId Id) {
+        const Request &Row = State.Requests[Id];
+        return Row.Spec.StartBy != WallTime{} && Row.Spec.StartBy <= Wall;
+      });
+  const bool Stale =
+      !State.BySettledAt.empty() &&
+      State.BySettledAt.begin()->first + AnswerRetention + MaxClockSkew < Wall;
+  if (Overdue || Stale) {
+    ExpireInFlight =
+        propose(Member, encodeCommand(ExpireCommand{Wall})).value_or(0);
+  }
+}
+
+void CentreService::calmRetries(Instant Now) {
+  if (Now - CalmedAt < internal::CalmEvery) {
+    return;
+  }
+  CalmedAt = Now;
+  View.RetryCount -= std::min(View.RetryCount, internal::CalmedRetries);
+  IsDirty = true;
+}
+
+void CentreService::runPlacement(Replica &Member, const DecisionInput &Input) {
+  const bool Due = IsDirty || Input.Now - PlacedAt >= internal::PlaceEvery;
+  if (AssignInFlight != 0 || State.Waiting.empty() || !Due) {
+    return;
+  }
+  IsDirty = false;
+  PlacedAt = Input.Now;
+  PlacementRun Run = place(Input, View, Options.Placing);
+  Counters.PlacementRuns += 1;
+  Counters.Considered += Run.Considered;
+  if (!Run.Blocked.empty()) {
+    const std::size_t Before = View.Preempted.size();
+    preempt(Input, View, Run.Blocked);
+    Counters.Preempted +=
+        View.Preempted.size() - std::min(Before, View.Preempted.size());
+  }
+  if (!Run.Placements.empty()) {
+    AssignCommand Command;
+    Command.Placements = std::move(Run.Placements);
+    Command.At = Input.Wall;
+    AssignInFlight = propose(Member, encodeCommand(Command)).value_or(0);
+  }
+}
+
+void CentreService::tick(Replica &Member, const Rules &InForce, Instant Now,
+                         WallTime Wall) {
+  const bool Ready = isReady(Member, Now);
+  if (IsServing && (!Ready || ServedTerm != Member.Hard.Current)) {
+    stopServing();
+  }
+  if (!Ready) {
+    return;
+  }
+  if (!IsServing) {
+    startServing(Member, Now, Wall);
+  }
+  const DecisionInput Input{State, InForce, Now, Wall};
+  sweepLeases(Member, Now, Wall);
+  sweepExpired(Member, Now, Wall);
+  calmRetries(Now);
+  flushSettlements(Member, Input);
+  if (!State.NeedsDoubt) {
+    runPlacement(Member, Input);
+  }
+  answerPolls(Member, Now);
+  answerWaiters(Now);
+}
+
+std::vector<CallDone> CentreService::takeCalls() {
+  return std::exchange(DoneCalls, {});
+}
+
+std::vector<PollDone> CentreService::takePolls() {
+  return std::exchange(DonePolls, {});
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/centre_service.hpp
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "mulberryramp/node/call.hpp"
+#include "mulberryramp/node/hosted_group.hpp"
+#include "mulberryramp/system/placement.hpp"
+#include "mulberryramp/system/view.hpp"
+
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Times and names of a data centre's service.
+struct CentreOptions {
+  std::string Centre;
+  std::size_t CentreIndex = 0;
+  std::size_t CentreCount = 1;
+  Millis WorkerLease{12000};
+  Millis WorkerWait{4000};
+  PlacementOptions Placing;
+};
+
+/// @brief Answer to a worker's poll with its destination.
+struct PollDone {
+  std::uint64_t PollId = 0;
+  WorkerReply Reply;
+  Instant NotAfter; ///< End of the leader's lease; not to be sent later.
+};
+
+/// @brief Counters of a data centre's service since the daemon started.
+struct CentreCounters {
+  std::uint64_t Accepted = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Polls = 0;
+  std::uint64_t PlacementRuns = 0;
+  std::uint64_t Considered = 0;
+  std::uint64_t Starts = 0;
+  std::uint64_t Settled = 0;
+  std::uint64_t Preempted = 0;
+  std::uint64_t LostWorkers = 0;
+};
+
+/// @brief Ledger of a data centre on one daemon, and all its decisions while
+/// this daemon leads the group of the data centre.
+class CentreService final : public GroupState {
+public:
+  explicit CentreService(CentreOptions Options);
+
+  void onEntry(const Entry &Item) override;
+  void onRestore(const std::string &Data) override;
+  [[nodiscard]] std::string snapshotData() const override;
+
+  /// @brief Takes a call; undefined unless `isServing`.
+  void call(Replica &Member, const CallOrigin &Origin, const CallBody &Body,
+            const Rules &InForce, Instant Now, WallTime Wall);
+
+  /// @brief Takes a worker's poll; undefined unless `isServing`.
+  void poll(Replica &Member, std::uint64_t PollId, const WorkerPoll &Poll,
+            Instant Now, WallTime Wall);
+
+  /// @brief Drops a poll whose connection is gone.
+  void abandonPoll(std::uint64_t PollId);
+
+  /// @brief Runs the systems over the tables.
+  void tick(Replica &Member, const Rules &InForce, Instant Now, WallTime Wall);
+
+  /// @brief Ends all that waits for this daemon as the leader.
+  void stopServing();
+
+  /// @brief Tells whether this daemon decides for the data centre.
+  [[nodiscard]] bool isServing() const noexcept { return IsServing; }
+
+  /// @brief Answers all long polls at their next tick, as before a shutdown.
+  void releaseWaiting() noexcept { IsReleasing = true; }
+
+  /// @brief Takes the finished calls.
+  [[nodiscard]] std::vector<CallDone> takeCalls();
+  /// @brief Takes the finished polls.
+  [[nodiscard]] std::vector<PollDone> takePolls();
+
+  /// @brief Reads the ledger.
+  [[nodiscard]] const Ledger &ledger() const noexcept { return State; }
+  /// @brief Reads what the leader knows beside the ledger.
+  [[nodiscard]] const CentreView &view() const noexcept { return View; }
+  /// @brief Reads the counters.
+  [[nodiscard]] const CentreCounters &counters() const noexcept {
+    return Counters;
+  }
+
+private:
+  struct Waiter {
+    CallOrigin Origin;
+    RequestId Owner;
+    Instant Until;
+  };
+
+  struct OpenCall {
+    CallOrigin Origin;
+    bool IsCancel = false;
+    std::string Customer;
+    std::string Key;
+  };
+
+  struct ParkedPoll {
+    std::uint64_t PollId = 0;
+    std::string Name;
+    std::uint64_t Incarnation = 0;
+    Instant Until;
+    bool IsUrgent = false; ///< To be answered at the next tick.
+  };
+
+  struct AnswerParts {
+    std::uint32_t Count = 0;
+    std::map<std::uint32_t, std::string> Parts;
+  };
+
+  void startServing(Replica &Member, Instant Now, WallTime Wall);
+  bool proposeCommand(Replica &Member, const LedgerCommand &Command);
+  [[nodiscard]] Millis leaseMargin() const { return Options.WorkerLease / 10; }
+
+  void submit(Replica &Member, const CallOrigin &Origin, const SubmitCall &Call,
+              const DecisionInput &Input);
+  void status(const CallOrigin &Origin, const StatusCall &Call, Instant Now,
+              const DecisionInput &Input);
+  void cancel(Replica &Member, const CallOrigin &Origin, const CancelCall &Call,
+              WallTime Wall);
+  [[nodiscard]] CallResult listWorkers(const Rules &InForce, Instant Now) const;
+  [[nodiscard]] CallResult resultOf(RequestId Id) const;
+  [[nodiscard]] RequestView viewOf(const Request &Row) const;
+  [[nodiscard]] bool isAwaited(const Request &Row) const;
+  void answerOpen(LogIndex Index, const LedgerCommand &Command,
+                  const ApplyResult &Result);
+  void answerWaiters(Instant Now);
+
+  [[nodiscard]] std::string contradiction(const WorkerPoll &Poll) const;
+  void finishPoll(std::uint64_t PollId, PollVerdict Verdict, std::string Reason,
+                  Instant NotAfter);
+  void announce(Replica &Member, const WorkerPoll &Poll);
+  [[nodiscard]] WorkerView &seenOf(WorkerId Id, Instant Now);
+  void takeReports(WorkerId Id, const WorkerPoll &Poll, Term InTerm,
+                   Instant Now);
+  void noteReport(WorkerId Id, WorkerView &Seen, const AttemptReport &Report);
+  [[nodiscard]] std::optional<std::string>
+  wholeAnswer(const AttemptReport &Report, bool &IsBroken);
+  void settle(AttemptId Attempt, AttemptEnd End, std::string Answer,
+              std::string Reason);
+  void answerPolls(Replica &Member, Instant Now);
+  void fillOrders(const Worker &Row, WorkerView &Seen, WorkerReply &Reply,
+                  Instant Now) const;
+  [[nodiscard]] std::optional<OrderKind>
+  wantedOrder(const WorkerView &Seen, TaskId Id, Instant Now) const;
+  [[nodiscard]] StartOrder startOrderOf(TaskId Id) const;
+  void fillForgets(WorkerView &Seen, WorkerReply &Reply) const;
+  static void dropForgotten(WorkerView &Seen, std::uint64_t Ack);
+
+  void sweepLeases(Replica &Member, Instant Now, WallTime Wall);
+  void sweepExpired(Replica &Member, Instant Now, WallTime Wall);
+  void sweepViews();
+  void flushSettlements(Replica &Member, const DecisionInput &Input);
+  void runPlacement(Replica &Member, const DecisionInput &Input);
+  void countAttempts(const AssignCommand &Command);
+  void calmRetries(Instant Now);
+
+  CentreOptions Options;
+  Ledger State;
+  CentreView View;
+  CentreCounters Counters;
+
+  bool IsServing = false;
+  bool IsReleasing = false;
+  Term ServedTerm = 0;
+  std::multimap<LogIndex, OpenCall> Open;
+  std::set<std::string> Announcing;
+  std::set<std::string> Removing;
+  std::set<AttemptId> Settling;
+  std::vector<Settlement> Settlements;
+  std::map<AttemptId, AnswerParts> Parts;
+  std::list<Waiter> Waiters;
+  std::list<ParkedPoll> Parked;
+  LogIndex AssignInFlight = 0;
+  LogIndex ExpireInFlight = 0;
+  bool IsDirty = true;
+  Instant PlacedAt;
+  Instant SweptAt;
+  Instant CalmedAt;
+  std::vector<CallDone> DoneCalls;
+  std::vector<PollDone> DonePolls;
+};
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/config_service.cpp
@@ -0,0 +1,131 @@
+#include "mulberryramp/node/config_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr Millis HeardWithin{3000};
+
+CallResult resultOf(const ChangeRecord &Record) {
+  CallResult Result;
+  Result.Change = Record;
+  if (Record.Verdict == ChangeVerdict::Conflict) {
+    Result.Status = CallStatus::Conflict;
+    Result.Reason = "revision " + std::to_string(Record.Number) + " of " +
+                    Record.Winner + " came first";
+  }
+  return Result;
+}
+
+} // namespace internal
+
+ConfigService::ConfigService() { parseInForce(); }
+
+void ConfigService::parseInForce() {
+  auto Parsed = parseRules("rules", State.Text);
+  if (Parsed) {
+    InForce = std::move(*Parsed);
+    InForce.Number = State.Number;
+  }
+}
+
+void ConfigService::onEntry(const Entry &Item) {
+  if (Item.Kind != EntryKind::Command) {
+    return;
+  }
+  const auto Change = decodeChange(Item.Data);
+  if (!Change) {
+    return;
+  }
+  const Revision Before = State.Number;
+  const ChangeRecord Record = applyChange(State, *Change);
+  if (State.Number != Before) {
+    State.NewestIndex = Item.Index;
+    parseInForce();
+  }
+  const auto [Begin, End] = Open.equal_range(Item.Index);
+  for (auto Waiting = Begin; Waiting != End; ++Waiting) {
+    Done.push_back({Waiting->second, internal::resultOf(Record)});
+  }
+  Open.erase(Begin, End);
+}
+
+void ConfigService::onRestore(const std::string &Data) {
+  State = decodeRulesLog(Data).value_or(RulesLog{});
+  parseInForce();
+}
+
+std::string ConfigService::snapshotData() const {
+  return encodeRulesLog(State);
+}
+
+void ConfigService::applyRules(Replica &Member, const CallOrigin &Origin,
+                               const RulesApplyCall &Call, WallTime Wall) {
+  const auto Parsed = parseRules("rules", Call.Text);
+  if (!Parsed) {
+    Done.push_back(
+        {Origin, makeResult(CallStatus::Invalid, Parsed.error().render())});
+    return;
+  }
+  RulesChange Change = makeChange(State, Call.Base, Call.Text);
+  Change.ChangeKey = Call.ChangeKey;
+  Change.Operator = Call.Operator;
+  Change.At = Wall;
+  const auto Index = propose(Member, encodeChange(Change));
+  if (!Index) {
+    Done.push_back({Origin, makeResult(CallStatus::Unavailable,
+                                       "leadership is being handed over")});
+    return;
+  }
+  Open.emplace(*Index, Origin);
+}
+
+CallResult ConfigService::history(const RulesHistoryCall &Call) const {
+  CallResult Result;
+  const std::size_t Count =
+      std::min<std::size_t>(Call.Most, State.Changes.size());
+  Result.History.assign(State.Changes.end() -
+                            static_cast<std::ptrdiff_t>(Count),
+                        State.Changes.end());
+  return Result;
+}
+
+CallResult ConfigService::status(const Replica &Member, Instant Now) const {
+  CallResult Result;
+  Result.Rules = RulesView{State.Number, "", true};
+  Result.InForce.push_back({Member.Self.Node, true, true});
+  for (const auto &[Who, Peer] : Member.Peers) {
+    Result.InForce.push_back({Who.Node, Peer.Applied >= State.NewestIndex,
+                              Now - Peer.HeardAt < internal::HeardWithin});
+  }
+  return Result;
+}
+
+void ConfigService::call(Replica &Member, const CallOrigin &Origin,
+                         const CallBody &Body, Instant Now, WallTime Wall) {
+  if (const auto *Apply = std::get_if<RulesApplyCall>(&Body)) {
+    applyRules(Member, Origin, *Apply, Wall);
+  } else if (const auto *History = std::get_if<RulesHistoryCall>(&Body)) {
+    Done.push_back({Origin, history(*History)});
+  } else {
+    Done.push_back({Origin, status(Member, Now)});
+  }
+}
+
+void ConfigService::stopServing() {
+  for (const auto &[Index, Origin] : Open) {
+    Done.push_back({Origin, makeResult(CallStatus::Unknown,
+                                       "the leader changed; send the change "
+                                       "again under the same key")});
+  }
+  Open.clear();
+}
+
+std::vector<CallDone> ConfigService::takeDone() {
+  return std::exchange(Done, {});
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/config_service.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "mulberryramp/node/call.hpp"
+#include "mulberryramp/node/hosted_group.hpp"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Rules of the deployment on one daemon, and their changes while this
+/// daemon leads the configuration group.
+class ConfigService final : public GroupState {
+public:
+  ConfigService();
+
+  void onEntry(const Entry &Item) override;
+  void onRestore(const std::string &Data) override;
+  [[nodiscard]] std::string snapshotData() const override;
+
+  /// @brief Takes a call; undefined unless the replica is ready.
+  void call(Replica &Member, const CallOrigin &Origin, const CallBody &Body,
+            Instant Now, WallTime Wall);
+
+  /// @brief Ends the open calls of a leader that is one no longer.
+  void stopServing();
+
+  /// @brief Takes the finished calls.
+  [[nodiscard]] std::vector<CallDone> takeDone();
+
+  /// @brief Reads the rules in force here.
+  [[nodiscard]] const Rules &inForce() const noexcept { return InForce; }
+
+  /// @brief Reads the replicated state.
+  [[nodiscard]] const RulesLog &log() const noexcept { return State; }
+
+private:
+  void parseInForce();
+  void applyRules(Replica &Member, const CallOrigin &Origin,
+                  const RulesApplyCall &Call, WallTime Wall);
+  [[nodiscard]] CallResult history(const RulesHistoryCall &Call) const;
+  [[nodiscard]] CallResult status(const Replica &Member, Instant Now) const;
+
+  RulesLog State;
+  Rules InForce;
+  std::multimap<LogIndex, CallOrigin> Open;
+  std::vector<CallDone> Done;
+};
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/fwd.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "mulberryramp/core/fwd.hpp"
+
+/// @file
+/// @brief Forward declarations and defaults of the node module: one daemon's
+/// decisions without clock, socket or thread.
+
+namespace mulberryramp {
+
+inline constexpr std::uint32_t MaxHops = 3;
+inline constexpr Millis ForwardTimeout{5000};
+inline constexpr Millis ForwardRetryEvery{100};
+inline constexpr Millis MaxCallWait{30000};
+
+struct PeerMessage;
+struct CallResult;
+class Node;
+class CentreService;
+class ConfigService;
+class HostedGroup;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/hosted_group.cpp
@@ -0,0 +1,43 @@
+#include "mulberryramp/node/hosted_group.hpp"
+
+#include <utility>
+
+namespace mulberryramp {
+
+HostedGroup::HostedGroup(Replica Member, std::optional<GroupStore> Store,
+                         GroupState &State)
+    : Member{std::move(Member)}, Store{std::move(Store)}, State{&State} {
+  this->State->onRestore(this->Member.Base.Data);
+}
+
+bool HostedGroup::applyCommitted() {
+  bool Applied = false;
+  if (Member.HasNewBase) {
+    Member.HasNewBase = false;
+    State->onRestore(Member.Base.Data);
+    Applied = true;
+  }
+  while (const Entry *Item = nextCommitted(Member)) {
+    State->onEntry(*Item);
+    Applied = true;
+  }
+  if (wantsSnapshot(Member)) {
+    compact(Member, State->snapshotData());
+  }
+  return Applied;
+}
+
+tl::expected<bool, StorageError> HostedGroup::save() {
+  if (!Member.HasUnsaved) {
+    return false;
+  }
+  if (Store) {
+    if (auto Written = Store->write(Member.Unsaved); !Written) {
+      return tl::make_unexpected(Written.error());
+    }
+  }
+  markSaved(Member);
+  return true;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/node/node.cpp
@@ -0,0 +1,583 @@
+#include "mulberryramp/node/node.hpp"
+
+#include "mulberryramp/core/names.hpp"
+#include "mulberryramp/node/config_service.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr int MaxRoundsPerStep = 4;
+constexpr Millis RulesCurrentWithin{3000};
+
+Millis waitOf(const CallBody &Body) {
+  const auto *Status = std::get_if<StatusCall>(&Body);
+  return Status == nullptr ? Millis{0} : std::min(Status->Wait, MaxCallWait);
+}
+
+std::string homeOfCall(const CallBody &Body,
+                       const std::vector<std::string> &Centres) {
+  return std::visit(
+      [&Centres](const auto &Call) -> std::string {
+        if constexpr (requires { Call.Spec.Key; }) {
+          return Call.Home.empty()
+                     ? homeOf(Centres, Call.Spec.Customer, Call.Spec.Key)
+                     : Call.Home;
+        } else if constexpr (requires { Call.Key; }) {
+          return Call.Home.empty() ? homeOf(Centres, Call.Customer, Call.Key)
+                                   : Call.Home;
+        } else if constexpr (requires { Call.Home; }) {
+          return Call.Home;
+        } else {
+          return {};
+        }
+      },
+      Body);
+}
+
+bool isRulesCall(const CallBody &Body) {
+  return std::holds_alternative<RulesApplyCall>(Body) ||
+         std::holds_alternative<RulesHistoryCall>(Body) ||
+         std::holds_alternative<RulesStatusCall>(Body);
+}
+
+ReplicaOptions centreOptions(const Settings &Deployment,
+                             const std::string &Centre) {
+  ReplicaOptions Options;
+  Options.HeartbeatEvery = Deployment.Timing.Heartbeat;
+  Options.ElectionMin = Deployment.Timing.ElectionMin;
+  Options.ElectionMax = Deployment.Timing.ElectionMax;
+  Options.SnapshotEvery = Deployment.Timing.SnapshotEvery;
+  Options.VoterNodes = centreVoters(Deployment, Centre);
+  for (const NodeSettings &Node : Deployment.Nodes) {
+    if (Node.WitnessFor == Centre) {
+      Options.WitnessNodes.insert(Node.Id);
+    }
+  }
+  return Options;
+}
+
+ReplicaOptions configOptions(const Settings &Deployment) {
+  ReplicaOptions Options;
+  Options.HeartbeatEvery = Deployment.Timing.ConfigHeartbeat;
+  Options.ElectionMin = Deployment.Timing.ConfigHeartbeat * 3;
+  Options.ElectionMax = Deployment.Timing.ConfigHeartbeat * 6;
+  Options.JoinEvery = Deployment.Timing.ConfigHeartbeat;
+  Options.SnapshotEvery = Deployment.Timing.SnapshotEvery;
+  Options.VoterNodes = configVoters(Deployment);
+  return Options;
+}
+
+std::vector<Member> foundersOf(const Settings &Deployment,
+                               const std::set<NodeId> &Voters,
+                               const std::string &Centre) {
+  constexpr std::uint64_t FounderIncarnation = 1;
+  std::vector<Member> Founders;
+  for (const NodeSettings &Node : Deployment.Nodes) {
+    const bool Here = Centre.empty() || Node.Centre == Centre;
+    if (Node.HasDisk && Here && Voters.contains(Node.Id)) {
+      Founders.push_back({Node.Id, FounderIncarnation});
+    }
+  }
+  return Founders;
+}
+
+/// A call that was passed on, until its result comes.
+struct Passed {
+  CallOrigin Origin;
+  CallBody Body;
+  std::uint32_t Hops = 0;
+  NodeId To = 0;
+  Instant Until;
+  Instant RetryAt; ///< Set while the call waits to be passed on again.
+  bool IsWaiting = false;
+  std::string LastReason;
+};
+
+} // namespace internal
+
+struct Node::Impl {
+  Impl(const Settings &Deployment, Member Self)
+      : Deployment{Deployment}, Self{Self}, Centres{centresOf(Deployment)} {}
+
+  [[nodiscard]] StorageStatus hostAll(FileSystem *Files, std::uint64_t Seed,
+                                      Instant Now);
+  [[nodiscard]] StorageStatus host(const std::string &Name,
+                                   ReplicaOptions Options, GroupState &State,
+                                   FileSystem *Files, std::uint64_t Seed,
+                                   Instant Now);
+  void addCentre(const std::string &Centre);
+
+  void route(const CallOrigin &Origin, CallBody Body, std::uint32_t Hops,
+             Instant Now, WallTime Wall);
+  [[nodiscard]] std::optional<CallResult> answerHere(const CallBody &Body,
+                                                     Instant Now) const;
+  bool serveHere(const std::string &Group, const CallOrigin &Origin,
+                 const CallBody &Body, Instant Now, WallTime Wall);
+  [[nodiscard]] NodeId nextHop(const std::string &Group);
+  void passOn(std::uint64_t Id, internal::Passed &Item, Instant Now);
+  void finish(const CallOrigin &Origin, CallResult Result);
+  void takeForwardResult(const ForwardResult &Result, Instant Now);
+  void tickPassed(Instant Now, WallTime Wall);
+  void collectDone();
+  [[nodiscard]] tl::expected<bool, StorageError> saveAll();
+  void tickGroups(Instant Now, WallTime Wall);
+  [[nodiscard]] std::string groupOf(const CallBody &Body) const;
+
+  Settings Deployment;
+  Member Self;
+  std::vector<std::string> Centres;
+  std::string OwnCentre;
+  ConfigService Config;
+  std::map<std::string, std::unique_ptr<CentreService>> Services;
+  std::map<std::string, std::unique_ptr<HostedGroup>> Groups;
+  std::map<std::uint64_t, internal::Passed> Passed;
+  std::map<std::string, std::size_t> Rotation;
+  std::uint64_t NextForward = 1;
+  bool IsLeaving = false;
+  NodeCounters Counters;
+  NodeOutput Output;
+};
+
+Node::Node(std::unique_ptr<Impl> Parts) : Parts{std::move(Parts)} {}
+Node::~Node() = default;
+
+StorageStatus Node::Impl::host(const std::string &Name, ReplicaOptions Options,
+                               GroupState &State, FileSystem *Files,
+                               std::uint64_t Seed, Instant Now) {
+  StoredGroup Stored;
+  std::optional<GroupStore> Store;
+  if (Files != nullptr) {
+    auto Opened = GroupStore::open(*Files, "group-" + Name, Stored);
+    if (!Opened) {
+      return tl::make_unexpected(Opened.error());
+    }
+    Store = std::move(*Opened);
+  }
+  Replica Member = startReplica(Name, Self, std::move(Options),
+                                std::move(Stored), Seed, Now);
+  Groups[Name] =
+      std::make_unique<HostedGroup>(std::move(Member), std::move(Store), State);
+  return {};
+}
+
+void Node::Impl::addCentre(const std::string &Centre) {
+  CentreOptions Options;
+  Options.Centre = Centre;
+  Options.CentreCount = Centres.size();
+  Options.CentreIndex = static_cast<std::size_t>(
+      std::find(Centres.begin(), Centres.end(), Centre) - Centres.begin());
+  Options.WorkerLease = Deployment.Timing.WorkerLease;
+  Options.WorkerWait = Deployment.Timing.WorkerWait;
+  Services[Centre] = std::make_unique<CentreService>(std::move(Options));
+}
+
+StorageStatus Node::Impl::hostAll(FileSystem *Files, std::uint64_t Seed,
+                                  Instant Now) {
+  const NodeSettings &Mine = *findNode(Deployment, Self.Node);
+  OwnCentre = Mine.Centre;
+  addCentre(OwnCentre);
+  if (!Mine.WitnessFor.empty()) {
+    addCentre(Mine.WitnessFor);
+  }
+  Random Draw{Seed};
+  for (const auto &[Centre, Service] : Services) {
+    auto Hosted = host(Centre, internal::centreOptions(Deployment, Centre),
+                       *Service, Files, Draw.next(), Now);
+    if (!Hosted) {
+      return Hosted;
+    }
+  }
+  return host(ConfigGroup, internal::configOptions(Deployment), Config, Files,
+              Draw.next(), Now);
+}
+
+tl::expected<std::unique_ptr<Node>, StorageError>
+Node::start(const Settings &Deployment, FileSystem *Files,
+            std::uint64_t Incarnation, std::uint64_t Seed, Instant Now) {
+  auto Parts =
+      std::make_unique<Impl>(Deployment, Member{Deployment.Self, Incarnation});
+  if (auto Hosted = Parts->hostAll(Files, Seed, Now); !Hosted) {
+    return tl::make_unexpected(Hosted.error());
+  }
+  return std::unique_ptr<Node>{new Node{std::move(Parts)}};
+}
+
+StorageStatus Node::found(const Settings &Deployment, FileSystem &Files) {
+  const NodeSettings &Mine = *findNode(Deployment, Deployment.Self);
+  std::map<std::string, std::vector<Member>> Founders;
+  Founders[Mine.Centre] = internal::foundersOf(
+      Deployment, centreVoters(Deployment, Mine.Centre), Mine.Centre);
+  const std::set<NodeId> Config = configVoters(Deployment);
+  if (Config.contains(Mine.Id)) {
+    Founders[ConfigGroup] = internal::foundersOf(Deployment, Config, "");
+  }
+  for (auto &[Name, Members] : Founders) {
+    StoredGroup Stored;
+    auto Store = GroupStore::open(Files, "group-" + Name, Stored);
+    if (!Store) {
+      return tl::make_unexpected(Store.error());
+    }
+    PersistBatch Batch;
+    Batch.Base = foundGroup(Members).Base;
+    if (auto Written = Store->write(Batch); !Written) {
+      return Written;
+    }
+  }
+  return {};
+}
+
+std::string Node::Impl::groupOf(const CallBody &Body) const {
+  if (internal::isRulesCall(Body)) {
+    return ConfigGroup;
+  }
+  std::string Home = internal::homeOfCall(Body, Centres);
+  return Home.empty() ? OwnCentre : Home;
+}
+
+std::optional<CallResult> Node::Impl::answerHere(const CallBody &Body,
+                                                 Instant Now) const {
+  const Replica &Config = Groups.at(ConfigGroup)->replica();
+  if (std::holds_alternative<RulesShowCall>(Body)) {
+    CallResult Result;
+    const bool IsCurrent = isReady(Config, Now) ||
+                           (Config.Leader && Now - Config.LeaderHeardAt <
+                                                 internal::RulesCurrentWithin);
+    Result.Rules = RulesView{this->Config.log().Number, this->Config.log().Text,
+                             IsCurrent};
+    return Result;
+  }
+  const std::string Group = groupOf(Body);
+  const bool IsKnown =
+      Group == ConfigGroup ||
+      std::find(Centres.begin(), Centres.end(), Group) != Centres.end();
+  if (!IsKnown) {
+    return makeResult(CallStatus::Invalid, "no data centre " + Group);
+  }
+  return std::nullopt;
+}
+
+bool Node::Impl::serveHere(const std::string &Group, const CallOrigin &Origin,
+                           const CallBody &Body, Instant Now, WallTime Wall) {
+  const auto Found = Groups.find(Group);
+  if (Found == Groups.end() || !isReady(Found->second->replica(), Now)) {
+    return false;
+  }
+  Replica &Member = Found->second->replica();
+  if (Group == ConfigGroup) {
+    Config.call(Member, Origin, Body, Now, Wall);
+    return true;
+  }
+  CentreService &Service = *Services.at(Group);
+  if (!Service.isServing()) {
+    return false;
+  }
+  Service.call(Member, Origin, Body, Config.inForce(), Now, Wall);
+  return true;
+}
+
+NodeId Node::Impl::nextHop(const std::string &Group) {
+  const auto Found = Groups.find(Group);
+  if (Found != Groups.end()) {
+    const auto &Leader = Found->second->replica().Leader;
+    const bool Usable = Leader && Leader->Node != Self.Node;
+    return Usable ? Leader->Node : 0;
+  }
+  std::vector<NodeId> Choices;
+  for (const NodeSettings &Node : Deployment.Nodes) {
+    if (Node.Centre == Group) {
+      Choices.push_back(Node.Id);
+    }
+  }
+  if (Choices.empty()) {
+    return 0;
+  }
+  std::size_t &Turn = Rotation[Group];
+  Turn += 1;
+  return Choices[Turn % Choices.size()];
+}
+
+void Node::Impl::finish(const CallOrigin &Origin, CallResult Result) {
+  if (Origin.Node == 0) {
+    Output.Results.push_back({Origin.Id, std::move(Result)});
+    return;
+  }
+  Output.Messages.push_back(
+      {Self.Node, Origin.Node, ForwardResult{Origin.Id, std::move(Result)}});
+}
+
+void Node::Impl::route(const CallOrigin &Origin, CallBody Body,
+                       std::uint32_t Hops, Instant Now, WallTime Wall) {
+  if (auto Result = answerHere(Body, Now)) {
+    finish(Origin, std::move(*Result));
+    return;
+  }
+  if (serveHere(groupOf(Body), Origin, Body, Now, Wall)) {
+    return;
+  }
+  if (Hops >= MaxHops) {
+    finish(Origin, makeResult(CallStatus::Unavailable,
+                              groupOf(Body) + " has no leader here"));
+    return;
+  }
+  internal::Passed Item;
+  Item.Origin = Origin;
+  Item.Until = Now + ForwardTimeout + internal::waitOf(Body);
+  Item.Body = std::move(Body);
+  Item.Hops = Hops;
+  const std::uint64_t Id = NextForward;
+  NextForward += 1;
+  auto &Kept = Passed[Id] = std::move(Item);
+  passOn(Id, Kept, Now);
+}
+
+void Node::Impl::passOn(std::uint64_t Id, internal::Passed &Item, Instant Now) {
+  Item.To = nextHop(groupOf(Item.Body));
+  Item.IsWaiting = Item.To == 0;
+  if (Item.IsWaiting) {
+    Item.RetryAt = Now + ForwardRetryEvery;
+    Item.LastReason = groupOf(Item.Body) + " has no leader that is known here";
+    return;
+  }
+  Counters.CallsForwarded += 1;
+  Output.Messages.push_back(
+      {Self.Node, Item.To, ForwardCall{Id, Item.Hops + 1, Item.Body}});
+}
+
+void Node::Impl::takeForwardResult(const ForwardResult &Result, Instant Now) {
+  const auto Found = Passed.find(Result.Id);
+  if (Found == Passed.end()) {
+    return;
+  }
+  internal::Passed &Item = Found->second;
+  const bool MayRetry = Result.Result.Status == CallStatus::Unavailable &&
+                        Item.Hops == 0 && !IsLeaving &&
+                        Now + ForwardRetryEvery < Item.Until;
+  if (MayRetry) {
+    Item.IsWaiting = true;
+    Item.RetryAt = Now + ForwardRetryEvery;
+    Item.LastReason = Result.Result.Reason;
+    return;
+  }
+  finish(Item.Origin, Result.Result);
+  Passed.erase(Found);
+}
+
+void Node::Impl::tickPassed(Instant Now, WallTime Wall) {
+  std::vector<std::uint64_t> Due;
+  for (const auto &[Id, Item] : Passed) {
+    if (Now >= Item.Until || (Item.IsWaiting && Now >= Item.RetryAt)) {
+      Due.push_back(Id);
+    }
+  }
+  for (const std::uint64_t Id : Due) {
+    internal::Passed &Item = Passed.at(Id);
+    if (Now >= Item.Until) {
+      Counters.ForwardTimeouts += 1;
+      CallResult Result =
+          Item.IsWaiting ? makeResult(CallStatus::Unavailable, Item.LastReason)
+                         : makeResult(CallStatus::Unknown,
+                                      "no answer from " + groupOf(Item.Body) +
+                                          "; ask again under the same key");
+      finish(Item.Origin, std::move(Result));
+      Passed.erase(Id);
+      continue;
+    }
+    Counters.ForwardRetries += 1;
+    if (serveHere(groupOf(Item.Body), Item.Origin, Item.Body, Now, Wall)) {
+      Passed.erase(Id);
+    } else {
+      passOn(Id, Item, Now);
+    }
+  }
+}
+
+void Node::Impl::collectDone() {
+  for (CallDone &Done : Config.takeDone()) {
+    finish(Done.Origin, std::move(Done.Result));
+  }
+  for (auto &[Centre, Service] : Services) {
+    for (CallDone &Done : Service->takeCalls()) {
+      finish(Done.Origin, std::move(Done.Result));
+    }
+    for (PollDone &Done : Service->takePolls()) {
+      Output.Polls.push_back(std::move(Done));
+    }
+  }
+  for (auto &[Name, Group] : Groups) {
+    for (ReplicaMessage &Message : Group->replica().Out) {
+      const NodeId To = Message.To.Node;
+      Output.Messages.push_back({Self.Node, To, std::move(Message)});
+    }
+    Group->replica().Out.clear();
+  }
+}
+
+tl::expected<bool, StorageError> Node::Impl::saveAll() {
+  bool Any = false;
+  for (auto &[Name, Group] : Groups) {
+    auto Saved = Group->save();
+    if (!Saved) {
+      return Saved;
+    }
+    Counters.Saves += *Saved ? 1 : 0;
+    Any = Any || *Saved;
+  }
+  return Any;
+}
+
+void Node::Impl::tickGroups(Instant Now, WallTime Wall) {
+  for (auto &[Name, Group] : Groups) {
+    mulberryramp::tick(Group->replica(), Now);
+    (void)Group->applyCommitted();
+    if (const auto Service = Services.find(Name); Service != Services.end()) {
+      Service->second->tick(Group->replica(), Config.inForce(), Now, Wall);
+    } else if (!isReady(Group->replica(), Now)) {
+      Config.stopServing();
+    }
+    if (Group->replica().Role == ReplicaRole::Leader) {
+      mulberryramp::tick(Group->replica(), Now);
+    }
+  }
+}
+
+void Node::receive(const PeerMessage &Message, Instant Now, WallTime Wall) {
+  Parts->Counters.MessagesIn += 1;
+  if (const auto *Body = std::get_if<ReplicaMessage>(&Message.Body)) {
+    const auto Found = Parts->Groups.find(Body->Group);
+    if (Found != Parts->Groups.end()) {
+      mulberryramp::receive(Found->second->replica(), Now, *Body);
+    }
+  } else if (const auto *Call = std::get_if<ForwardCall>(&Message.Body)) {
+    Parts->route({Message.From, Call->Id}, Call->Body, Call->Hops, Now, Wall);
+  } else if (const auto *Done = std::get_if<ForwardResult>(&Message.Body)) {
+    Parts->takeForwardResult(*Done, Now);
+  }
+}
+
+void Node::call(std::uint64_t CallId, CallBody Body, Instant Now,
+                WallTime Wall) {
+  Parts->Counters.CallsTaken += 1;
+  if (Parts->IsLeaving) {
+    Parts->finish({0, CallId},
+                  makeResult(CallStatus::Unavailable, "the daemon is leaving"));
+    return;
+  }
+  if (std::holds_alternative<NodeStatusCall>(Body)) {
+    CallResult Result;
+    Result.Groups = groups(Now);
+    Parts->finish({0, CallId}, std::move(Result));
+    return;
+  }
+  Parts->route({0, CallId}, std::move(Body), 0, Now, Wall);
+}
+
+void Node::poll(std::uint64_t PollId, const WorkerPoll &Poll, Instant Now,
+                WallTime Wall) {
+  HostedGroup &Group = *Parts->Groups.at(Parts->OwnCentre);
+  CentreService &Service = *Parts->Services.at(Parts->OwnCentre);
+  if (Service.isServing() && isReady(Group.replica(), Now)) {
+    Service.poll(Group.replica(), PollId, Poll, Now, Wall);
+    return;
+  }
+  WorkerReply Reply;
+  Reply.Verdict = PollVerdict::NotLeader;
+  const auto &Leader = Group.replica().Leader;
+  const NodeSettings *Node =
+      Leader ? findNode(Parts->Deployment, Leader->Node) : nullptr;
+  if (Node != nullptr && Node->Id != Parts->Self.Node) {
+    Reply.Leader = render(Node->Http);
+  }
+  Parts->Output.Polls.push_back({PollId, std::move(Reply), Instant::max()});
+}
+
+void Node::abandonPoll(std::uint64_t PollId) {
+  for (auto &[Centre, Service] : Parts->Services) {
+    Service->abandonPoll(PollId);
+  }
+}
+
+tl::expected<NodeOutput, StorageError> Node::step(Instant Now, WallTime Wall) {
+  for (int Round = 0; Round < internal::MaxRoundsPerStep; ++Round) {
+    Parts->tickGroups(Now, Wall);
+    const auto Saved = Parts->saveAll();
+    if (!Saved) {
+      return tl::make_unexpected(Saved.error());
+    }
+    if (!*Saved) {
+      break;
+    }
+  }
+  Parts->tickPassed(Now, Wall);
+  Parts->collectDone();
+  Parts->Counters.MessagesOut += Parts->Output.Messages.size();
+  return std::exchange(Parts->Output, {});
+}
+
+void Node::leave(Instant Now) {
+  Parts->IsLeaving = true;
+  for (auto &[Centre, Service] : Parts->Services) {
+    Service->releaseWaiting();
+  }
+  for (auto &[Name, Group] : Parts->Groups) {
+    transferLeadership(Group->replica(), Now);
+  }
+}
+
+bool Node::hasLeft() const {
+  const bool HandsOver = std::any_of(
+      Parts->Groups.begin(), Parts->Groups.end(), [](const auto &Item) {
+        return Item.second->replica().Role == ReplicaRole::Leader &&
+               Item.second->replica().TransferTo.has_value();
+      });
+  return Parts->Passed.empty() && !HandsOver;
+}
+
+bool Node::isReadyForCallers(Instant Now) const {
+  const Replica &Member = Parts->Groups.at(Parts->OwnCentre)->replica();
+  if (Parts->IsLeaving) {
+    return false;
+  }
+  return isReady(Member, Now) ||
+         (Member.Role == ReplicaRole::Follower && Member.Leader &&
+          Now - Member.LeaderHeardAt < Member.Options.ElectionMax * 2);
+}
+
+const CentreService &Node::centre() const {
+  return *Parts->Services.at(Parts->OwnCentre);
+}
+
+const Rules &Node::rules() const { return Parts->Config.inForce(); }
+
+const RulesLog &Node::rulesLog() const { return Parts->Config.log(); }
+
+const Replica *Node::replica(const std::string &Group) const {
+  const auto Found = Parts->Groups.find(Group);
+  return Found == Parts->Groups.end() ? nullptr : &Found->second->replica();
+}
+
+const NodeCounters &Node::counters() const { return Parts->Counters; }
+
+std::vector<GroupInfo> Node::groups(Instant Now) const {
+  std::vector<GroupInfo> Infos;
+  for (const auto &[Name, Group] : Parts->Groups) {
+    const Replica &Member = Group->replica();
+    GroupInfo Info;
+    Info.Group = Name;
+    Info.Role = nameOf(Member.Role);
+    Info.Leader = Member.Leader ? Member.Leader->Node : 0;
+    Info.InTerm = Member.Hard.Current;
+    Info.Last = lastIndex(Member);
+    Info.Commit = Member.Commit;
+    Info.IsReady = isReady(Member, Now);
+    Info.Voters = membership(Member).Voters;
+    Infos.push_back(std::move(Info));
+  }
+  return Infos;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/replica/membership_codec.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "mulberryramp/storage/records.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace mulberryramp {
+
+/// @brief Encodes voters as the data of an entry.
+[[nodiscard]] std::string encodeMembership(const Membership &Voters);
+
+/// @brief Decodes voters from the data of an entry.
+/// @return The voters; empty if the data is none of `encodeMembership`.
+[[nodiscard]] Membership decodeMembership(std::string_view Data);
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/replica/replica.cpp
@@ -0,0 +1,834 @@
+#include "mulberryramp/replica/replica.hpp"
+
+#include "mulberryramp/replica/membership_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace internal {
+
+/// Lag in entries below which a learner is admitted as a voter.
+constexpr LogIndex AdmitLag = 16;
+
+const Entry &entryAt(const Replica &State, LogIndex Index) {
+  return State.Entries[Index - State.Start - 1];
+}
+
+Term termAt(const Replica &State, LogIndex Index) {
+  if (Index == State.Start) {
+    return State.StartTerm;
+  }
+  if (Index < State.Start || Index > lastIndex(State)) {
+    return 0;
+  }
+  return entryAt(State, Index).InTerm;
+}
+
+Term lastTerm(const Replica &State) { return termAt(State, lastIndex(State)); }
+
+std::size_t quorum(const Replica &State) {
+  return membership(State).Voters.size() / 2 + 1;
+}
+
+bool isWitness(const Replica &State, NodeId Node) {
+  return State.Options.WitnessNodes.contains(Node);
+}
+
+void markHard(Replica &State) {
+  State.Unsaved.Hard = State.Hard;
+  State.HasUnsaved = true;
+}
+
+void send(Replica &State, const Member &To, ReplicaBody Body) {
+  State.Out.push_back({State.Group, State.Self, To, std::move(Body)});
+}
+
+void resetElection(Replica &State, Instant Now) {
+  const auto Spread = State.Options.ElectionMax - State.Options.ElectionMin;
+  const auto Extra =
+      Millis{State.Draw.below(static_cast<std::uint64_t>(Spread.count()) + 1)};
+  const int Factor = isWitness(State, State.Self.Node) ? 3 : 1;
+  State.ElectionAt = Now + (State.Options.ElectionMin + Extra) * Factor;
+}
+
+void becomeFollower(Replica &State, Instant Now, Term InTerm) {
+  if (InTerm > State.Hard.Current) {
+    State.Hard = {InTerm, std::nullopt};
+    markHard(State);
+    State.Leader.reset();
+  }
+  if (State.Role == ReplicaRole::Leader) {
+    State.Leader.reset();
+  }
+  State.Role = ReplicaRole::Follower;
+  State.Granted.clear();
+  State.TransferTo.reset();
+  State.IsForced = false;
+  resetElection(State, Now);
+}
+
+void noteMembership(Replica &State, const Entry &Item) {
+  if (Item.Kind == EntryKind::Membership || Item.Kind == EntryKind::Recovery) {
+    State.Memberships.push_back({Item.Index, decodeMembership(Item.Data)});
+  }
+}
+
+void appendEntry(Replica &State, Entry Item) {
+  noteMembership(State, Item);
+  State.Unsaved.Entries.push_back(Item);
+  State.Unsaved.Hard = State.Hard;
+  State.HasUnsaved = true;
+  State.Entries.push_back(std::move(Item));
+}
+
+void truncateFrom(Replica &State, LogIndex Index) {
+  while (lastIndex(State) >= Index) {
+    State.Entries.pop_back();
+  }
+  while (State.Memberships.size() > 1 &&
+         State.Memberships.back().Index >= Index) {
+    State.Memberships.pop_back();
+  }
+  State.Saved = std::min(State.Saved, Index - 1);
+  std::erase_if(State.Unsaved.Entries,
+                [Index](const Entry &Item) { return Item.Index >= Index; });
+  if (!State.Unsaved.Base) {
+    const LogIndex Earlier = State.Unsaved.TruncateFrom.value_or(Index);
+    State.Unsaved.TruncateFrom = std::min(Earlier, Index);
+  }
+  markHard(State);
+}
+
+void dropUpTo(Replica &State, LogIndex Index) {
+  if (Index <= State.Start) {
+    return;
+  }
+  State.StartTerm = termAt(State, Index);
+  const auto Covered = static_cast<std::ptrdiff_t>(Index - State.Start);
+  State.Entries.erase(State.Entries.begin(), State.Entries.begin() + Covered);
+  State.Start = Index;
+}
+
+void rebase(Replica &State, Snapshot Base) {
+  State.Base = std::move(Base);
+  State.Unsaved = {};
+  State.Unsaved.Hard = State.Hard;
+  State.Unsaved.Base = State.Base;
+  for (const Entry &Item : State.Entries) {
+    if (Item.Index > State.Base.Index) {
+      State.Unsaved.Entries.push_back(Item);
+    }
+  }
+  State.HasUnsaved = true;
+}
+
+void appendAsLeader(Replica &State, EntryKind Kind, std::string Data) {
+  appendEntry(
+      State, {State.Hard.Current, lastIndex(State) + 1, Kind, std::move(Data)});
+}
+
+void sendAppend(Replica &State, const Member &To, Progress &Peer, Instant Now,
+                bool EvenEmpty) {
+  AppendRequest Request;
+  Request.InTerm = State.Hard.Current;
+  Request.Commit = State.Commit;
+  Request.SentAt = Now;
+  if (Peer.Next <= State.Start) {
+    const bool Due = Peer.SnapshotSentAt == Instant{} ||
+                     Now - Peer.SnapshotSentAt >= State.Options.SnapshotRetry;
+    if (Due) {
+      Peer.SnapshotSentAt = Now;
+      send(State, To, SnapshotRequest{State.Hard.Current, State.Base, Now});
+    }
+    Request.PrevIndex = State.Start;
+  } else {
+    Request.PrevIndex = Peer.Next - 1;
+    std::size_t Bytes = 0;
+    while (Peer.Next <= lastIndex(State) && Bytes < MaxAppendBytes) {
+      const Entry &Item = entryAt(State, Peer.Next);
+      Bytes += Item.Data.size();
+      Request.Entries.push_back(Item);
+      Peer.Next += 1;
+    }
+  }
+  Request.PrevTerm = termAt(State, Request.PrevIndex);
+  if (EvenEmpty || !Request.Entries.empty()) {
+    send(State, To, std::move(Request));
+  }
+}
+
+void broadcast(Replica &State, Instant Now, bool EvenEmpty) {
+  for (auto &[To, Peer] : State.Peers) {
+    sendAppend(State, To, Peer, Now, EvenEmpty);
+  }
+  if (EvenEmpty) {
+    State.HeartbeatAt = Now + State.Options.HeartbeatEvery;
+  }
+}
+
+void trackVoters(Replica &State) {
+  for (const Member &Voter : membership(State).Voters) {
+    if (Voter != State.Self && !State.Peers.contains(Voter)) {
+      State.Peers[Voter].Next = lastIndex(State) + 1;
+    }
+  }
+}
+
+void advanceCommit(Replica &State) {
+  if (State.Role != ReplicaRole::Leader) {
+    return;
+  }
+  std::vector<LogIndex> Matches;
+  for (const Member &Voter : membership(State).Voters) {
+    if (Voter == State.Self) {
+      Matches.push_back(State.Saved);
+    } else if (const auto Found = State.Peers.find(Voter);
+               Found != State.Peers.end()) {
+      Matches.push_back(Found->second.Match);
+    } else {
+      Matches.push_back(0);
+    }
+  }
+  std::sort(Matches.rbegin(), Matches.rend());
+  const LogIndex Agreed = Matches[quorum(State) - 1];
+  if (Agreed > State.Commit && termAt(State, Agreed) == State.Hard.Current) {
+    State.Commit = Agreed;
+    State.HeartbeatAt = Instant{};
+  }
+}
+
+void becomeLeader(Replica &State, Instant Now) {
+  State.Role = ReplicaRole::Leader;
+  State.Leader = State.Self;
+  State.Granted.clear();
+  State.Peers.clear();
+  State.TransferTo.reset();
+  State.IsForced = false;
+  appendAsLeader(State, EntryKind::Noop, "");
+  State.TermStart = lastIndex(State);
+  trackVoters(State);
+  for (auto &[To, Peer] : State.Peers) {
+    Peer.HeardAt = Now;
+  }
+  broadcast(State, Now, true);
+}
+
+void requestVotes(Replica &State, bool IsPreVote) {
+  VoteRequest Request;
+  Request.InTerm = State.Hard.Current + (IsPreVote ? 1 : 0);
+  Request.IsPreVote = IsPreVote;
+  Request.IsForced = State.IsForced;
+  Request.LastIndex = lastIndex(State);
+  Request.LastTerm = lastTerm(State);
+  for (const Member &Voter : membership(State).Voters) {
+    if (Voter != State.Self) {
+      send(State, Voter, Request);
+    }
+  }
+}
+
+void startElection(Replica &State, Instant Now) {
+  State.Role = ReplicaRole::Candidate;
+  State.Hard = {State.Hard.Current + 1, State.Self};
+  markHard(State);
+  State.Leader.reset();
+  State.Granted = {State.Self};
+  resetElection(State, Now);
+  if (State.Granted.size() >= quorum(State)) {
+    becomeLeader(State, Now);
+    return;
+  }
+  requestVotes(State, false);
+}
+
+void startPreVote(Replica &State, Instant Now) {
+  State.Role = ReplicaRole::PreCandidate;
+  State.Leader.reset();
+  State.Granted = {State.Self};
+  resetElection(State, Now);
+  if (State.Granted.size() >= quorum(State)) {
+    startElection(State, Now);
+    return;
+  }
+  requestVotes(State, true);
+}
+
+bool isUpToDate(const Replica &State, const VoteRequest &Request) {
+  if (Request.LastTerm != lastTerm(State)) {
+    return Request.LastTerm > lastTerm(State);
+  }
+  return Request.LastIndex >= lastIndex(State);
+}
+
+bool trustsLeader(const Replica &State, Instant Now) {
+  return Now - State.LeaderHeardAt < State.Options.ElectionMin ||
+         (State.Role == ReplicaRole::Leader && leaseEnd(State, Now) > Now);
+}
+
+void onVoteRequest(Replica &State, Instant Now, const Member &From,
+                   const VoteRequest &Request) {
+  if (!Request.IsForced && trustsLeader(State, Now)) {
+    return;
+  }
+  VoteReply Reply;
+  Reply.IsPreVote = Request.IsPreVote;
+  if (Request.IsPreVote) {
+    Reply.InTerm = Request.InTerm;
+    Reply.IsGranted =
+        Request.InTerm > State.Hard.Current && isUpToDate(State, Request);
+    if (Reply.IsGranted) {
+      send(State, From, Reply);
+    }
+    return;
+  }
+  if (Request.InTerm > State.Hard.Current) {
+    becomeFollower(State, Now, Request.InTerm);
+  }
+  const bool Free =
+      !State.Hard.VotedFor.has_value() || *State.Hard.VotedFor == From;
+  Reply.InTerm = State.Hard.Current;
+  Reply.IsGranted = Request.InTerm == State.Hard.Current && Free &&
+                    isUpToDate(State, Request);
+  if (Reply.IsGranted) {
+    State.Hard.VotedFor = From;
+    markHard(State);
+    resetElection(State, Now);
+  }
+  send(State, From, Reply);
+}
+
+void onVoteReply(Replica &State, Instant Now, const Member &From,
+                 const VoteReply &Reply) {
+  if (!Reply.IsGranted || !isVoter(State, From)) {
+    return;
+  }
+  if (Reply.IsPreVote) {
+    if (State.Role != ReplicaRole::PreCandidate ||
+        Reply.InTerm != State.Hard.Current + 1) {
+      return;
+    }
+    State.Granted.insert(From);
+    if (State.Granted.size() >= quorum(State)) {
+      startElection(State, Now);
+    }
+    return;
+  }
+  if (State.Role != ReplicaRole::Candidate ||
+      Reply.InTerm != State.Hard.Current) {
+    return;
+  }
+  State.Granted.insert(From);
+  if (State.Granted.size() >= quorum(State)) {
+    becomeLeader(State, Now);
+  }
+}
+
+void followLeader(Replica &State, Instant Now, const Member &From,
+                  Term InTerm) {
+  if (InTerm > State.Hard.Current || State.Role != ReplicaRole::Follower) {
+    becomeFollower(State, Now, InTerm);
+  }
+  State.Leader = From;
+  State.LeaderHeardAt = Now;
+  resetElection(State, Now);
+}
+
+void replyAppend(Replica &State, const Member &To, bool IsAccepted,
+                 LogIndex Match, Instant SentAt) {
+  send(State, To,
+       AppendReply{State.Hard.Current, IsAccepted, Match, State.Applied,
+                   SentAt});
+}
+
+void storeEntries(Replica &State, const std::vector<Entry> &Items) {
+  for (const Entry &Item : Items) {
+    if (Item.Index <= State.Commit) {
+      continue;
+    }
+    if (Item.Index <= lastIndex(State)) {
+      if (termAt(State, Item.Index) == Item.InTerm) {
+        continue;
+      }
+      truncateFrom(State, Item.Index);
+    }
+    appendEntry(State, Item);
+  }
+}
+
+void onAppend(Replica &State, Instant Now, const Member &From,
+              const AppendRequest &Request) {
+  if (Request.InTerm < State.Hard.Current) {
+    replyAppend(State, From, false, lastIndex(State), Request.SentAt);
+    return;
+  }
+  followLeader(State, Now, From, Request.InTerm);
+  if (Request.PrevIndex > lastIndex(State)) {
+    replyAppend(State, From, false, lastIndex(State), Request.SentAt);
+    return;
+  }
+  const bool Known = Request.PrevIndex <= State.Commit ||
+                     termAt(State, Request.PrevIndex) == Request.PrevTerm;
+  if (!Known) {
+    replyAppend(State, From, false, State.Commit, Request.SentAt);
+    return;
+  }
+  storeEntries(State, Request.Entries);
+  const LogIndex Match = Request.PrevIndex + Request.Entries.size();
+  State.Commit = std::max(State.Commit, std::min(Request.Commit, Match));
+  replyAppend(State, From, true, Match, Request.SentAt);
+}
+
+void onSnapshot(Replica &State, Instant Now, const Member &From,
+                const SnapshotRequest &Request) {
+  if (Request.InTerm < State.Hard.Current) {
+    replyAppend(State, From, false, lastIndex(State), Request.SentAt);
+    return;
+  }
+  followLeader(State, Now, From, Request.InTerm);
+  if (Request.Base.Index <= State.Commit) {
+    replyAppend(State, From, true, State.Commit, Request.SentAt);
+    return;
+  }
+  const bool KeepsRest =
+      termAt(State, Request.Base.Index) == Request.Base.InTerm;
+  if (KeepsRest) {
+    dropUpTo(State, Request.Base.Index);
+  } else {
+    State.Entries.clear();
+    State.Start = Request.Base.Index;
+    State.StartTerm = Request.Base.InTerm;
+  }
+  std::erase_if(State.Memberships, [&](const MembershipAt &At) {
+    return !KeepsRest || At.Index <= Request.Base.Index;
+  });
+  State.Memberships.insert(State.Memberships.begin(),
+                           {Request.Base.Index, Request.Base.Voters});
+  rebase(State, Request.Base);
+  State.Commit = Request.Base.Index;
+  State.Applied = Request.Base.Index;
+  State.HasNewBase = true;
+  replyAppend(State, From, true, Request.Base.Index, Request.SentAt);
+}
+
+void onAppendReply(Replica &State, Instant Now, const Member &From,
+                   const AppendReply &Reply) {
+  const auto Found = State.Peers.find(From);
+  if (State.Role != ReplicaRole::Leader || Found == State.Peers.end() ||
+      Reply.InTerm != State.Hard.Current) {
+    return;
+  }
+  Progress &Peer = Found->second;
+  Peer.HeardAt = Now;
+  Peer.AckedSend = std::max(Peer.AckedSend, Reply.SentAt);
+  Peer.Applied = Reply.Applied;
+  if (!Reply.IsAccepted) {
+    Peer.Next =
+        std::max(Peer.Match, std::min(Reply.Match, lastIndex(State))) + 1;
+    sendAppend(State, From, Peer, Now, false);
+    return;
+  }
+  Peer.Match = std::max(Peer.Match, Reply.Match);
+  Peer.Next = std::max(Peer.Next, Peer.Match + 1);
+  if (Peer.Next > State.Start) {
+    Peer.SnapshotSentAt = Instant{};
+  }
+  advanceCommit(State);
+  sendAppend(State, From, Peer, Now, false);
+}
+
+void onJoin(Replica &State, Instant Now, const Member &From,
+            const JoinRequest &Request) {
+  JoinSeen &Seen = State.Joins[From.Node];
+  if (From.Incarnation < Seen.Incarnation) {
+    return;
+  }
+  Seen = {From.Incarnation, Request.LastIndex, Now};
+  if (State.Role != ReplicaRole::Leader) {
+    return;
+  }
+  std::erase_if(State.Peers, [&](const auto &Item) {
+    return Item.first.Node == From.Node &&
+           Item.first.Incarnation < From.Incarnation &&
+           !isVoter(State, Item.first);
+  });
+  if (!State.Peers.contains(From)) {
+    Progress &Peer = State.Peers[From];
+    Peer.Next = std::min(Request.LastIndex, lastIndex(State)) + 1;
+    Peer.HeardAt = Now;
+    sendAppend(State, From, Peer, Now, true);
+  }
+}
+
+void onTransfer(Replica &State, Instant Now, const TransferRequest &Request) {
+  const bool Follows = State.Role == ReplicaRole::Follower &&
+                       Request.InTerm == State.Hard.Current;
+  if (!Follows || !isVoter(State, State.Self)) {
+    return;
+  }
+  State.IsForced = true;
+  startElection(State, Now);
+}
+
+bool hasOpenMembershipChange(const Replica &State) {
+  return State.Memberships.back().Index > State.Commit;
+}
+
+void changeVoters(Replica &State, Membership Voters) {
+  std::sort(Voters.Voters.begin(), Voters.Voters.end());
+  appendAsLeader(State, EntryKind::Membership, encodeMembership(Voters));
+  trackVoters(State);
+}
+
+std::optional<Member> formerSelf(const Replica &State, const Member &Who) {
+  for (const Member &Voter : membership(State).Voters) {
+    if (Voter.Node == Who.Node && Voter.Incarnation < Who.Incarnation) {
+      return Voter;
+    }
+  }
+  return std::nullopt;
+}
+
+bool isAdmissible(const Replica &State, const Member &Who, const Progress &Peer,
+                  Instant Now) {
+  return State.Options.VoterNodes.contains(Who.Node) && !isVoter(State, Who) &&
+         Now - Peer.HeardAt < State.Options.ElectionMin &&
+         Peer.Match + AdmitLag >= lastIndex(State) && Peer.Match != 0;
+}
+
+void admitLearners(Replica &State, Instant Now) {
+  if (hasOpenMembershipChange(State) || State.Commit < State.TermStart ||
+      State.TransferTo) {
+    return;
+  }
+  for (const auto &[Who, Peer] : State.Peers) {
+    if (!isAdmissible(State, Who, Peer, Now)) {
+      continue;
+    }
+    Membership Voters = membership(State);
+    if (const auto Former = formerSelf(State, Who)) {
+      std::erase(Voters.Voters, *Former);
+    } else {
+      Voters.Voters.push_back(Who);
+    }
+    changeVoters(State, std::move(Voters));
+    return;
+  }
+}
+
+void dropSilentLearners(Replica &State, Instant Now) {
+  std::erase_if(State.Peers, [&](const auto &Item) {
+    return !isVoter(State, Item.first) &&
+           Now - Item.second.HeardAt > State.Options.ElectionMax * 20;
+  });
+}
+
+bool isSuperseded(const Replica &State, NodeId Node, Instant Now) {
+  const auto Found = State.Joins.find(Node);
+  if (Found == State.Joins.end() ||
+      Now - Found->second.At > State.Options.JoinEvery * 10 ||
+      Found->second.LastIndex > lastIndex(State)) {
+    return false;
+  }
+  const auto &Voters = membership(State).Voters;
+  return std::none_of(Voters.begin(), Voters.end(), [&](const Member &Voter) {
+    return Voter.Node == Node && Voter.Incarnation >= Found->second.Incarnation;
+  });
+}
+
+/// No majority of the present voters can ever form once all others came back
+/// without their former memory; the last holder of the log goes on alone.
+bool isSoleSurvivor(const Replica &State, Instant Now) {
+  const auto &Nodes = State.Options.VoterNodes;
+  return membership(State).Voters.size() > 1 &&
+         std::all_of(Nodes.begin(), Nodes.end(), [&](NodeId Node) {
+           return Node == State.Self.Node || isSuperseded(State, Node, Now);
+         });
+}
+
+void recoverAlone(Replica &State, Instant Now) {
+  State.Hard = {State.Hard.Current + 1, State.Self};
+  markHard(State);
+  State.Role = ReplicaRole::Leader;
+  State.Leader = State.Self;
+  State.Peers.clear();
+  State.TransferTo.reset();
+  appendAsLeader(State, EntryKind::Recovery, encodeMembership({{State.Self}}));
+  State.TermStart = lastIndex(State);
+  State.HeartbeatAt = Now;
+}
+
+bool hearsQuorum(const Replica &State, Instant Now) {
+  const auto &Voters = membership(State).Voters;
+  const auto Heard =
+      std::count_if(Voters.begin(), Voters.end(), [&](const Member &Voter) {
+        const auto Found = State.Peers.find(Voter);
+        return Voter == State.Self ||
+               (Found != State.Peers.end() &&
+                Now - Found->second.HeardAt <= State.Options.ElectionMax);
+      });
+  return static_cast<std::size_t>(Heard) >= quorum(State);
+}
+
+void tickLeader(Replica &State, Instant Now) {
+  if (!hearsQuorum(State, Now)) {
+    becomeFollower(State, Now, State.Hard.Current);
+    return;
+  }
+  if (State.TransferTo && Now >= State.TransferEnd) {
+    State.TransferTo.reset();
+  }
+  if (isWitness(State, State.Self.Node) && !State.TransferTo) {
+    transferLeadership(State, Now);
+  }
+  admitLearners(State, Now);
+  dropSilentLearners(State, Now);
+  if (Now >= State.HeartbeatAt) {
+    broadcast(State, Now, true);
+  } else {
+    broadcast(State, Now, false);
+  }
+  advanceCommit(State);
+}
+
+void tickTransfer(Replica &State) {
+  if (!State.TransferTo || State.Role != ReplicaRole::Leader) {
+    return;
+  }
+  const auto Found = State.Peers.find(*State.TransferTo);
+  if (Found != State.Peers.end() && Found->second.Match == lastIndex(State)) {
+    send(State, *State.TransferTo, TransferRequest{State.Hard.Current});
+  }
+}
+
+void askToJoin(Replica &State, Instant Now) {
+  if (Now < State.JoinAt) {
+    return;
+  }
+  const bool Served =
+      State.Leader && Now - State.LeaderHeardAt < State.Options.ElectionMax * 2;
+  State.JoinAt = Now + State.Options.JoinEvery * (Served ? 10 : 1);
+  for (const NodeId Node : State.Options.VoterNodes) {
+    if (Node != State.Self.Node) {
+      send(State, Member{Node, 0}, JoinRequest{lastIndex(State)});
+    }
+  }
+}
+
+void tickFollower(Replica &State, Instant Now) {
+  if (!isVoter(State, State.Self)) {
+    askToJoin(State, Now);
+    return;
+  }
+  if (Now < State.ElectionAt) {
+    return;
+  }
+  if (isSoleSurvivor(State, Now)) {
+    recoverAlone(State, Now);
+    return;
+  }
+  startPreVote(State, Now);
+}
+
+Term termOf(const ReplicaBody &Body) {
+  return std::visit(
+      [](const auto &Item) -> Term {
+        if constexpr (requires { Item.InTerm; }) {
+          return Item.InTerm;
+        } else {
+          return 0;
+        }
+      },
+      Body);
+}
+
+} // namespace internal
+
+const Membership &membership(const Replica &State) noexcept {
+  return State.Memberships.back().Voters;
+}
+
+LogIndex lastIndex(const Replica &State) noexcept {
+  return State.Start + State.Entries.size();
+}
+
+bool isVoter(const Replica &State, const Member &Who) noexcept {
+  const auto &Voters = membership(State).Voters;
+  return std::find(Voters.begin(), Voters.end(), Who) != Voters.end();
+}
+
+StoredGroup foundGroup(std::vector<Member> Founders) {
+  StoredGroup Group;
+  Group.Base.Voters.Voters = std::move(Founders);
+  return Group;
+}
+
+Replica startReplica(std::string Group, Member Self, ReplicaOptions Options,
+                     StoredGroup Stored, std::uint64_t Seed, Instant Now) {
+  Replica State;
+  State.Group = std::move(Group);
+  State.Self = Self;
+  State.Options = std::move(Options);
+  State.Draw = Random{Seed};
+  State.Hard = Stored.Hard;
+  State.Base = std::move(Stored.Base);
+  State.Start = State.Base.Index;
+  State.StartTerm = State.Base.InTerm;
+  State.Memberships.push_back({State.Base.Index, State.Base.Voters});
+  for (Entry &Item : Stored.Entries) {
+    internal::noteMembership(State, Item);
+    State.Entries.push_back(std::move(Item));
+  }
+  State.Saved = lastIndex(State);
+  State.Commit = State.Base.Index;
+  State.Applied = State.Base.Index;
+  State.LeaderHeardAt = Now;
+  State.JoinAt = Now;
+  internal::resetElection(State, Now);
+  return State;
+}
+
+Instant leaseEnd(const Replica &State, Instant Now) {
+  if (State.Role != ReplicaRole::Leader || State.TransferTo) {
+    return Instant{};
+  }
+  std::vector<Instant> Sent;
+  for (const Member &Voter : membership(State).Voters) {
+    const auto Found = State.Peers.find(Voter);
+    if (Voter == State.Self) {
+      Sent.push_back(Now);
+    } else {
+      Sent.push_back(Found == State.Peers.end() ? Instant{}
+                                                : Found->second.AckedSend);
+    }
+  }
+  std::sort(Sent.rbegin(), Sent.rend());
+  const auto Length =
+      State.Options.ElectionMin * (100 - State.Options.LeaseDriftPercent) / 100;
+  return Sent[internal::quorum(State) - 1] + Length;
+}
+
+bool isReady(const Replica &State, Instant Now) {
+  return State.Role == ReplicaRole::Leader &&
+         !internal::isWitness(State, State.Self.Node) &&
+         State.Applied >= State.TermStart && leaseEnd(State, Now) > Now;
+}
+
+void tick(Replica &State, Instant Now) {
+  if (State.Role == ReplicaRole::Leader) {
+    internal::tickLeader(State, Now);
+    internal::tickTransfer(State);
+  } else {
+    internal::tickFollower(State, Now);
+  }
+}
+
+void receive(Replica &State, Instant Now, const ReplicaMessage &Message) {
+  const bool Mine = Message.To.Node == State.Self.Node &&
+                    (Message.To.Incarnation == 0 || Message.To == State.Self);
+  if (!Mine) {
+    return;
+  }
+  const Member &From = Message.From;
+  const Term InTerm = internal::termOf(Message.Body);
+  const bool IsReply = std::holds_alternative<AppendReply>(Message.Body) ||
+                       std::holds_alternative<VoteReply>(Message.Body);
+  const auto *Vote = std::get_if<VoteReply>(&Message.Body);
+  const bool IsPreVote = Vote != nullptr && Vote->IsPreVote;
+  if (IsReply && !IsPreVote && InTerm > State.Hard.Current) {
+    internal::becomeFollower(State, Now, InTerm);
+    return;
+  }
+  std::visit(
+      [&](const auto &Body) {
+        using Body_ = std::decay_t<decltype(Body)>;
+        if constexpr (std::is_same_v<Body_, VoteRequest>) {
+          internal::onVoteRequest(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<Body_, VoteReply>) {
+          internal::onVoteReply(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<Body_, AppendRequest>) {
+          internal::onAppend(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<Body_, AppendReply>) {
+          internal::onAppendReply(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<Body_, SnapshotRequest>) {
+          internal::onSnapshot(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<Body_, JoinRequest>) {
+          internal::onJoin(State, Now, From, Body);
+        } else {
+          internal::onTransfer(State, Now, Body);
+        }
+      },
+      Message.Body);
+}
+
+std::optional<LogIndex> propose(Replica &State, std::string Data) {
+  if (State.Role != ReplicaRole::Leader || State.TransferTo) {
+    return std::nullopt;
+  }
+  internal::appendAsLeader(State, EntryKind::Command, std::move(Data));
+  return lastIndex(State);
+}
+
+void markSaved(Replica &State) {
+  State.Unsaved = {};
+  State.HasUnsaved = false;
+  State.Saved = lastIndex(State);
+  internal::advanceCommit(State);
+}
+
+const Entry *nextCommitted(Replica &State) {
+  if (State.Applied >= State.Commit) {
+    return nullptr;
+  }
+  State.Applied += 1;
+  return &internal::entryAt(State, State.Applied);
+}
+
+bool wantsSnapshot(const Replica &State) noexcept {
+  return State.Applied - State.Base.Index > State.Options.SnapshotEvery;
+}
+
+void compact(Replica &State, std::string Data) {
+  Snapshot Base;
+  Base.Index = State.Applied;
+  Base.InTerm = internal::termAt(State, State.Applied);
+  for (const MembershipAt &At : State.Memberships) {
+    if (At.Index <= State.Applied) {
+      Base.Voters = At.Voters;
+    }
+  }
+  Base.Data = std::move(Data);
+  if (State.Applied > State.Options.KeepEntries) {
+    internal::dropUpTo(State, State.Applied - State.Options.KeepEntries);
+  }
+  std::erase_if(State.Memberships, [&](const MembershipAt &At) {
+    return At.Index <= State.Applied;
+  });
+  State.Memberships.insert(State.Memberships.begin(),
+                           {Base.Index, Base.Voters});
+  internal::rebase(State, std::move(Base));
+}
+
+void transferLeadership(Replica &State, Instant Now) {
+  if (State.Role != ReplicaRole::Leader || State.TransferTo) {
+    return;
+  }
+  std::optional<Member> Best;
+  LogIndex BestMatch = 0;
+  for (const Member &Voter : membership(State).Voters) {
+    const auto Found = State.Peers.find(Voter);
+    const bool Usable =
+        Found != State.Peers.end() && !internal::isWitness(State, Voter.Node) &&
+        Now - Found->second.HeardAt < State.Options.ElectionMax &&
+        Found->second.Match + internal::AdmitLag >= lastIndex(State);
+    if (Usable && (!Best || Found->second.Match > BestMatch)) {
+      Best = Voter;
+      BestMatch = Found->second.Match;
+    }
+  }
+  State.TransferTo = Best;
+  State.TransferEnd = Now + State.Options.ElectionMax;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/replica/replica.hpp
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "mulberryramp/core/random.hpp"
+#include "mulberryramp/core/time.hpp"
+#include "mulberryramp/replica/message.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Timing and limits of a group; equal on all its members.
+struct ReplicaOptions {
+  Millis HeartbeatEvery{100};
+  Millis ElectionMin{400}; ///< Shortest silence before an election.
+  Millis ElectionMax{700}; ///< Longest silence before an election.
+  Millis JoinEvery{300};   ///< Pause between requests to join.
+  Millis SnapshotRetry{1500};
+  std::size_t SnapshotEvery = 512; ///< Entries between snapshots.
+  std::size_t KeepEntries = 128;   ///< Entries kept behind a snapshot.
+  int LeaseDriftPercent = 10;      ///< Clock drift that a lease allows for.
+  std::set<NodeId> VoterNodes;     ///< Nodes that are to become voters.
+  std::set<NodeId> WitnessNodes;   ///< Voters that hand leadership on.
+};
+
+/// @brief What a member of a group is at the moment.
+enum class ReplicaRole : std::uint8_t {
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader
+};
+
+/// @brief Names of the roles.
+constexpr std::array<std::string_view, 4>
+nameTable(ReplicaRole /*Role*/) noexcept {
+  return {"follower", "pre-candidate", "candidate", "leader"};
+}
+
+/// @brief What a leader knows of another member.
+struct Progress {
+  LogIndex Next = 1;
+  LogIndex Match = 0;
+  LogIndex Applied = 0;
+  Instant AckedSend;      ///< When the last answered request was sent.
+  Instant HeardAt;        ///< When the last answer came.
+  Instant SnapshotSentAt; ///< When a snapshot was last sent.
+};
+
+/// @brief Term and index of an entry that changes the voters.
+struct MembershipAt {
+  LogIndex Index = 0;
+  Membership Voters;
+};
+
+/// @brief Last request of a node to join.
+struct JoinSeen {
+  std::uint64_t Incarnation = 0;
+  LogIndex LastIndex = 0;
+  Instant At;
+};
+
+/// @brief State of one member of one group.
+///
+/// Plain data: the functions below step it. `Out` and `Unsaved` collect what a
+/// step causes; the messages must not go out before the writes are synced.
+struct Replica {
+  std::string Group;
+  Member Self;
+  ReplicaOptions Options;
+  Random Draw;
+
+  HardState Hard;
+  Snapshot Base;
+  LogIndex Start = 0;        ///< Index before the first entry that is kept.
+  Term StartTerm = 0;        ///< Term of the entry at `Start`.
+  std::deque<Entry> Entries; ///< Entries behind `Start`.
+  std::vector<MembershipAt> Memberships;
+
+  LogIndex Saved = 0; ///< Last entry that is synced here.
+  LogIndex Commit = 0;
+  LogIndex Applied = 0;
+
+  ReplicaRole Role = ReplicaRole::Follower;
+  std::optional<Member> Leader;
+  std::set<Member> Granted;
+  std::map<Member, Progress> Peers;
+  std::map<NodeId, JoinSeen> Joins; ///< Newest join request of each node.
+  LogIndex TermStart = 0;           ///< First entry of the own term as leader.
+  std::optional<Member> TransferTo;
+  Instant TransferEnd;
+  bool IsForced = false; ///< The running election follows a transfer.
+
+  Instant ElectionAt;
+  Instant HeartbeatAt;
+  Instant JoinAt;
+  Instant LeaderHeardAt; ///< No vote is given for a while after this.
+
+  std::vector<ReplicaMessage> Out;
+  PersistBatch Unsaved;
+  bool HasUnsaved = false;
+  bool HasNewBase = false; ///< A snapshot came in and has to be restored.
+};
+
+/// @brief Starts a member.
+/// @param Group Name of the group.
+/// @param Self This life of the daemon.
+/// @param Options Timing and limits.
+/// @param Stored What lasted on the disk; empty without a disk.
+/// @param Seed Seed of the election times.
+/// @param Now The present moment.
+/// @return The member, as a follower that gives no vote for a while.
+[[nodiscard]] Replica startReplica(std::string Group, Member Self,
+                                   ReplicaOptions Options, StoredGroup Stored,
+                                   std::uint64_t Seed, Instant Now);
+
+/// @brief Builds what a founder finds on its disk before the first start.
+/// @param Founders The first voters.
+/// @return State with those voters and an empty log.
+[[nodiscard]] StoredGroup foundGroup(std::vector<Member> Founders);
+
+/// @brief Lets time pass: elections, heartbeats, joins and changes of voters.
+/// @param State The member.
+/// @param Now The present moment.
+void tick(Replica &State, Instant Now);
+
+/// @brief Takes a message in; one for another life of the daemon is dropped.
+/// @param State The member.
+/// @param Now The present moment.
+/// @param Message The message.
+void receive(Replica &State, Instant Now, const ReplicaMessage &Message);
+
+/// @brief Appends an entry, if this member leads.
+/// @param State The member.
+/// @param Data The command.
+/// @return Its index, or nothing if this member cannot take it.
+[[nodiscard]] std::optional<LogIndex> propose(Replica &State, std::string Data);
+
+/// @brief Notes that all of `Unsaved` is synced, and clears it.
+/// @param State The member.
+void markSaved(Replica &State);
+
+/// @brief Takes the next committed entry that was not yet applied.
+/// @param State The member.
+/// @return The entry, or null; it stays valid until the next call.
+[[nodiscard]] const Entry *nextCommitted(Replica &State);
+
+/// @brief Replaces the log up to the applied index by a snapshot.
+/// @param State The member.
+/// @param Data State of the group at the applied index.
+void compact(Replica &State, std::string Data);
+
+/// @brief Tells whether the log is long enough for a snapshot.
+[[nodiscard]] bool wantsSnapshot(const Replica &State) noexcept;
+
+/// @brief Computes until when no other member can have become leader.
+/// @param State The member.
+/// @param Now The present moment.
+/// @return End of the lease; in the past if there is none.
+[[nodiscard]] Instant leaseEnd(const Replica &State, Instant Now);
+
+/// @brief Tells whether this member leads, holds its lease and knows all
+/// committed entries.
+[[nodiscard]] bool isReady(const Replica &State, Instant Now);
+
+/// @brief Hands leadership to the voter that is furthest, if there is one.
+/// @param State The member.
+/// @param Now The present moment.
+void transferLeadership(Replica &State, Instant Now);
+
+/// @brief Reads the voters in force.
+[[nodiscard]] const Membership &membership(const Replica &State) noexcept;
+
+/// @brief Reads the index of the last entry.
+[[nodiscard]] LogIndex lastIndex(const Replica &State) noexcept;
+
+/// @brief Tells whether a member is a voter in force.
+[[nodiscard]] bool isVoter(const Replica &State, const Member &Who) noexcept;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/storage/group_store.cpp
@@ -0,0 +1,192 @@
+#include "mulberryramp/storage/group_store.hpp"
+
+#include "mulberryramp/storage/record_codec.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr std::string_view LogPrefix = "log-";
+constexpr std::string_view SnapshotPrefix = "snapshot-";
+constexpr int GenerationDigits = 12;
+
+std::string numbered(std::string_view Prefix, std::uint64_t Number) {
+  std::string Digits = std::to_string(Number);
+  Digits.insert(0, GenerationDigits - Digits.size(), '0');
+  return std::string{Prefix} + Digits;
+}
+
+std::uint64_t newestGeneration(const std::vector<std::string> &Names) {
+  std::uint64_t Newest = 0;
+  for (const std::string &Name : Names) {
+    if (!Name.starts_with(LogPrefix) || Name.ends_with(".tmp")) {
+      continue;
+    }
+    std::uint64_t Number = 0;
+    std::from_chars(Name.data() + LogPrefix.size(), Name.data() + Name.size(),
+                    Number);
+    Newest = std::max(Newest, Number);
+  }
+  return Newest;
+}
+
+void replay(const PersistBatch &Batch, StoredGroup &Group) {
+  Group.Hard = Batch.Hard;
+  if (Batch.TruncateFrom) {
+    std::erase_if(Group.Entries, [&Batch](const Entry &Item) {
+      return Item.Index >= *Batch.TruncateFrom;
+    });
+  }
+  Group.Entries.insert(Group.Entries.end(), Batch.Entries.begin(),
+                       Batch.Entries.end());
+}
+
+StorageStatus checkOrder(const StoredGroup &Group) {
+  LogIndex Expected = Group.Base.Index;
+  for (const Entry &Item : Group.Entries) {
+    Expected += 1;
+    if (Item.Index != Expected) {
+      return tl::make_unexpected(
+          StorageError{"entry " + std::to_string(Expected) + " is missing"});
+    }
+  }
+  return {};
+}
+
+} // namespace internal
+
+std::string GroupStore::logName(std::uint64_t Number) const {
+  return Folder + "/" + internal::numbered(internal::LogPrefix, Number);
+}
+
+std::string GroupStore::snapshotName(std::uint64_t Number) const {
+  return Folder + "/" + internal::numbered(internal::SnapshotPrefix, Number);
+}
+
+StorageStatus GroupStore::replaceFile(const std::string &Name,
+                                      const std::string &Bytes) {
+  const std::string Draft = Name + ".tmp";
+  return Files->write(Draft, Bytes)
+      .and_then([&] { return Files->sync(Draft); })
+      .and_then([&] { return Files->rename(Draft, Name); })
+      .and_then([&] { return Files->syncFolder(Folder); });
+}
+
+void GroupStore::removeGeneration(std::uint64_t Number) {
+  (void)Files->remove(logName(Number));
+  (void)Files->remove(snapshotName(Number));
+}
+
+StorageStatus GroupStore::startGeneration(const PersistBatch &Batch) {
+  const std::uint64_t Next = Generation + 1;
+  PersistBatch Rest = Batch;
+  Rest.Base.reset();
+  Rest.TruncateFrom.reset();
+  auto Written =
+      replaceFile(snapshotName(Next), makeRecord(encodeSnapshot(*Batch.Base)))
+          .and_then([&] {
+            return replaceFile(logName(Next), makeRecord(encodeBatch(Rest)));
+          });
+  if (Written) {
+    removeGeneration(Generation);
+    Generation = Next;
+  }
+  return Written;
+}
+
+StorageStatus GroupStore::write(const PersistBatch &Batch) {
+  if (Batch.Base) {
+    return startGeneration(Batch);
+  }
+  const std::string Name = logName(Generation);
+  return Files->append(Name, makeRecord(encodeBatch(Batch))).and_then([&] {
+    return Files->sync(Name);
+  });
+}
+
+tl::expected<GroupStore, StorageError>
+GroupStore::open(FileSystem &Files, std::string Folder, StoredGroup &Found) {
+  GroupStore Store{Files, std::move(Folder)};
+  if (auto Made = Files.makeFolder(Store.Folder).and_then([&] {
+        return Files.syncFolder(".");
+      });
+      !Made) {
+    return tl::make_unexpected(Made.error());
+  }
+  const auto Names = Files.list(Store.Folder);
+  if (!Names) {
+    return tl::make_unexpected(Names.error());
+  }
+  Store.Generation = internal::newestGeneration(*Names);
+  const std::string Name = Store.logName(Store.Generation);
+  StoredGroup Group;
+  if (Store.Generation != 0) {
+    const auto Base =
+        Files.read(Store.snapshotName(Store.Generation))
+            .and_then(
+                [](const std::string &Content) { return scanRecords(Content); })
+            .and_then([](const RecordScan &Scan)
+                          -> tl::expected<Snapshot, StorageError> {
+              if (Scan.Bodies.size() != 1) {
+                return tl::make_unexpected(StorageError{"damaged snapshot"});
+              }
+              return decodeSnapshot(Scan.Bodies.front());
+            });
+    if (!Base) {
+      return tl::make_unexpected(StorageError{
+          Store.snapshotName(Store.Generation) + ": " + Base.error().Text});
+    }
+    Group.Base = *Base;
+  } else if (std::find(Names->begin(), Names->end(),
+                       internal::numbered(internal::LogPrefix, 0)) ==
+             Names->end()) {
+    if (auto Created = Store.replaceFile(Name, ""); !Created) {
+      return tl::make_unexpected(Created.error());
+    }
+  }
+  const auto Content = Files.read(Name);
+  if (!Content) {
+    return tl::make_unexpected(Content.error());
+  }
+  const auto Scan = scanRecords(*Content);
+  if (!Scan) {
+    return tl::make_unexpected(StorageError{Name + ": " + Scan.error().Text});
+  }
+  for (const std::string &Body : Scan->Bodies) {
+    const auto Batch = decodeBatch(Body);
+    if (!Batch) {
+      return tl::make_unexpected(
+          StorageError{Name + ": " + Batch.error().Text});
+    }
+    internal::replay(*Batch, Group);
+  }
+  if (auto Ordered = internal::checkOrder(Group); !Ordered) {
+    return tl::make_unexpected(
+        StorageError{Name + ": " + Ordered.error().Text});
+  }
+  if (Scan->ValidBytes != Content->size()) {
+    auto Cut = Files.truncate(Name, Scan->ValidBytes).and_then([&] {
+      return Files.sync(Name);
+    });
+    if (!Cut) {
+      return tl::make_unexpected(Cut.error());
+    }
+  }
+  if (Store.Generation > 0) {
+    for (const std::string &Other : *Names) {
+      const bool Old =
+          Store.Folder + "/" + Other != Name &&
+          Store.Folder + "/" + Other != Store.snapshotName(Store.Generation);
+      if (Old) {
+        (void)Files.remove(Store.Folder + "/" + Other);
+      }
+    }
+  }
+  Found = std::move(Group);
+  return Store;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/storage/record_codec.cpp
@@ -0,0 +1,94 @@
+#include "mulberryramp/storage/record_codec.hpp"
+
+#include "mulberryramp/wire/codec.hpp"
+
+#include <cstring>
+#include <xxhash.h>
+
+namespace mulberryramp {
+
+namespace internal {
+
+struct RecordHeader {
+  std::uint64_t BodyBytes = 0;
+  std::uint64_t BodySum = 0;
+  std::uint64_t HeaderSum = 0;
+};
+
+static_assert(sizeof(RecordHeader) == RecordHeaderBytes);
+
+std::uint64_t headerSum(const RecordHeader &Header) {
+  return XXH3_64bits(&Header, sizeof(Header) - sizeof(Header.HeaderSum));
+}
+
+bool isZero(std::string_view Bytes) {
+  return Bytes.find_first_not_of('\0') == std::string_view::npos;
+}
+
+template <typename T>
+tl::expected<T, StorageError> decodeStored(std::string_view Body) {
+  auto Value = decode<T>(Body);
+  if (!Value) {
+    return tl::make_unexpected(StorageError{Value.error().Text});
+  }
+  return std::move(*Value);
+}
+
+} // namespace internal
+
+std::string makeRecord(std::string_view Body) {
+  internal::RecordHeader Header;
+  Header.BodyBytes = Body.size();
+  Header.BodySum = XXH3_64bits(Body.data(), Body.size());
+  Header.HeaderSum = internal::headerSum(Header);
+  std::string Record(sizeof(Header), '\0');
+  std::memcpy(Record.data(), &Header, sizeof(Header));
+  Record.append(Body);
+  return Record;
+}
+
+tl::expected<RecordScan, StorageError> scanRecords(std::string_view Content) {
+  RecordScan Scan;
+  while (Content.size() - Scan.ValidBytes >= RecordHeaderBytes) {
+    const std::string_view Rest = Content.substr(Scan.ValidBytes);
+    internal::RecordHeader Header;
+    std::memcpy(&Header, Rest.data(), sizeof(Header));
+    if (Header.HeaderSum != internal::headerSum(Header)) {
+      if (internal::isZero(Rest)) {
+        return Scan;
+      }
+      return tl::make_unexpected(StorageError{"damaged record header at byte " +
+                                              std::to_string(Scan.ValidBytes)});
+    }
+    if (Header.BodyBytes > Rest.size() - RecordHeaderBytes) {
+      return Scan;
+    }
+    const std::string_view Body =
+        Rest.substr(RecordHeaderBytes, Header.BodyBytes);
+    const bool Last = RecordHeaderBytes + Body.size() == Rest.size();
+    if (XXH3_64bits(Body.data(), Body.size()) != Header.BodySum) {
+      if (Last) {
+        return Scan;
+      }
+      return tl::make_unexpected(StorageError{"damaged record at byte " +
+                                              std::to_string(Scan.ValidBytes)});
+    }
+    Scan.Bodies.emplace_back(Body);
+    Scan.ValidBytes += RecordHeaderBytes + Body.size();
+  }
+  return Scan;
+}
+
+std::string encodeBatch(const PersistBatch &Batch) { return encode(Batch); }
+
+tl::expected<PersistBatch, StorageError> decodeBatch(std::string_view Body) {
+  return internal::decodeStored<PersistBatch>(Body);
+}
+
+std::string encodeSnapshot(const Snapshot &Base) { return encode(Base); }
+
+tl::expected<Snapshot, StorageError> decodeSnapshot(std::string_view Body) {
+  return internal::decodeStored<Snapshot>(Body);
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/system/placement.cpp
@@ -0,0 +1,454 @@
+#include "mulberryramp/system/placement.hpp"
+
+#include "mulberryramp/system/eligibility.hpp"
+#include "mulberryramp/system/failures.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <unordered_map>
+
+namespace mulberryramp {
+
+namespace internal {
+
+constexpr std::size_t MaxBlockedPerRun = 256;
+constexpr double Unfit = std::numeric_limits<double>::infinity();
+
+struct Candidate {
+  RequestId Id;
+  std::int64_t Priority = 0;
+  WallTime AcceptedAt;
+  std::size_t Team = 0;
+};
+
+struct Room {
+  WorkerId Id;
+  Resources Free;
+  Resources Capacity;
+  std::uint32_t Rack = 0;
+  bool IsHeld = false;
+  RequestId HeldFor;
+};
+
+struct TeamShare {
+  std::string Name;
+  double Held = 0; ///< Largest granted part of the data centre, by weight.
+  std::int64_t Weight = 1;
+  std::vector<Candidate> Queue;
+  std::size_t Next = 0;
+};
+
+double part(std::int64_t Amount, std::int64_t Whole) {
+  return Whole > 0 ? static_cast<double>(Amount) / static_cast<double>(Whole)
+                   : 0.0;
+}
+
+double dominantPart(const Resources &Held, const Resources &Whole) {
+  return std::max({part(Held.MilliCpus, Whole.MilliCpus),
+                   part(Held.MemoryMb, Whole.MemoryMb),
+                   part(Held.Accelerators, Whole.Accelerators)});
+}
+
+class PlacementPass {
+public:
+  PlacementPass(const DecisionInput &Input, CentreView &View,
+                const PlacementOptions &Options)
+      : Input{Input}, View{View}, Options{Options},
+        RetriesAreSpent{isRetryBudgetSpent(Input.InForce, View)} {
+    listRooms();
+    listCandidates();
+  }
+
+  PlacementRun run() {
+    if (Options.Order == QueueOrder::Arrival) {
+      runByArrival();
+    } else {
+      runFair();
+    }
+    return std::move(Result);
+  }
+
+private:
+  void listRooms() {
+    std::unordered_map<std::string, std::uint32_t> Racks;
+    for (const WorkerId Id : Input.State.Workers.ids()) {
+      const Worker &Row = Input.State.Workers[Id];
+      Whole += Row.Capacity;
+      if (!isEligible(Input, View, Id)) {
+        continue;
+      }
+      const auto Rack =
+          Racks.try_emplace(Row.Rack, static_cast<std::uint32_t>(Racks.size()));
+      Rooms.push_back(
+          {Id, freeOf(Row), Row.Capacity, Rack.first->second, false, {}});
+      RackOf[Id] = Rack.first->second;
+    }
+    std::erase_if(View.Held, [this](const auto &Item) {
+      return !Input.State.Waiting.contains(Item.second) ||
+             !RackOf.contains(Item.first);
+    });
+    for (Room &Item : Rooms) {
+      const auto Held = View.Held.find(Item.Id);
+      if (Held != View.Held.end()) {
+        Item.IsHeld = true;
+        Item.HeldFor = Held->second;
+      }
+    }
+  }
+
+  bool isDue(const Request &Row) const {
+    return std::any_of(Row.Tasks.begin(), Row.Tasks.end(),
+                       [&](TaskId Id) { return isDueTask(Id); });
+  }
+
+  std::int64_t agedPriority(const Request &Row) {
+    const auto [Found, Fresh] =
+        AgesEvery.try_emplace(Row.Spec.ClassName, Millis{0});
+    if (Fresh) {
+      Found->second = findClass(Input.InForce, Row.Spec.ClassName)
+                          .value_or(ClassRule{})
+                          .AgesEvery;
+    }
+    const Millis Every = Found->second;
+    const Millis Waited = Input.Wall - Row.AcceptedAt;
+    const std::int64_t Bonus = Every.count() > 0 ? Waited / Every : 0;
+    return Row.Spec.Priority + std::max<std::int64_t>(Bonus, 0);
+  }
+
+  std::size_t teamOf(const std::string &Name) {
+    const auto [Found, Fresh] = TeamIndex.try_emplace(Name, Teams.size());
+    if (Fresh) {
+      const QuotaRule *Rule = findQuota(Input.InForce, Name);
+      TeamShare Share;
+      Share.Name = Name;
+      Share.Weight = Rule == nullptr ? 1 : Rule->Weight;
+      const auto Held = Input.State.GrantedByTeam.find(Name);
+      if (Held != Input.State.GrantedByTeam.end()) {
+        Share.Held = dominantPart(Held->second, Whole);
+      }
+      Teams.push_back(std::move(Share));
+    }
+    return Found->second;
+  }
+
+  void listCandidates() {
+    Candidates.reserve(Input.State.Waiting.size());
+    for (const RequestId Id : Input.State.Waiting) {
+      const Request &Row = Input.State.Requests[Id];
+      if (hasToStop(Row) || !isDue(Row)) {
+        continue;
+      }
+      Candidates.push_back(
+          {Id, agedPriority(Row), Row.AcceptedAt, teamOf(Row.Spec.Team)});
+    }
+  }
+
+  static bool byArrival(const Candidate &Left, const Candidate &Right) {
+    return std::tie(Left.AcceptedAt, Left.Id) <
+           std::tie(Right.AcceptedAt, Right.Id);
+  }
+
+  void runByArrival() {
+    std::sort(Candidates.begin(), Candidates.end(), byArrival);
+    for (const Candidate &Item : Candidates) {
+      if (!tryRequest(Item) || isFull()) {
+        return;
+      }
+    }
+  }
+
+  void runFair() {
+    std::sort(Candidates.begin(), Candidates.end(),
+              [](const Candidate &Left, const Candidate &Right) {
+                return Left.Priority != Right.Priority
+                           ? Left.Priority > Right.Priority
+                           : byArrival(Left, Right);
+              });
+    std::size_t Begin = 0;
+    while (Begin < Candidates.size() && !isFull()) {
+      std::size_t End = Begin;
+      while (End < Candidates.size() &&
+             Candidates[End].Priority == Candidates[Begin].Priority) {
+        End += 1;
+      }
+      runLevel(Begin, End);
+      Begin = End;
+    }
+  }
+
+  void runLevel(std::size_t Begin, std::size_t End) {
+    for (TeamShare &Share : Teams) {
+      Share.Queue.clear();
+      Share.Next = 0;
+    }
+    for (std::size_t Index = Begin; Index < End; ++Index) {
+      Teams[Candidates[Index].Team].Queue.push_back(Candidates[Index]);
+    }
+    while (!isFull()) {
+      TeamShare *Least = leastServed();
+      if (Least == nullptr) {
+        return;
+      }
+      const Candidate Item = Least->Queue[Least->Next];
+      Least->Next += 1;
+      tryRequest(Item);
+    }
+  }
+
+  TeamShare *leastServed() {
+    TeamShare *Least = nullptr;
+    for (TeamShare &Share : Teams) {
+      if (Share.Next >= Share.Queue.size()) {
+        continue;
+      }
+      if (Least == nullptr ||
+          Share.Held * static_cast<double>(Least->Weight) <
+              Least->Held * static_cast<double>(Share.Weight)) {
+        Least = &Share;
+      }
+    }
+    return Least;
+  }
+
+  bool isFull() const {
+    return Result.Placements.size() >= Options.Most ||
+           Result.Blocked.size() >= MaxBlockedPerRun;
+  }
+
+  bool isHopeless(const RequestSpec &Spec) const {
+    return std::any_of(
+        Failed.begin(), Failed.end(),
+        [&](const Resources &Need) { return fitsIn(Need, Spec.Need); });
+  }
+
+  bool tryRequest(const Candidate &Item) {
+    Result.Considered += 1;
+    const Request &Row = Input.State.Requests[Item.Id];
+    Placement Wanted;
+    Wanted.Owner = Item.Id;
+    const bool Placed = Row.Spec.Kind == WorkKind::Gang
+                            ? placeGang(Item.Id, Row, Wanted)
+                            : placeTasks(Item.Id, Row, Wanted);
+    if (!Wanted.Tasks.empty()) {
+      noteGrant(Item, Row.Spec, Wanted.Tasks.size());
+      Result.Placements.push_back(std::move(Wanted));
+    }
+    if (!Placed) {
+      Result.Blocked.push_back(Item.Id);
+      holdWorkers(Item, Row);
+    }
+    return Placed;
+  }
+
+  void noteGrant(const Candidate &Item, const RequestSpec &Spec,
+                 std::size_t Count) {
+    Resources &More = Tentative[Item.Team];
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      More += Spec.Need;
+      Teams[Item.Team].Held += dominantPart(Spec.Need, Whole);
+    }
+  }
+
+  bool quotaAllows(const RequestSpec &Spec, const Resources &More) {
+    return hasQuotaFor(Input, View, Spec, Tentative[teamOf(Spec.Team)] + More);
+  }
+
+  std::vector<std::uint32_t> tasksPerRack(const Request &Row) const {
+    std::vector<std::uint32_t> Counts;
+    if (Row.Spec.MaxPerRack == 0) {
+      return Counts;
+    }
+    Counts.resize(Rooms.size() + 1, 0);
+    for (const TaskId Id : Row.Tasks) {
+      const auto Rack = RackOf.find(Input.State.Tasks[Id].Place);
+      if (Rack != RackOf.end()) {
+        Counts[Rack->second] += 1;
+      }
+    }
+    return Counts;
+  }
+
+  double score(const Room &Item, const RequestSpec &Spec, Weighing Way) const {
+    const Resources Left = Item.Free - Spec.Need;
+    const double Cpu = part(Left.MilliCpus, Item.Capacity.MilliCpus);
+    const double Memory = part(Left.MemoryMb, Item.Capacity.MemoryMb);
+    const double Cards = part(Left.Accelerators, Item.Capacity.Accelerators);
+    const double Wasted = Spec.Need.Accelerators == 0 ? 4 * Cards : 0;
+    if (Way == Weighing::Packing) {
+      return 4 * Memory + Cpu + Cards + Wasted;
+    }
+    return Memory + Cpu + Cards + Wasted;
+  }
+
+  Room *chooseRoom(RequestId Owner, const RequestSpec &Spec, Weighing Way,
+                   const std::vector<std::uint32_t> &PerRack) {
+    Room *Best = nullptr;
+    double BestScore = Unfit;
+    for (Room &Item : Rooms) {
+      const bool Open = !Item.IsHeld || Item.HeldFor == Owner;
+      if (!Open || !fitsIn(Spec.Need, Item.Free) ||
+          (!PerRack.empty() && PerRack[Item.Rack] >= Spec.MaxPerRack)) {
+        continue;
+      }
+      if (Options.Choice == WorkerChoice::FirstFit) {
+        return &Item;
+      }
+      const double Score = score(Item, Spec, Way);
+      if (Score < BestScore) {
+        Best = &Item;
+        BestScore = Score;
+      }
+    }
+    return Best;
+  }
+
+  bool isDueTask(TaskId Id) const {
+    const Task &Item = Input.State.Tasks[Id];
+    const bool Delayed = RetriesAreSpent && Item.Attempts > 0;
+    return Item.State == TaskState::Queued && Item.NotBefore <= Input.Wall &&
+           !Delayed;
+  }
+
+  bool placeOne(RequestId Owner, const Request &Row, TaskId Id,
+                std::vector<std::uint32_t> &PerRack, Placement &Wanted) {
+    Room *Chosen = chooseRoom(
+        Owner, Row.Spec, weighingOf(Input.InForce, Row.Spec.Customer), PerRack);
+    if (Chosen == nullptr) {
+      return false;
+    }
+    Chosen->Free -= Row.Spec.Need;
+    if (!PerRack.empty()) {
+      PerRack[Chosen->Rack] += 1;
+    }
+    Wanted.Tasks.push_back({Id, Chosen->Id});
+    return true;
+  }
+
+  bool placeTasks(RequestId Owner, const Request &Row, Placement &Wanted) {
+    if (Row.Spec.MaxPerRack == 0 && isHopeless(Row.Spec) && View.Held.empty()) {
+      return false;
+    }
+    std::vector<std::uint32_t> PerRack = tasksPerRack(Row);
+    Resources More;
+    for (const TaskId Id : Row.Tasks) {
+      if (!isDueTask(Id)) {
+        continue;
+      }
+      More += Row.Spec.Need;
+      if (!quotaAllows(Row.Spec, More)) {
+        return true;
+      }
+      if (!placeOne(Owner, Row, Id, PerRack, Wanted)) {
+        if (PerRack.empty() && View.Held.empty()) {
+          Failed.push_back(Row.Spec.Need);
+        }
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool placeGang(RequestId Owner, const Request &Row, Placement &Wanted) {
+    Resources More;
+    for (const TaskId Id : Row.Tasks) {
+      if (!isDueTask(Id)) {
+        return true;
+      }
+      More += Row.Spec.Need;
+    }
+    if (!quotaAllows(Row.Spec, More)) {
+      return true;
+    }
+    const std::vector<Room> Before = Rooms;
+    std::vector<std::uint32_t> PerRack = tasksPerRack(Row);
+    for (const TaskId Id : Row.Tasks) {
+      if (!placeOne(Owner, Row, Id, PerRack, Wanted)) {
+        Rooms = Before;
+        Wanted.Tasks.clear();
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Room that a worker will have once its finite tasks have ended.
+  Resources finiteRoom(const Room &Item) const {
+    const Worker &Row = Input.State.Workers[Item.Id];
+    Resources Sum = Item.Free;
+    for (const TaskId Id : Row.Tasks) {
+      const Request &Owner = Input.State.Requests[Input.State.Tasks[Id].Owner];
+      if (Owner.Spec.Kind != WorkKind::Service) {
+        Sum += Owner.Spec.Need;
+      }
+    }
+    return Sum;
+  }
+
+  /// Keeps workers free for the first request that has waited long enough, so
+  /// that a stream of small tasks cannot starve it. One request at a time
+  /// holds workers, so two of them cannot wait for each other.
+  void holdWorkers(const Candidate &Item, const Request &Row) {
+    if (!Options.MayHold || !View.Held.empty() ||
+        Input.Wall - Row.AcceptedAt < Options.HoldAfter) {
+      return;
+    }
+    std::vector<Room *> Order;
+    for (Room &Each : Rooms) {
+      Order.push_back(&Each);
+    }
+    std::stable_sort(Order.begin(), Order.end(),
+                     [](const Room *Left, const Room *Right) {
+                       return Left->Free.MilliCpus > Right->Free.MilliCpus;
+                     });
+    const auto Missing = static_cast<std::size_t>(
+        std::count_if(Row.Tasks.begin(), Row.Tasks.end(),
+                      [this](TaskId Id) { return isDueTask(Id); }));
+    std::vector<Room *> Chosen;
+    std::size_t Found = 0;
+    for (Room *Each : Order) {
+      Resources Left = finiteRoom(*Each);
+      const std::size_t Before = Found;
+      while (Found < Missing && fitsIn(Row.Spec.Need, Left)) {
+        Left -= Row.Spec.Need;
+        Found += 1;
+      }
+      if (Found > Before) {
+        Chosen.push_back(Each);
+      }
+    }
+    const std::size_t Wanted = Row.Spec.Kind == WorkKind::Gang ? Missing : 1;
+    if (Found < Wanted) {
+      return;
+    }
+    for (Room *Each : Chosen) {
+      Each->IsHeld = true;
+      Each->HeldFor = Item.Id;
+      View.Held[Each->Id] = Item.Id;
+    }
+  }
+
+  const DecisionInput &Input;
+  CentreView &View;
+  const PlacementOptions &Options;
+  bool RetriesAreSpent;
+  Resources Whole;
+  std::vector<Room> Rooms;
+  std::map<WorkerId, std::uint32_t> RackOf;
+  std::vector<Candidate> Candidates;
+  std::vector<TeamShare> Teams;
+  std::unordered_map<std::string, std::size_t> TeamIndex;
+  std::unordered_map<std::string, Millis> AgesEvery;
+  std::map<std::size_t, Resources> Tentative;
+  std::vector<Resources> Failed;
+  PlacementRun Result;
+};
+
+} // namespace internal
+
+PlacementRun place(const DecisionInput &Input, CentreView &View,
+                   const PlacementOptions &Options) {
+  return internal::PlacementPass{Input, View, Options}.run();
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/system/preemption.cpp
@@ -0,0 +1,155 @@
+#include "mulberryramp/system/preemption.hpp"
+
+#include "mulberryramp/system/eligibility.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace mulberryramp {
+
+namespace internal {
+
+/// Requests that may start to push others out in one run.
+constexpr std::size_t MaxPreemptorsPerRun = 16;
+
+struct Victim {
+  AttemptId Attempt = 0;
+  double Lost = 0; ///< Processor time since the start, in CPU ms.
+  Resources Need;
+};
+
+struct Eviction {
+  WorkerId Place;
+  double Lost = std::numeric_limits<double>::infinity();
+  std::vector<Victim> Victims;
+};
+
+bool mayGiveWay(const Request &Victim, const RequestSpec &Stronger) {
+  return Victim.Spec.IsIdempotent && !hasToStop(Victim) &&
+         Victim.Spec.Kind != WorkKind::Gang &&
+         Victim.Spec.Priority < Stronger.Priority;
+}
+
+std::vector<Victim> victimsOn(const DecisionInput &Input,
+                              const CentreView &View, const Worker &Row,
+                              const RequestSpec &Stronger) {
+  std::vector<Victim> Victims;
+  for (const TaskId Id : Row.Tasks) {
+    const Task &Item = Input.State.Tasks[Id];
+    const Request &Owner = Input.State.Requests[Item.Owner];
+    if (!mayGiveWay(Owner, Stronger) || View.Preempted.contains(Item.Attempt)) {
+      continue;
+    }
+    const Millis Ran = Input.Wall - Item.AssignedAt;
+    const double Lost = static_cast<double>(Ran.count()) *
+                        static_cast<double>(Owner.Spec.Need.MilliCpus) / 1000;
+    Victims.push_back({Item.Attempt, Lost, Owner.Spec.Need});
+  }
+  std::sort(Victims.begin(), Victims.end(),
+            [](const Victim &Left, const Victim &Right) {
+              return Left.Lost < Right.Lost;
+            });
+  return Victims;
+}
+
+/// Tasks that were not needed in the end are spared.
+void spareNeedless(const Resources &Need, Resources Room,
+                   std::vector<Victim> &Chosen) {
+  for (auto Item = Chosen.rbegin(); Item != Chosen.rend(); ++Item) {
+    if (fitsIn(Need, Room - Item->Need)) {
+      Room -= Item->Need;
+      Item->Attempt = 0;
+    }
+  }
+  std::erase_if(Chosen, [](const Victim &Item) { return Item.Attempt == 0; });
+}
+
+std::optional<Eviction> evictionOn(const DecisionInput &Input,
+                                   const CentreView &View, WorkerId Id,
+                                   const RequestSpec &Spec) {
+  const Worker &Row = Input.State.Workers[Id];
+  Resources Room = freeOf(Row);
+  Eviction Plan;
+  Plan.Place = Id;
+  for (const Victim &Item : victimsOn(Input, View, Row, Spec)) {
+    if (fitsIn(Spec.Need, Room)) {
+      break;
+    }
+    Room += Item.Need;
+    Plan.Victims.push_back(Item);
+  }
+  if (!fitsIn(Spec.Need, Room) || Plan.Victims.empty()) {
+    return std::nullopt;
+  }
+  spareNeedless(Spec.Need, Room, Plan.Victims);
+  Plan.Lost = 0;
+  for (const Victim &Item : Plan.Victims) {
+    Plan.Lost += Item.Lost;
+  }
+  return Plan;
+}
+
+bool holdsWorker(const CentreView &View, RequestId Owner) {
+  return std::any_of(
+      View.Held.begin(), View.Held.end(),
+      [Owner](const auto &Item) { return Item.second == Owner; });
+}
+
+std::optional<Eviction> cheapestEviction(const DecisionInput &Input,
+                                         const CentreView &View,
+                                         const RequestSpec &Spec) {
+  std::optional<Eviction> Best;
+  for (const WorkerId Id : Input.State.Workers.ids()) {
+    const bool Held = View.Held.contains(Id);
+    if (Held || !isEligible(Input, View, Id)) {
+      continue;
+    }
+    auto Plan = evictionOn(Input, View, Id, Spec);
+    if (Plan && (!Best || Plan->Lost < Best->Lost)) {
+      Best = std::move(Plan);
+    }
+  }
+  return Best;
+}
+
+void makeRoomFor(const DecisionInput &Input, CentreView &View, RequestId Id) {
+  const Request &Row = Input.State.Requests[Id];
+  for (const TaskId Item : Row.Tasks) {
+    if (Input.State.Tasks[Item].State != TaskState::Queued) {
+      continue;
+    }
+    const auto Plan = cheapestEviction(Input, View, Row.Spec);
+    if (!Plan) {
+      return;
+    }
+    View.Held[Plan->Place] = Id;
+    for (const Victim &Victim : Plan->Victims) {
+      View.Preempted.insert(Victim.Attempt);
+    }
+  }
+}
+
+} // namespace internal
+
+void preempt(const DecisionInput &Input, CentreView &View,
+             const std::vector<RequestId> &Blocked) {
+  std::erase_if(View.Preempted, [&Input](const auto &Item) {
+    return !Input.State.ByAttempt.contains(Item);
+  });
+  std::size_t Count = 0;
+  for (const RequestId Id : Blocked) {
+    const Request &Row = Input.State.Requests[Id];
+    const auto Rule = findClass(Input.InForce, Row.Spec.ClassName);
+    if (!Rule || !Rule->MayPreempt || internal::holdsWorker(View, Id)) {
+      continue;
+    }
+    internal::makeRoomFor(Input, View, Id);
+    Count += 1;
+    if (Count >= internal::MaxPreemptorsPerRun) {
+      return;
+    }
+  }
+}
+
+} // namespace mulberryramp
