--- /dev/null
+++ b/src/mulberryramp/table/request.hpp
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "mulberryramp/core/fwd.hpp"
+#include "mulberryramp/core/resources.hpp"
+#include "mulberryramp/table/fwd.hpp"
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief How the tasks of a request belong together.
+enum class WorkKind : std::uint8_t {
+  Service, ///< Kept running until cancelled.
+  Batch,   ///< Each task runs on its own.
+  Gang     ///< All tasks run together or none does.
+};
+
+/// @brief Names of the kinds of work.
+constexpr std::array<std::string_view, 3>
+nameTable(WorkKind /*Kind*/) noexcept {
+  return {"service", "batch", "gang"};
+}
+
+/// @brief What became of a request.
+enum class Outcome : std::uint8_t { Pending, Done, Failed, NotRun, Unknown };
+
+/// @brief Names of the outcomes.
+constexpr std::array<std::string_view, 5> nameTable(Outcome /*Kind*/) noexcept {
+  return {"pending", "done", "failed", "not run", "unknown"};
+}
+
+/// @brief Where a task is in its life.
+enum class TaskState : std::uint8_t {
+  Queued,
+  Assigned,
+  Done,
+  Failed,
+  NotRun,
+  Unknown
+};
+
+/// @brief Names of the states of a task.
+constexpr std::array<std::string_view, 6>
+nameTable(TaskState /*Kind*/) noexcept {
+  return {"queued", "assigned", "done", "failed", "not run", "unknown"};
+}
+
+/// @brief What a caller asks for, with what the rules said on acceptance.
+struct RequestSpec {
+  std::string Customer;
+  std::string Team;
+  std::string Key; ///< Identity of the request within its customer.
+  std::string ClassName;
+  WorkKind Kind = WorkKind::Batch;
+  std::uint32_t TaskCount = 1;
+  Resources Need; ///< Of each task.
+  bool IsIdempotent = true;
+  WallTime IssuedAt; ///< When the caller first sent the request.
+  WallTime StartBy;  ///< Latest start; the epoch means none.
+  Millis DeclaredRun{0};
+  std::uint32_t MaxPerRack = 0; ///< Tasks in one rack; 0 means any number.
+  std::string Payload;
+
+  std::int32_t Priority = 0;
+  std::uint32_t MaxAttempts = 1;
+  Millis RetryBackoff{0};
+
+  static constexpr auto fields() {
+    return std::make_tuple(
+        &RequestSpec::Customer, &RequestSpec::Team, &RequestSpec::Key,
+        &RequestSpec::ClassName, &RequestSpec::Kind, &RequestSpec::TaskCount,
+        &RequestSpec::Need, &RequestSpec::IsIdempotent, &RequestSpec::IssuedAt,
+        &RequestSpec::StartBy, &RequestSpec::DeclaredRun,
+        &RequestSpec::MaxPerRack, &RequestSpec::Payload, &RequestSpec::Priority,
+        &RequestSpec::MaxAttempts, &RequestSpec::RetryBackoff);
+  }
+};
+
+/// @brief One part of a request that runs on one worker.
+struct Task {
+  RequestId Owner;
+  std::uint32_t Ordinal = 0;
+  TaskState State = TaskState::Queued;
+  AttemptId Attempt = 0;      ///< Last attempt; 0 before the first.
+  std::uint32_t Attempts = 0; ///< Attempts that count against the limit.
+  std::uint32_t Refusals = 0; ///< Attempts that a worker refused to start.
+  bool MayHaveRun = false;    ///< Some attempt may have begun.
+  WorkerId Place;             ///< Where the attempt is, while assigned.
+  WallTime AssignedAt;
+  WallTime NotBefore; ///< Earliest next attempt.
+  std::string Answer;
+  std::string Reason;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&Task::Owner, &Task::Ordinal, &Task::State,
+                           &Task::Attempt, &Task::Attempts, &Task::Refusals,
+                           &Task::MayHaveRun, &Task::Place, &Task::AssignedAt,
+                           &Task::NotBefore, &Task::Answer, &Task::Reason);
+  }
+};
+
+/// @brief A request in the ledger, until its answer is no longer kept.
+struct Request {
+  RequestSpec Spec;
+  std::uint64_t Digest = 0; ///< Of what the caller asked for.
+  WallTime AcceptedAt;
+  WallTime SettledAt;
+  Outcome Result = Outcome::Pending;
+  std::string Reason;
+  bool IsCancelled = false;
+  bool IsRestarting = false; ///< A gang stops all its tasks to start again.
+  bool IsFailing = false;    ///< A gang stops all its tasks for good.
+  std::vector<TaskId> Tasks;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&Request::Spec, &Request::Digest,
+                           &Request::AcceptedAt, &Request::SettledAt,
+                           &Request::Result, &Request::Reason,
+                           &Request::IsCancelled, &Request::IsRestarting,
+                           &Request::IsFailing, &Request::Tasks);
+  }
+};
+
+/// @brief Tells whether the running tasks of a request have to stop.
+/// @param Row The request.
+/// @return True if no task of it may go on.
+[[nodiscard]] constexpr bool hasToStop(const Request &Row) noexcept {
+  return Row.IsCancelled || Row.IsRestarting || Row.IsFailing;
+}
+
+/// @brief Tells whether a task will never change again by itself.
+/// @param State State of the task.
+/// @return True if the task is settled.
+[[nodiscard]] constexpr bool isSettled(TaskState State) noexcept {
+  return State != TaskState::Queued && State != TaskState::Assigned;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/wire/codec.hpp
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "mulberryramp/core/names.hpp"
+#include "mulberryramp/wire/fwd.hpp"
+
+#include <msgpack.hpp>
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Why bytes could not be decoded.
+struct CodecError {
+  std::string Text;
+};
+
+namespace internal {
+
+inline constexpr std::size_t MaxCodecDepth = 16;
+
+template <typename T>
+concept HasFields = requires {
+  T::fields();
+};
+
+template <typename T>
+concept Named = std::is_enum_v<T> && requires(T Value) {
+  nameTable(Value);
+};
+
+template <typename T> struct IsVector : std::false_type {};
+template <typename T> struct IsVector<std::vector<T>> : std::true_type {};
+template <typename T> struct IsOptional : std::false_type {};
+template <typename T> struct IsOptional<std::optional<T>> : std::true_type {};
+template <typename T> struct IsVariant : std::false_type {};
+template <typename... T>
+struct IsVariant<std::variant<T...>> : std::true_type {};
+template <typename T> struct IsDuration : std::false_type {};
+template <typename R, typename P>
+struct IsDuration<std::chrono::duration<R, P>> : std::true_type {};
+template <typename T> struct IsTimePoint : std::false_type {};
+template <typename C, typename D>
+struct IsTimePoint<std::chrono::time_point<C, D>> : std::true_type {};
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+template <typename T> void packValue(Packer &Out, const T &Value) {
+  if constexpr (Named<T>) {
+    Out.pack(static_cast<std::uint8_t>(Value));
+  } else if constexpr (IsDuration<T>::value) {
+    Out.pack(static_cast<std::int64_t>(Value.count()));
+  } else if constexpr (IsTimePoint<T>::value) {
+    Out.pack(static_cast<std::int64_t>(Value.time_since_epoch().count()));
+  } else if constexpr (IsVector<T>::value) {
+    Out.pack_array(static_cast<std::uint32_t>(Value.size()));
+    for (const auto &Item : Value) {
+      packValue(Out, Item);
+    }
+  } else if constexpr (IsOptional<T>::value) {
+    Out.pack_array(Value ? 1 : 0);
+    if (Value) {
+      packValue(Out, *Value);
+    }
+  } else if constexpr (IsVariant<T>::value) {
+    Out.pack_array(2);
+    Out.pack(static_cast<std::uint8_t>(Value.index()));
+    std::visit([&Out](const auto &Item) { packValue(Out, Item); }, Value);
+  } else if constexpr (HasFields<T>) {
+    std::apply(
+        [&](auto... Member) {
+          Out.pack_array(sizeof...(Member));
+          (packValue(Out, Value.*Member), ...);
+        },
+        T::fields());
+  } else {
+    Out.pack(Value);
+  }
+}
+
+inline const msgpack::object_array &arrayOf(const msgpack::object &Source) {
+  if (Source.type != msgpack::type::ARRAY) {
+    throw msgpack::type_error{};
+  }
+  return Source.via.array;
+}
+
+template <typename T> void unpackValue(const msgpack::object &Source, T &Value);
+
+template <typename Variant, std::size_t Index = 0>
+void unpackVariant(std::size_t Wanted, const msgpack::object &Source,
+                   Variant &Value) {
+  if constexpr (Index < std::variant_size_v<Variant>) {
+    if (Wanted == Index) {
+      unpackValue(Source, Value.template emplace<Index>());
+      return;
+    }
+    unpackVariant<Variant, Index + 1>(Wanted, Source, Value);
+  } else {
+    throw msgpack::type_error{};
+  }
+}
+
+template <typename T>
+void unpackFields(const msgpack::object_array &Items, T &Value) {
+  std::apply(
+      [&](auto... Member) {
+        if (Items.size != sizeof...(Member)) {
+          throw msgpack::type_error{};
+        }
+        std::size_t Index = 0;
+        (unpackValue(Items.ptr[Index++], Value.*Member), ...);
+      },
+      T::fields());
+}
+
+template <typename T>
+void unpackValue(const msgpack::object &Source, T &Value) {
+  if constexpr (Named<T>) {
+    const auto Raw = Source.as<std::uint8_t>();
+    if (Raw >= countNames<T>()) {
+      throw msgpack::type_error{};
+    }
+    Value = static_cast<T>(Raw);
+  } else if constexpr (IsDuration<T>::value) {
+    Value = T{Source.as<std::int64_t>()};
+  } else if constexpr (IsTimePoint<T>::value) {
+    Value = T{typename T::duration{Source.as<std::int64_t>()}};
+  } else if constexpr (IsVector<T>::value) {
+    const auto &Items = arrayOf(Source);
+    Value.clear();
+    for (std::uint32_t Index = 0; Index < Items.size; ++Index) {
+      unpackValue(Items.ptr[Index], Value.emplace_back());
+    }
+  } else if constexpr (IsOptional<T>::value) {
+    const auto &Items = arrayOf(Source);
+    if (Items.size > 1) {
+      throw msgpack::type_error{};
+    }
+    Value.reset();
+    if (Items.size == 1) {
+      unpackValue(Items.ptr[0], Value.emplace());
+    }
+  } else if constexpr (IsVariant<T>::value) {
+    const auto &Items = arrayOf(Source);
+    if (Items.size != 2) {
+      throw msgpack::type_error{};
+    }
+    unpackVariant(Items.ptr[0].as<std::uint8_t>(), Items.ptr[1], Value);
+  } else if constexpr (HasFields<T>) {
+    unpackFields(arrayOf(Source), Value);
+  } else {
+    Value = Source.as<T>();
+  }
+}
+
+} // namespace internal
+
+/// @brief Encodes a value as msgpack.
+/// @tparam T A type whose parts are numbers, strings, times, enumerators with
+/// name tables, vectors, optionals, variants or structs with `fields()`.
+/// @param Value The value.
+/// @return The bytes.
+template <typename T> [[nodiscard]] std::string encode(const T &Value) {
+  msgpack::sbuffer Buffer;
+  internal::Packer Out{Buffer};
+  internal::packValue(Out, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// @brief Decodes a value from msgpack; nothing of it is kept on an error.
+/// @tparam T As for `encode`.
+/// @param Bytes The bytes, with nothing behind the value.
+/// @return The value, or why it could not be read.
+template <typename T>
+[[nodiscard]] tl::expected<T, CodecError> decode(std::string_view Bytes) {
+  try {
+    std::size_t Offset = 0;
+    const msgpack::unpack_limit Limit{MaxFrameBytes, 0,
+                                      MaxFrameBytes, MaxFrameBytes,
+                                      MaxFrameBytes, internal::MaxCodecDepth};
+    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size(), Offset,
+                                        nullptr, nullptr, Limit);
+    if (Offset != Bytes.size()) {
+      return tl::make_unexpected(CodecError{"bytes behind the value"});
+    }
+    T Value{};
+    internal::unpackValue(Handle.get(), Value);
+    return Value;
+  } catch (const std::exception &Error) {
+    return tl::make_unexpected(
+        CodecError{std::string{"malformed value: "} + Error.what()});
+  }
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/wire/fwd.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+/// @file
+/// @brief Forward declarations and limits of the wire module: msgpack codec
+/// and frames between daemons.
+
+namespace mulberryramp {
+
+inline constexpr std::size_t MaxFrameBytes = 8U * 1024U * 1024U;
+inline constexpr std::size_t FrameHeaderBytes = 8;
+inline constexpr std::uint16_t FrameVersion = 1;
+
+struct CodecError;
+class FrameReader;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/worker/fwd.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "mulberryramp/core/fwd.hpp"
+
+/// @file
+/// @brief Forward declarations and limits of the worker module: the messages
+/// between a worker and the leader of its data centre.
+
+namespace mulberryramp {
+
+inline constexpr std::size_t MaxAnswerBytes = 64U * 1024U;
+inline constexpr std::size_t MaxReportsPerPoll = 4096;
+inline constexpr std::uint32_t MaxAnswerParts = 1024;
+
+struct AttemptReport;
+struct WorkerPoll;
+struct StartOrder;
+struct StopOrder;
+struct WorkerReply;
+
+} // namespace mulberryramp
