--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -22,6 +22,7 @@
   NodeId Id = 0;
   bool IsCheck = false;
   bool IsInit = false;
+  bool MayRecoverConfig = false;
 };
 
 std::optional<Arguments> readArguments(int Count, char **Values) {
@@ -34,6 +35,8 @@
       "data-folder", "data folder; goes before the file",
       cxxopts::value<std::string>()->default_value(""))(
       "check", "check the settings and exit")(
+      "recover-config",
+      "go on alone with the rules if all other voters have lost theirs")(
       "init", "prepare the data folder of a founder and exit")("h,help",
                                                                "this help");
   try {
@@ -47,6 +50,7 @@
     Given.DataFolder = Parsed["data-folder"].as<std::string>();
     Given.Id = Parsed["id"].as<NodeId>();
     Given.IsCheck = Parsed.count("check") != 0;
+    Given.MayRecoverConfig = Parsed.count("recover-config") != 0;
     Given.IsInit = Parsed.count("init") != 0;
     return Given;
   } catch (const std::exception &Error) {
@@ -70,6 +74,7 @@
   if (!Given.DataFolder.empty()) {
     Parsed->DataFolder = Given.DataFolder;
   }
+  Parsed->MayRecoverConfig = Given.MayRecoverConfig;
   const bool HasDisk = findNode(*Parsed, Parsed->Self)->HasDisk;
   if (HasDisk == Parsed->DataFolder.empty()) {
     std::cerr << Given.SettingsFile << ": daemon " << Parsed->Self
--- a/src/mulberryramp/admin/api.cpp
+++ b/src/mulberryramp/admin/api.cpp
@@ -519,6 +519,7 @@
     Out["epoch"] = Reply.Epoch;
     Out["sequence"] = Reply.Sequence;
     Out["lease_ms"] = Reply.Lease.count();
+    Out["wants_full"] = Reply.WantsFull;
   }
   if (!Reply.Starts.empty()) {
     Out["starts"] = internal::listOf(Reply.Starts);
--- a/src/mulberryramp/config/settings.hpp
+++ b/src/mulberryramp/config/settings.hpp
@@ -49,6 +49,9 @@
 struct Settings {
   NodeId Self = 0;
   std::string DataFolder; ///< Empty on a VM without a disk.
+  /// The operator has found that no other voter of the configuration group has
+  /// kept its memory; set by a switch at the start, never by the file.
+  bool MayRecoverConfig = false;
   std::vector<NodeSettings> Nodes;
   TimingSettings Timing;
 };
--- a/src/mulberryramp/node/centre_service.cpp
+++ b/src/mulberryramp/node/centre_service.cpp
@@ -135,6 +135,7 @@
 void CentreService::startServing(Replica &Member, Instant Now, WallTime Wall) {
   IsServing = true;
   IsReleasing = false;
+  ServeCount += 1;
   ServedTerm = Member.Hard.Current;
   View.Workers.clear();
   View.Preempted.clear();
@@ -488,7 +489,8 @@
   sweepExpired(Member, Now, Wall);
   calmRetries(Now);
   flushSettlements(Member, Input);
-  if (!State.NeedsDoubt) {
+  const bool HasNewestRules = State.RulesNumber >= Newest.Number;
+  if (!State.NeedsDoubt && HasNewestRules) {
     runPlacement(Member, Input);
   }
   answerPolls(Member, Now);
--- a/src/mulberryramp/node/centre_service.hpp
+++ b/src/mulberryramp/node/centre_service.hpp
@@ -188,6 +188,7 @@
   bool IsServing = false;
   bool IsReleasing = false;
   Term ServedTerm = 0;
+  std::uint64_t ServeCount = 0; ///< How often this daemon began to serve.
   std::multimap<LogIndex, OpenCall> Open;
   std::set<std::string> Announcing;
   std::set<std::string> Removing;
--- a/src/mulberryramp/node/centre_workers.cpp
+++ b/src/mulberryramp/node/centre_workers.cpp
@@ -8,6 +8,8 @@
 namespace internal {
 
 constexpr Millis OrderAgainAfter{1000};
+/// Replies since one beginning of serving that can be told apart.
+constexpr int SequenceShift = 32;
 constexpr std::size_t MaxNameBytes = 128;
 /// A task is held to its grant once it is reported this far above it.
 constexpr std::int64_t ThrottleAbovePercent = 120;
@@ -147,6 +149,7 @@
   if (Fresh) {
     Found->second.LeaseEnd = Now + Options.WorkerLease + leaseMargin();
     Found->second.HeardAt = Now;
+    Found->second.Sequence = ServeCount << internal::SequenceShift;
   }
   return Found->second;
 }
@@ -258,6 +261,9 @@
   if (IsKnown && Reported->second != AttemptPhase::Running) {
     return std::nullopt;
   }
+  if (!IsKnown && isBeforeRecovery(State, Item.Attempt)) {
+    return std::nullopt;
+  }
   if (hasToStop(State.Requests[Item.Owner])) {
     return OrderKind::Stop;
   }
@@ -269,9 +275,7 @@
     return IsLate ? OrderKind::Stop : OrderKind::Checkpoint;
   }
   if (!IsKnown) {
-    return isBeforeRecovery(State, Item.Attempt)
-               ? std::nullopt
-               : std::optional{OrderKind::Start};
+    return OrderKind::Start;
   }
   if (Seen.Greedy.contains(Item.Attempt)) {
     return OrderKind::Throttle;
@@ -381,6 +385,7 @@
     Seen.LeaseEnd = Now + Options.WorkerLease + leaseMargin();
     Reply.Verdict = PollVerdict::Taken;
     Reply.Epoch = Member.Hard.Current;
+    Reply.WantsFull = !Seen.IsConfirmed;
     Reply.Sequence = Seen.Sequence;
     Reply.Lease = Options.WorkerLease;
     DonePolls.push_back({Item->PollId, std::move(Reply), NotAfter});
--- a/src/mulberryramp/node/node.cpp
+++ b/src/mulberryramp/node/node.cpp
@@ -69,6 +69,7 @@
   Options.JoinEvery = Deployment.Timing.ConfigHeartbeat;
   Options.SnapshotEvery = Deployment.Timing.SnapshotEvery;
   Options.SavesCommit = true;
+  Options.MayRecoverAlone = Deployment.MayRecoverConfig;
   Options.VoterNodes = configVoters(Deployment);
   return Options;
 }
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -269,20 +269,26 @@
          (State.Role == ReplicaRole::Leader && leaseEnd(State, Now) > Now);
 }
 
+/// A refusal tells the own term: a candidate with the longer log but an older
+/// term would otherwise never get a vote.
+void answerPreVote(Replica &State, const Member &From,
+                   const VoteRequest &Request) {
+  VoteReply Reply;
+  Reply.IsGranted =
+      Request.InTerm > State.Hard.Current && isUpToDate(State, Request);
+  Reply.IsPreVote = Reply.IsGranted;
+  Reply.InTerm = Reply.IsGranted ? Request.InTerm : State.Hard.Current;
+  send(State, From, Reply);
+}
+
 void onVoteRequest(Replica &State, Instant Now, const Member &From,
                    const VoteRequest &Request) {
   if (!Request.IsForced && trustsLeader(State, Now)) {
     return;
   }
   VoteReply Reply;
-  Reply.IsPreVote = Request.IsPreVote;
   if (Request.IsPreVote) {
-    Reply.InTerm = Request.InTerm;
-    Reply.IsGranted =
-        Request.InTerm > State.Hard.Current && isUpToDate(State, Request);
-    if (Reply.IsGranted) {
-      send(State, From, Reply);
-    }
+    answerPreVote(State, From, Request);
     return;
   }
   if (Request.InTerm > State.Hard.Current) {
@@ -543,7 +549,8 @@
 /// without their former memory; the last holder of the log goes on alone.
 bool isSoleSurvivor(const Replica &State, Instant Now) {
   const auto &Nodes = State.Options.VoterNodes;
-  return membership(State).Voters.size() > 1 &&
+  return State.Options.MayRecoverAlone &&
+         membership(State).Voters.size() > 1 &&
          std::all_of(Nodes.begin(), Nodes.end(), [&](NodeId Node) {
            return Node == State.Self.Node || isSuperseded(State, Node, Now);
          });
--- a/src/mulberryramp/system/failures.cpp
+++ b/src/mulberryramp/system/failures.cpp
@@ -60,7 +60,9 @@
     Seen->second.QuarantineCount = 0;
     return;
   }
-  if (Item.End != AttemptEnd::Failed) {
+  const bool IsRefused = Item.End == AttemptEnd::Refused &&
+                         !hasToStop(Input.State.Requests[Row.Owner]);
+  if (Item.End != AttemptEnd::Failed && !IsRefused) {
     return;
   }
   auto &Names = View.Failures[Row.Owner].WorkerNames;
--- a/src/mulberryramp/system/placement.cpp
+++ b/src/mulberryramp/system/placement.cpp
@@ -13,6 +13,8 @@
 namespace internal {
 
 constexpr std::size_t MaxBlockedPerRun = 256;
+/// Weight of a failure against the parts of a worker that are left over.
+constexpr double FailurePenalty = 10;
 constexpr double Unfit = std::numeric_limits<double>::infinity();
 
 struct Candidate {
@@ -24,6 +26,7 @@
 
 struct Room {
   WorkerId Id;
+  std::size_t Failures = 0; ///< Requests that failed there in a row.
   Resources Free;
   Resources Capacity;
   std::uint32_t Rack = 0;
@@ -81,7 +84,8 @@
       const auto Rack =
           Racks.try_emplace(Row.Rack, static_cast<std::uint32_t>(Racks.size()));
       Rooms.push_back(
-          {Id, freeOf(Row), Row.Capacity, Rack.first->second, false, {}});
+          {Id, View.Workers.at(Id).FailedRequests.size(), freeOf(Row),
+           Row.Capacity, Rack.first->second, false, {}});
       RackOf[Id] = Rack.first->second;
     }
     std::erase_if(View.Held, [this](const auto &Item) {
@@ -274,7 +278,8 @@
     const double Cpu = part(Left.MilliCpus, Item.Capacity.MilliCpus);
     const double Memory = part(Left.MemoryMb, Item.Capacity.MemoryMb);
     const double Cards = part(Left.Accelerators, Item.Capacity.Accelerators);
-    const double Wasted = Spec.Need.Accelerators == 0 ? 4 * Cards : 0;
+    const double Wasted = (Spec.Need.Accelerators == 0 ? 4 * Cards : 0) +
+                          FailurePenalty * static_cast<double>(Item.Failures);
     if (Way == Weighing::Packing) {
       return 4 * Memory + Cpu + Cards + Wasted;
     }
--- a/src/mulberryramp/worker/message.hpp
+++ b/src/mulberryramp/worker/message.hpp
@@ -112,6 +112,7 @@
   std::string Reason;
   std::uint64_t Epoch = 0;
   std::uint64_t Sequence = 0;
+  bool WantsFull = false; ///< The next poll has to list all attempts.
   Millis Lease{0}; ///< From the moment the worker sent its poll.
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
