Test each module at its edges

Cause: the explorer steps whole schedules; a fault in one module should show in one small test, and parsers see bytes that no schedule makes.

--- /dev/null
+++ b/test/admin/api_test.cpp
@@ -0,0 +1,195 @@
+#include "mulberryramp/admin/api.hpp"
+#include "mulberryramp/core/random.hpp"
+#include "mulberryramp/wire/frame.hpp"
+#include "standin/worker_json.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+
+namespace {
+
+constexpr WallTime Now{Millis{1'700'000'000'000}};
+
+const std::string GoodSubmit =
+    R"({"customer":"c","team":"t","key":"k","need":{"milli_cpus":1000}})";
+
+ApiRequest post(const std::string &Path, const std::string &Body) {
+  return {"POST", Path, {}, Body};
+}
+
+std::string reportOf(const ApiRequest &Request) {
+  const auto Action = parseApiRequest(Request, Now);
+  return Action ? "" : Action.error().Report.render();
+}
+
+std::string mutated(std::string Bytes, Random &Draw) {
+  const std::uint64_t Changes = 1 + Draw.below(4);
+  for (std::uint64_t Index = 0; Index < Changes && !Bytes.empty(); ++Index) {
+    const std::size_t At = Draw.below(Bytes.size());
+    switch (Draw.below(4)) {
+    case 0:
+      Bytes[At] = static_cast<char>(Draw.below(256));
+      break;
+    case 1:
+      Bytes.erase(At, 1 + Draw.below(8));
+      break;
+    case 2:
+      Bytes.insert(At, Bytes.substr(Draw.below(Bytes.size()), 6));
+      break;
+    default:
+      Bytes.resize(At);
+      break;
+    }
+  }
+  return Bytes;
+}
+
+} // namespace
+
+TEST_GROUP(AdminApi){};
+
+TEST(AdminApi, ReadsASubmission) {
+  const auto Action = parseApiRequest(post("/v1/requests", GoodSubmit), Now);
+  CHECK(Action.has_value());
+  const auto &Call = std::get<SubmitCall>(std::get<CallBody>(*Action));
+  STRCMP_EQUAL("k", Call.Spec.Key.c_str());
+  CHECK_EQUAL(1000, Call.Spec.Need.MilliCpus);
+  CHECK_EQUAL(1, Call.Spec.Need.Slots);
+}
+
+TEST(AdminApi, ReportsAllFindingsWithTheirPaths) {
+  const std::string Report = reportOf(post(
+      "/v1/requests",
+      R"({"customer":1,"key":"","tasks":0,"need":{"milli_cpus":-1},"x":2})"));
+  CHECK(Report.find("/customer: expected a string") != std::string::npos);
+  CHECK(Report.find("/team: is missing") != std::string::npos);
+  CHECK(Report.find("/key: expected 1 to") != std::string::npos);
+  CHECK(Report.find("/tasks: expected a whole number from 1") !=
+        std::string::npos);
+  CHECK(Report.find("/need/milli_cpus: expected") != std::string::npos);
+  CHECK(Report.find("/x: is not known") != std::string::npos);
+}
+
+TEST(AdminApi, NonIdempotentRequestNeedsItsTimeOfIssue) {
+  std::string Body = GoodSubmit;
+  Body.insert(Body.size() - 1, R"(,"idempotent":false)");
+  CHECK(reportOf(post("/v1/requests", Body)).find("/issued_at_ms: is needed") !=
+        std::string::npos);
+}
+
+TEST(AdminApi, HugeAndNegativeSizesAreFindings) {
+  const auto Check = [](const std::string &Number) {
+    return reportOf(post("/v1/requests",
+                         R"({"customer":"c","team":"t","key":"k","need":{"memory_mb":)" +
+                             Number + "}}"));
+  };
+  CHECK_FALSE(Check("-1").empty());
+  CHECK_FALSE(Check("18446744073709551615").empty());
+  CHECK_FALSE(Check("1e99").empty());
+  CHECK_FALSE(Check("\"7\"").empty());
+}
+
+TEST(AdminApi, UnknownPathsAndMethodsAreRefused) {
+  CHECK_EQUAL(404, parseApiRequest({"GET", "/nothing", {}, ""}, Now).error().Status);
+  CHECK_EQUAL(405, parseApiRequest({"PUT", "/v1/rules", {}, ""}, Now).error().Status);
+  CHECK_EQUAL(400, parseApiRequest(post("/v1/requests", "{"), Now).error().Status);
+}
+
+TEST(AdminApi, PollOfTheStandInIsUnderstood) {
+  WorkerPoll Poll;
+  Poll.Name = "w";
+  Poll.Centre = "c";
+  Poll.Rack = "r";
+  Poll.Incarnation = 3;
+  Poll.Reports.push_back(
+      {7, AttemptPhase::Done, "", AnswerPart{1, 2, "half"}, 0, 0});
+  const auto Action = parseApiRequest(
+      post("/v1/worker/poll", test::renderPoll(Poll)), Now);
+  CHECK(Action.has_value());
+  const auto &Read = std::get<WorkerPoll>(*Action);
+  CHECK_EQUAL(1U, Read.Reports.size());
+  STRCMP_EQUAL("half", Read.Reports[0].Part->Data.c_str());
+}
+
+TEST(AdminApi, ReplyIsUnderstoodByTheStandIn) {
+  WorkerReply Reply;
+  Reply.Epoch = 4;
+  Reply.Sequence = 5;
+  Reply.Starts.push_back({9, "c", "k", 0, 1, WorkKind::Gang, true, {}, "p", ""});
+  Reply.Stops.push_back({8, StopMode::Checkpoint});
+  Reply.Forgets.push_back(6);
+  const auto Read = test::parseReply(renderReply(Reply));
+  CHECK(Read.has_value());
+  CHECK(Read->Starts[0].Kind == WorkKind::Gang);
+  CHECK(Read->Stops[0].Mode == StopMode::Checkpoint);
+  CHECK_EQUAL(6U, Read->Forgets[0]);
+}
+
+TEST(AdminApi, MutatedBodiesNeverBreakTheParser) {
+  Random Draw{1};
+  WorkerPoll Poll;
+  Poll.Name = "w";
+  Poll.Centre = "c";
+  Poll.Rack = "r";
+  Poll.Reports.push_back({7, AttemptPhase::Done, "", AnswerPart{}, 1, 1});
+  const std::string Rules =
+      R"({"change_key":"k","operator":"o","base":0,"text":"x"})";
+  for (int Round = 0; Round < 20000; ++Round) {
+    (void)parseApiRequest(post("/v1/requests", mutated(GoodSubmit, Draw)), Now);
+    (void)parseApiRequest(
+        post("/v1/worker/poll", mutated(test::renderPoll(Poll), Draw)), Now);
+    (void)parseApiRequest(post("/v1/rules", mutated(Rules, Draw)), Now);
+  }
+}
+
+TEST(AdminApi, MutatedFramesNeverBreakTheReader) {
+  Random Draw{2};
+  SubmitCall Call;
+  Call.Spec.Customer = "customer";
+  Call.Spec.Payload = std::string(50, 'x');
+  const PeerMessage Message{1, 2, ForwardCall{3, 1, Call}};
+  const std::string Frame = makeFrame(encodeMessage(Message));
+  for (int Round = 0; Round < 50000; ++Round) {
+    FrameReader Reader;
+    Reader.feed(mutated(Frame, Draw));
+    const auto Next = Reader.next();
+    if (Next && *Next) {
+      (void)decodeMessage(**Next);
+    }
+  }
+}
+
+TEST(AdminApi, FramesOfUnknownVersionOrSizeAreRefused) {
+  std::string Frame = makeFrame("payload");
+  Frame[3] = 9;
+  FrameReader Reader;
+  Reader.feed(Frame);
+  CHECK(Reader.next().error() == FrameError::UnknownVersion);
+  std::string Huge = makeFrame("payload");
+  Huge[4] = 0x7F;
+  FrameReader Second;
+  Second.feed(Huge);
+  CHECK(Second.next().error() == FrameError::Oversized);
+}
+
+TEST(AdminApi, FrameArrivesByteByByte) {
+  const PeerMessage Message{1, 2, ForwardResult{3, {}}};
+  FrameReader Reader;
+  const std::string Frame = makeFrame(encodeMessage(Message));
+  for (std::size_t At = 0; At + 1 < Frame.size(); ++At) {
+    Reader.feed(Frame.substr(At, 1));
+    CHECK_FALSE(Reader.next()->has_value());
+  }
+  Reader.feed(Frame.substr(Frame.size() - 1));
+  CHECK(decodeMessage(**Reader.next())->To == 2);
+}
+
+TEST(AdminApi, MessageOfWrongTypesIsRefused) {
+  CHECK_FALSE(decodeMessage("").has_value());
+  CHECK_FALSE(decodeMessage("\x93\x01\x02\xc0").has_value());
+  CHECK_FALSE(decodeMessage(encodeMessage({1, 2, ForwardResult{}}) + "x")
+                  .has_value());
+}
--- /dev/null
+++ b/test/config/rules_test.cpp
@@ -0,0 +1,126 @@
+#include "mulberryramp/config/rules.hpp"
+#include "mulberryramp/config/rules_log.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+
+namespace {
+
+std::string reportOf(const std::string &Text) {
+  const auto Parsed = parseRules("r", Text);
+  return Parsed ? "" : Parsed.error().render();
+}
+
+RulesChange changeOf(const RulesLog &Log, const std::string &Key, Revision Base,
+                     const std::string &Text) {
+  RulesChange Change = makeChange(Log, Base, Text);
+  Change.ChangeKey = Key;
+  Change.Operator = "op-" + Key;
+  return Change;
+}
+
+} // namespace
+
+TEST_GROUP(ConfigRules){};
+
+TEST(ConfigRules, ReadsEachKind) {
+  const auto Parsed = parseRules(
+      "r", "class name=urgent priority=100 preempts=yes # asked by Ana\n"
+           "quota team=a cpus=10 weight=2 # asked by Ana: tenders\n"
+           "policy customer=iftar weigh=packing # asked by Rahim\n"
+           "spread kind=service max-per-rack=2 # asked by Ivo\n"
+           "limit team=* queue=7 # asked by Ivo\n"
+           "drain rack=r1 # asked by Ivo\n"
+           "shape cpus=32 memory-mb=1000 # asked by Ivo\n"
+           "retry budget-percent=10 # asked by Ivo\n");
+  CHECK(Parsed.has_value());
+  CHECK(findClass(*Parsed, "urgent")->MayPreempt);
+  CHECK_EQUAL(10000, findQuota(*Parsed, "a")->Most.MilliCpus);
+  CHECK(weighingOf(*Parsed, "iftar") == Weighing::Packing);
+  CHECK_EQUAL(2U, maxPerRack(*Parsed, WorkKind::Service));
+  CHECK_EQUAL(7U, queueLimit(*Parsed, "any"));
+  CHECK(isDrained(*Parsed, "w", "r1", "c"));
+  CHECK_FALSE(isDrained(*Parsed, "w", "r2", "c"));
+}
+
+TEST(ConfigRules, EachLineNeedsACommentThatNamesWhoAsked) {
+  STRCMP_EQUAL("r:1:15: the line needs a comment `# asked by NAME`\n",
+               reportOf("drain rack=r1 # because\n").c_str());
+  STRCMP_EQUAL("r:1:14: the line needs a comment `# asked by NAME`\n",
+               reportOf("drain rack=r1").c_str());
+  STRCMP_EQUAL("r:1:15: the line needs a comment `# asked by NAME`\n",
+               reportOf("drain rack=r1 # asked by ").c_str());
+}
+
+TEST(ConfigRules, ReportsAllFindingsTogether) {
+  const std::string Report = reportOf("class priority=9999 # asked by A\n"
+                                      "\n"
+                                      "jump high=1 # asked by A\n"
+                                      "policy customer=x weigh=fast colour=1 # asked by A\n");
+  CHECK(Report.find("r:1:1: class needs name=") != std::string::npos);
+  CHECK(Report.find("r:1:16: priority=9999") != std::string::npos);
+  CHECK(Report.find("r:3:1: unknown rule `jump`") != std::string::npos);
+  CHECK(Report.find("r:4:25: weigh=fast") != std::string::npos);
+  CHECK(Report.find("r:4:30: this rule has no colour") != std::string::npos);
+}
+
+TEST(ConfigRules, SecondLineForTheSameNameIsAFinding) {
+  CHECK(reportOf("limit team=a # asked by A\nlimit team=a # asked by B\n")
+            .find("r:2:1: limit a has an earlier line") != std::string::npos);
+}
+
+TEST(ConfigRules, PartsOfAQuotaAddUpToTheWhole) {
+  const Resources Whole{10, 11, 1, 0, 7};
+  Resources Sum;
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    Sum += quotaPart(Whole, 3, Index);
+  }
+  CHECK(Sum == Whole);
+}
+
+TEST(ConfigRules, OneOfTwoChangesOnTheSameRevisionWins) {
+  RulesLog Log;
+  const auto First = changeOf(Log, "a", 0, "one\n");
+  const auto Second = changeOf(Log, "b", 0, "two\n");
+  CHECK(applyChange(Log, First).Verdict == ChangeVerdict::Accepted);
+  const ChangeRecord Lost = applyChange(Log, Second);
+  CHECK(Lost.Verdict == ChangeVerdict::Conflict);
+  STRCMP_EQUAL("op-a", Lost.Winner.c_str());
+  STRCMP_EQUAL("one\n", Log.Text.c_str());
+}
+
+TEST(ConfigRules, ResendGetsItsFirstAnswerAfterHundredsOfChanges) {
+  RulesLog Log;
+  const auto First = changeOf(Log, "first", 0, "x\n");
+  applyChange(Log, First);
+  for (int Index = 0; Index < 500; ++Index) {
+    const std::string Name = std::to_string(Index);
+    applyChange(Log, changeOf(Log, Name, Log.Number, Log.Text + Name + "\n"));
+  }
+  auto Restored = decodeRulesLog(encodeRulesLog(Log));
+  CHECK(Restored.has_value());
+  CHECK_EQUAL(1U, applyChange(*Restored, First).Number);
+  CHECK_EQUAL(501U, Restored->Number);
+}
+
+TEST(ConfigRules, ChangeHoldsOnlyWhatDiffers) {
+  RulesLog Log;
+  applyChange(Log, changeOf(Log, "a", 0, "front\nold\nback\n"));
+  const auto Change = changeOf(Log, "b", 1, "front\nnew line\nback\n");
+  STRCMP_EQUAL("new line", Change.Middle.c_str());
+  applyChange(Log, Change);
+  STRCMP_EQUAL("front\nnew line\nback\n", Log.Text.c_str());
+}
+
+TEST(ConfigRules, ChangeToAndFromRepeatedTextIsExact) {
+  RulesLog Log;
+  const char *Texts[] = {"aaaa", "aa", "aaaaaa", "", "baab", "bab"};
+  for (const char *Text : Texts) {
+    applyChange(Log, changeOf(Log, Text + std::to_string(Log.Number),
+                              Log.Number, Text));
+    STRCMP_EQUAL(Text, Log.Text.c_str());
+  }
+}
--- a/test/explore/main.cpp
+++ b/test/explore/main.cpp
@@ -76,7 +76,8 @@
       "jobs", "", cxxopts::value<unsigned>()->default_value("0"))(
       "only", "", cxxopts::value<std::string>()->default_value(""))(
       "faults", "", cxxopts::value<std::string>()->default_value(""))(
-      "trace", "print the trace of each failing seed");
+      "trace", "print the shortest trace of the first failing seed")(
+      "trace-all", "print the trace of the first seed, failing or not");
   try {
     const auto Given = Parser.parse(Count, Values);
     ScheduleOptions Base;
@@ -92,6 +93,11 @@
     const auto Wanted = Given["count"].as<std::uint64_t>();
     unsigned Jobs = Given["jobs"].as<unsigned>();
     Jobs = Jobs == 0 ? std::max(1U, std::thread::hardware_concurrency()) : Jobs;
+    if (Given.count("trace-all") != 0) {
+      Base.Seed = First;
+      printTrace(Base);
+      return 0;
+    }
     std::atomic<std::uint64_t> Next{First};
     std::mutex Lock;
     Totals Sum;
--- a/test/explore/world.cpp
+++ b/test/explore/world.cpp
@@ -1222,6 +1222,7 @@
       if (isDead(Group)) {
         Dead.insert(Group);
         Result.DeadGroups += 1;
+        trace("DEAD " + Group + describeGroup(Group));
       } else {
         violate(Invariant::Progress,
                 "group " + Group + " has no leader: " + describeGroup(Group));
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,7 @@
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+int main(int Count, char **Values) {
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  return CommandLineTestRunner::RunAllTests(Count, Values);
+}
--- /dev/null
+++ b/test/system/placement_test.cpp
@@ -0,0 +1,291 @@
+#include "mulberryramp/system/admission.hpp"
+#include "mulberryramp/system/failures.hpp"
+#include "mulberryramp/system/placement.hpp"
+#include "mulberryramp/system/preemption.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+
+namespace {
+
+struct Centre {
+  Ledger State;
+  Rules InForce;
+  CentreView View;
+  Instant Now{Millis{100000}};
+  WallTime Wall{Millis{1'000'000'000}};
+
+  Centre() {
+    InForce = *parseRules(
+        "r", "class name=urgent priority=100 preempts=yes # asked by A\n"
+             "class name=low priority=1 ages-every-ms=1000 # asked by A\n");
+  }
+
+  DecisionInput input() const { return {State, InForce, Now, Wall}; }
+
+  WorkerId addWorker(const std::string &Name, const std::string &Rack,
+                     Resources Capacity) {
+    apply(State, AnnounceCommand{Name, 1, Rack, Capacity});
+    const WorkerId Id = findWorker(State, Name);
+    View.Workers[Id].IsConfirmed = true;
+    View.Workers[Id].LeaseEnd = Now + Millis{60000};
+    return Id;
+  }
+
+  RequestId submit(const std::string &Key, Resources Need,
+                   const std::string &Class = "normal",
+                   WorkKind Kind = WorkKind::Batch, std::uint32_t Count = 1,
+                   const std::string &Team = "t") {
+    RequestSpec Spec;
+    Spec.Customer = "c";
+    Spec.Team = Team;
+    Spec.Key = Key;
+    Spec.ClassName = Class;
+    Spec.Kind = Kind;
+    Spec.TaskCount = Count;
+    Spec.Need = Need;
+    applyRules(InForce, Spec, Wall);
+    return apply(State, AcceptCommand{Spec, digestOf(Spec), "", Wall}).Accepted;
+  }
+
+  PlacementRun run() { return place(input(), View, {}); }
+
+  PlacementRun runAndApply() {
+    PlacementRun Run = this->run();
+    apply(State, AssignCommand{Run.Placements, Wall});
+    for (const std::string &Text : checkLedger(State)) {
+      FAIL(Text.c_str());
+    }
+    return Run;
+  }
+
+  std::string placeOf(RequestId Id, std::size_t Index = 0) const {
+    const Worker *Row = State.Workers.find(
+        State.Tasks[State.Requests[Id].Tasks[Index]].Place);
+    return Row == nullptr ? "" : Row->Name;
+  }
+};
+
+constexpr Resources Small{1000, 1000, 0, 1, 0};
+constexpr Resources Machine{8000, 8000, 0, 8, 8};
+
+} // namespace
+
+TEST_GROUP(SystemPlacement) { Centre It; };
+
+TEST(SystemPlacement, ChoosesTheWorkerThatIsFilledBest) {
+  It.addWorker("large", "r", {16000, 16000, 0, 8, 8});
+  It.addWorker("small", "r", {2000, 2000, 0, 8, 8});
+  const auto Id = It.submit("k", Small);
+  It.runAndApply();
+  STRCMP_EQUAL("small", It.placeOf(Id).c_str());
+}
+
+TEST(SystemPlacement, GivesNoWorkToWorkersThatMustNotGetAny) {
+  const auto Leaving = It.addWorker("leaving", "r", Machine);
+  apply(It.State, LeavingCommand{"leaving", 1, true});
+  It.View.Workers[It.addWorker("silent", "r", Machine)].LeaseEnd = It.Now;
+  It.View.Workers[It.addWorker("unconfirmed", "r", Machine)].IsConfirmed =
+      false;
+  It.View.Workers[It.addWorker("orphans", "r", Machine)].HasOrphans = true;
+  It.addWorker("drained", "r", Machine);
+  It.InForce.Drains.push_back({DrainScope::Worker, "drained"});
+  It.submit("k", Small);
+  CHECK(It.State.Workers[Leaving].IsLeaving);
+  CHECK(It.run().Placements.empty());
+}
+
+TEST(SystemPlacement, GangIsPlacedWholeOrNotAtAll) {
+  It.addWorker("w1", "r", {2000, 8000, 0, 8, 8});
+  const auto Id = It.submit("gang", Small, "normal", WorkKind::Gang, 3);
+  It.runAndApply();
+  CHECK(It.placeOf(Id).empty());
+  It.addWorker("w2", "r", {2000, 8000, 0, 8, 8});
+  It.runAndApply();
+  CHECK_FALSE(It.placeOf(Id, 2).empty());
+}
+
+TEST(SystemPlacement, GangIsNotStarvedByAStreamOfSmallTasks) {
+  It.addWorker("w1", "r", Machine);
+  It.addWorker("w2", "r", Machine);
+  for (int Index = 0; Index < 16; ++Index) {
+    It.submit("first" + std::to_string(Index), Small);
+  }
+  It.runAndApply();
+  const auto Gang = It.submit("gang", {8000, 8000, 0, 1, 0}, "normal",
+                              WorkKind::Gang, 2);
+  bool IsPlaced = false;
+  for (int Round = 0; Round < 40 && !IsPlaced; ++Round) {
+    It.Now += Millis{500};
+    It.Wall += Millis{500};
+    It.submit("stream" + std::to_string(Round), Small);
+    It.submit("stream'" + std::to_string(Round), Small);
+    for (const WorkerId Id : It.State.Workers.ids()) {
+      const Worker &Row = It.State.Workers[Id];
+      if (!Row.Tasks.empty()) {
+        const AttemptId Attempt = It.State.Tasks[Row.Tasks.front()].Attempt;
+        apply(It.State,
+              SettleCommand{{{Attempt, AttemptEnd::Done, "", ""}}, It.Wall});
+      }
+    }
+    It.runAndApply();
+    IsPlaced = !It.placeOf(Gang).empty();
+  }
+  CHECK(IsPlaced);
+}
+
+TEST(SystemPlacement, TwoGangsDoNotBlockEachOther) {
+  It.addWorker("w1", "r", Machine);
+  It.addWorker("w2", "r", Machine);
+  const auto First =
+      It.submit("a", {8000, 1000, 0, 1, 0}, "normal", WorkKind::Gang, 2);
+  const auto Second =
+      It.submit("b", {8000, 1000, 0, 1, 0}, "normal", WorkKind::Gang, 2);
+  It.runAndApply();
+  CHECK(It.placeOf(First).empty() != It.placeOf(Second).empty());
+}
+
+TEST(SystemPlacement, ServiceTasksAreSpreadOverRacks) {
+  It.addWorker("a1", "a", Machine);
+  It.addWorker("a2", "a", Machine);
+  It.addWorker("b1", "b", Machine);
+  It.InForce.Spreads.push_back({WorkKind::Service, 1});
+  const auto Id = It.submit("s", Small, "normal", WorkKind::Service, 3);
+  It.runAndApply();
+  std::size_t Placed = 0;
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    Placed += It.placeOf(Id, Index).empty() ? 0 : 1;
+  }
+  CHECK_EQUAL(2U, Placed);
+}
+
+TEST(SystemPlacement, QuotaBoundsWhatATeamHolds) {
+  It.addWorker("w", "r", Machine);
+  It.InForce.Quotas.push_back({"t", {2000, 8000, 0, 8, 8}, 1});
+  for (int Index = 0; Index < 5; ++Index) {
+    It.submit("k" + std::to_string(Index), Small);
+  }
+  It.runAndApply();
+  CHECK_EQUAL(2000, It.State.GrantedByTeam["t"].MilliCpus);
+}
+
+TEST(SystemPlacement, FloodOfOneTeamLeavesRoomForAnother) {
+  It.addWorker("w", "r", {4000, 8000, 0, 8, 8});
+  for (int Index = 0; Index < 100; ++Index) {
+    It.submit("flood" + std::to_string(Index), Small, "normal",
+              WorkKind::Batch, 1, "loud");
+  }
+  It.Wall += Millis{10};
+  const auto Quiet =
+      It.submit("quiet", Small, "normal", WorkKind::Batch, 1, "quiet");
+  It.runAndApply();
+  CHECK_FALSE(It.placeOf(Quiet).empty());
+}
+
+TEST(SystemPlacement, WaitingRaisesThePriorityOfLowWork) {
+  It.addWorker("w", "r", {1000, 8000, 0, 8, 8});
+  const auto Low = It.submit("low", Small, "low");
+  It.Wall += Millis{60000};
+  const auto Normal = It.submit("normal", Small);
+  It.runAndApply();
+  CHECK_FALSE(It.placeOf(Low).empty());
+  CHECK(It.placeOf(Normal).empty());
+}
+
+TEST(SystemPlacement, UrgentWorkPushesOutTheLeastLoss) {
+  It.addWorker("w1", "r", {1000, 8000, 0, 8, 8});
+  It.addWorker("w2", "r", {1000, 8000, 0, 8, 8});
+  const auto Old = It.submit("old", Small);
+  It.runAndApply();
+  It.Wall += Millis{60000};
+  const auto Young = It.submit("young", Small);
+  It.runAndApply();
+  It.submit("urgent", Small, "urgent");
+  const PlacementRun Run = It.run();
+  preempt(It.input(), It.View, Run.Blocked);
+  CHECK_EQUAL(1U, It.View.Preempted.size());
+  const TaskId Spared = It.State.Requests[Old].Tasks[0];
+  const TaskId Victim = It.State.Requests[Young].Tasks[0];
+  CHECK_FALSE(It.View.Preempted.contains(It.State.Tasks[Spared].Attempt));
+  CHECK(It.View.Preempted.contains(It.State.Tasks[Victim].Attempt));
+}
+
+TEST(SystemPlacement, NonIdempotentWorkIsNeverPushedOut) {
+  It.addWorker("w", "r", {1000, 8000, 0, 8, 8});
+  const auto Bill = It.submit("bill", Small);
+  It.State.Requests[Bill].Spec.IsIdempotent = false;
+  It.runAndApply();
+  It.submit("urgent", Small, "urgent");
+  preempt(It.input(), It.View, It.run().Blocked);
+  CHECK(It.View.Preempted.empty());
+}
+
+TEST(SystemPlacement, WorkerThatFailsEverythingIsQuarantinedButNotAll) {
+  for (int Index = 0; Index < 8; ++Index) {
+    It.addWorker("w" + std::to_string(Index), "r", Machine);
+  }
+  for (int Round = 0; Round < 40; ++Round) {
+    const auto Id = It.submit("k" + std::to_string(Round), Small);
+    It.runAndApply();
+    const AttemptId Attempt =
+        It.State.Tasks[It.State.Requests[Id].Tasks[0]].Attempt;
+    const Settlement End{Attempt, AttemptEnd::Failed, "", "x"};
+    noteAttemptEnd(It.input(), It.View, End);
+    apply(It.State, SettleCommand{{End}, It.Wall});
+    apply(It.State, CancelCommand{"c", "k" + std::to_string(Round), It.Wall});
+  }
+  std::size_t Quarantined = 0;
+  for (const auto &[Id, Seen] : It.View.Workers) {
+    Quarantined += Seen.QuarantineEnd > It.Now ? 1 : 0;
+  }
+  CHECK_EQUAL(2U, Quarantined);
+}
+
+TEST(SystemPlacement, BadJobDoesNotPutWorkersInQuarantine) {
+  for (int Index = 0; Index < 4; ++Index) {
+    It.addWorker("w" + std::to_string(Index), "r", Machine);
+  }
+  for (const WorkerId Place : It.State.Workers.ids()) {
+    const auto Id = It.submit("bad", Small);
+    const TaskId Item = It.State.Requests[Id].Tasks[0];
+    It.State.Tasks[Item].NotBefore = {};
+    apply(It.State, AssignCommand{{{Id, {{Item, Place}}}}, It.Wall});
+    const Settlement End{It.State.Tasks[Item].Attempt, AttemptEnd::Failed, "",
+                         "x"};
+    noteAttemptEnd(It.input(), It.View, End);
+    apply(It.State, SettleCommand{{End}, It.Wall});
+  }
+  for (const auto &[Id, Seen] : It.View.Workers) {
+    CHECK_FALSE(Seen.IsOnProbation);
+  }
+}
+
+TEST(SystemPlacement, SpentRetryBudgetHoldsRetriesBack) {
+  It.addWorker("w", "r", Machine);
+  const auto Id = It.submit("k", Small);
+  It.State.Tasks[It.State.Requests[Id].Tasks[0]].Attempts = 1;
+  It.View.RetryCount = 1000;
+  CHECK(It.run().Placements.empty());
+  It.View.RetryCount = 0;
+  CHECK_EQUAL(1U, It.run().Placements.size());
+}
+
+TEST(SystemPlacement, RefusalsSayWhy) {
+  It.InForce.Quotas.push_back({"t", {2000, 8000, 0, 8, 8}, 1});
+  It.InForce.Limits.push_back({"t", 0});
+  RequestSpec Spec;
+  Spec.Team = "t";
+  Spec.ClassName = "nothing";
+  Spec.Need = Small;
+  CHECK(refusalOf(It.input(), It.View, Spec)->find("no rule for class") == 0);
+  Spec.ClassName = "normal";
+  CHECK(refusalOf(It.input(), It.View, Spec)->find("the queue") == 0);
+  Spec.Need.MilliCpus = 3000;
+  CHECK(refusalOf(It.input(), It.View, Spec)->find("can never run") == 0);
+  Spec.Team = "other";
+  CHECK(refusalOf(It.input(), It.View, Spec)->find("team other has no quota") ==
+        0);
+}
