--- a/src/cli/session.cpp
+++ b/src/cli/session.cpp
@@ -4,6 +4,17 @@
 
 namespace mulberryramp {
 
+namespace internal {
+
+std::string urlOf(const std::string &Daemon, const std::string &Path) {
+  std::string Url = "http://";
+  Url += Daemon;
+  Url += Path;
+  return Url;
+}
+
+} // namespace internal
+
 Session::Session(std::vector<std::string> Daemons, Millis Timeout)
     : Daemons{std::move(Daemons)}, Timeout{Timeout} {}
 
@@ -25,7 +36,7 @@
 
 std::optional<ToolAnswer> Session::get(const std::string &Path) {
   for (const std::string &Daemon : Daemons) {
-    auto Answer = read(Client.get("http://" + Daemon + Path, Timeout));
+    auto Answer = read(Client.get(internal::urlOf(Daemon, Path), Timeout));
     if (Answer) {
       return Answer;
     }
@@ -37,7 +48,7 @@
                                         const nlohmann::json &Body) {
   for (const std::string &Daemon : Daemons) {
     const auto Response =
-        Client.post("http://" + Daemon + Path, Body.dump(), Timeout);
+        Client.post(internal::urlOf(Daemon, Path), Body.dump(), Timeout);
     auto Answer = read(Response);
     if (Answer || (!Response && !Response.error().IsUnsent)) {
       return Answer;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -64,7 +64,7 @@
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<HttpServer> Http;
   std::unique_ptr<internal::HttpWaker> Waker;
-  Metrics Metrics_;
+  Metrics Telemetry;
   StateLog Changes;
   bool IsLeaving = false;
   Instant LeaveUntil;
@@ -104,8 +104,8 @@
     return tl::make_unexpected(Core.error().Text);
   }
   Self.Core = std::move(*Core);
-  auto Links =
-      PeerLinks::open(Deployment, Self.Loop, [&Self](PeerMessage Message) {
+  auto Links = PeerLinks::open(
+      Deployment, Self.Loop, [&Self](const PeerMessage &Message) {
         Self.Core->receive(Message, SuspendAwareClock::now(), wallNow());
       });
   if (!Links) {
@@ -149,8 +149,8 @@
                        Ready ? R"({"ready":true})" : R"({"ready":false})"});
   } else {
     Http->respond(Id, {200, "text/plain; version=0.0.4",
-                       Metrics_.render({*Core, Links->counters(), Now,
-                                        Http->openRequests()})});
+                       Telemetry.render({*Core, Links->counters(), Now,
+                                         Http->openRequests()})});
   }
 }
 
@@ -184,7 +184,7 @@
   }
   Http->run();
   const Instant End = SuspendAwareClock::now();
-  Metrics_.observeStep(std::chrono::duration<double>(End - Begin).count());
+  Telemetry.observeStep(std::chrono::duration<double>(End - Begin).count());
   Links->tick(End);
   Changes.note(*Core, End);
   return true;
--- a/src/mulberryramp/admin/fwd.hpp
+++ b/src/mulberryramp/admin/fwd.hpp
@@ -9,7 +9,7 @@
 
 namespace mulberryramp {
 
-inline constexpr std::size_t MaxPayloadBytes = 64U * 1024U;
+inline constexpr std::size_t MaxPayloadBytes = std::size_t{64} * 1024;
 inline constexpr std::size_t MaxNameBytes = 128;
 inline constexpr std::uint32_t MaxTasksPerRequest = 2000;
 
--- a/src/mulberryramp/config/fwd.hpp
+++ b/src/mulberryramp/config/fwd.hpp
@@ -11,7 +11,7 @@
 
 using Revision = std::uint64_t;
 
-inline constexpr std::size_t MaxRulesBytes = 256U * 1024U;
+inline constexpr std::size_t MaxRulesBytes = std::size_t{256} * 1024;
 
 struct Settings;
 struct Rules;
--- a/src/mulberryramp/http/fwd.hpp
+++ b/src/mulberryramp/http/fwd.hpp
@@ -8,7 +8,7 @@
 
 namespace mulberryramp {
 
-inline constexpr std::size_t MaxBodyBytes = 1024U * 1024U;
+inline constexpr std::size_t MaxBodyBytes = std::size_t{1024} * 1024;
 inline constexpr unsigned MaxHttpConnections = 2000;
 inline constexpr unsigned HttpIdleTimeoutSeconds = 60;
 
--- a/src/mulberryramp/ledger/ledger.cpp
+++ b/src/mulberryramp/ledger/ledger.cpp
@@ -356,8 +356,7 @@
   const RequestId Known = findRequest(State, Spec.Customer, Spec.Key);
   if (Known.isSet()) {
     const bool Same = State.Requests[Known].Digest == Command.Digest;
-    if (Same && mayRunAgain(State.Requests[Known]) &&
-        Command.Refusal.empty()) {
+    if (Same && mayRunAgain(State.Requests[Known]) && Command.Refusal.empty()) {
       runAgain(State, Known, Spec);
       Result.Changed.push_back(Known);
     }
--- a/src/mulberryramp/ledger/ledger.hpp
+++ b/src/mulberryramp/ledger/ledger.hpp
@@ -27,8 +27,8 @@
   Table<Task> Tasks;
   Table<Request> Requests;
   AttemptId NextAttempt = 1;
-  bool NeedsDoubt = false; ///< A recovery waits for its doubt command.
-  WallTime DoubtUntil;     ///< Earlier requests may have left no trace.
+  bool NeedsDoubt = false;       ///< A recovery waits for its doubt command.
+  WallTime DoubtUntil;           ///< Earlier requests may have left no trace.
   std::uint64_t RulesNumber = 0; ///< Revision in force in the data centre.
   std::string RulesText;
 
--- a/src/mulberryramp/net/fwd.hpp
+++ b/src/mulberryramp/net/fwd.hpp
@@ -10,7 +10,7 @@
 
 namespace mulberryramp {
 
-inline constexpr std::size_t MaxQueuedBytes = 16U * 1024U * 1024U;
+inline constexpr std::size_t MaxQueuedBytes = std::size_t{16} * 1024 * 1024;
 inline constexpr Millis RedialEvery{200};
 inline constexpr Millis StalledAfter{3000};
 
--- a/src/mulberryramp/node/centre_service.cpp
+++ b/src/mulberryramp/node/centre_service.cpp
@@ -31,8 +31,8 @@
 }
 
 void CentreService::onLeadership(const Replica &Member) {
-  const bool Leads = Member.Role == ReplicaRole::Leader &&
-                     Member.Hard.Current == ServedTerm;
+  const bool Leads =
+      Member.Role == ReplicaRole::Leader && Member.Hard.Current == ServedTerm;
   if (IsServing && !Leads) {
     stopServing();
   }
--- a/src/mulberryramp/node/config_service.cpp
+++ b/src/mulberryramp/node/config_service.cpp
@@ -23,8 +23,7 @@
 } // namespace internal
 
 void ConfigService::onLeadership(const Replica &Member) {
-  if (Member.Role != ReplicaRole::Leader ||
-      Member.Hard.Current != ServedTerm) {
+  if (Member.Role != ReplicaRole::Leader || Member.Hard.Current != ServedTerm) {
     stopServing();
   }
   ServedTerm = Member.Hard.Current;
--- a/src/mulberryramp/node/group_layout.cpp
+++ b/src/mulberryramp/node/group_layout.cpp
@@ -24,6 +24,7 @@
   }
   std::sort(Ranked.begin(), Ranked.end());
   std::vector<NodeId> Order;
+  Order.reserve(Ranked.size());
   for (const auto &[InCentre, InRegion, Id] : Ranked) {
     Order.push_back(Id);
   }
--- a/src/mulberryramp/replica/fwd.hpp
+++ b/src/mulberryramp/replica/fwd.hpp
@@ -8,7 +8,7 @@
 
 namespace mulberryramp {
 
-inline constexpr std::size_t MaxAppendBytes = 256U * 1024U;
+inline constexpr std::size_t MaxAppendBytes = std::size_t{256} * 1024;
 
 struct ReplicaOptions;
 struct Replica;
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -549,8 +549,7 @@
 /// without their former memory; the last holder of the log goes on alone.
 bool isSoleSurvivor(const Replica &State, Instant Now) {
   const auto &Nodes = State.Options.VoterNodes;
-  return State.Options.MayRecoverAlone &&
-         membership(State).Voters.size() > 1 &&
+  return State.Options.MayRecoverAlone && membership(State).Voters.size() > 1 &&
          std::all_of(Nodes.begin(), Nodes.end(), [&](NodeId Node) {
            return Node == State.Self.Node || isSuperseded(State, Node, Now);
          });
@@ -691,8 +690,8 @@
     State.Entries.push_back(std::move(Item));
   }
   State.Saved = lastIndex(State);
-  State.Commit = std::max(State.Base.Index,
-                          std::min(State.Hard.Commit, lastIndex(State)));
+  State.Commit =
+      std::max(State.Base.Index, std::min(State.Hard.Commit, lastIndex(State)));
   State.SavedCommit = State.Commit;
   State.Applied = State.Base.Index;
   State.LeaderHeardAt = Now;
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -24,8 +24,8 @@
   std::size_t SnapshotEvery = 512; ///< Entries between snapshots.
   std::size_t KeepEntries = 128;   ///< Entries kept behind a snapshot.
   int LeaseDriftPercent = 10;      ///< Clock drift that a lease allows for.
-  bool MayRecoverAlone = true; ///< A sole survivor may go on by itself.
-  bool SavesCommit = false; ///< Apply only what is saved as committed.
+  bool MayRecoverAlone = true;     ///< A sole survivor may go on by itself.
+  bool SavesCommit = false;        ///< Apply only what is saved as committed.
   std::set<NodeId> VoterNodes;     ///< Nodes that are to become voters.
   std::set<NodeId> WitnessNodes;   ///< Voters that hand leadership on.
 };
--- a/src/mulberryramp/system/placement.cpp
+++ b/src/mulberryramp/system/placement.cpp
@@ -83,9 +83,13 @@
       }
       const auto Rack =
           Racks.try_emplace(Row.Rack, static_cast<std::uint32_t>(Racks.size()));
-      Rooms.push_back(
-          {Id, View.Workers.at(Id).FailedRequests.size(), freeOf(Row),
-           Row.Capacity, Rack.first->second, false, {}});
+      Rooms.push_back({Id,
+                       View.Workers.at(Id).FailedRequests.size(),
+                       freeOf(Row),
+                       Row.Capacity,
+                       Rack.first->second,
+                       false,
+                       {}});
       RackOf[Id] = Rack.first->second;
     }
     std::erase_if(View.Held, [this](const auto &Item) {
--- a/src/mulberryramp/table/request.hpp
+++ b/src/mulberryramp/table/request.hpp
@@ -118,12 +118,11 @@
   std::vector<TaskId> Tasks;
 
   static constexpr auto fields() {
-    return std::make_tuple(&Request::Spec, &Request::Digest,
-                           &Request::AcceptedAt, &Request::SettledAt,
-                           &Request::Result, &Request::Reason,
-                           &Request::IsCancelled, &Request::IsRestarting,
-                           &Request::IsFailing, &Request::IsDoubtful,
-                           &Request::Tasks);
+    return std::make_tuple(
+        &Request::Spec, &Request::Digest, &Request::AcceptedAt,
+        &Request::SettledAt, &Request::Result, &Request::Reason,
+        &Request::IsCancelled, &Request::IsRestarting, &Request::IsFailing,
+        &Request::IsDoubtful, &Request::Tasks);
   }
 };
 
--- a/src/mulberryramp/wire/fwd.hpp
+++ b/src/mulberryramp/wire/fwd.hpp
@@ -10,7 +10,7 @@
 
 namespace mulberryramp {
 
-inline constexpr std::size_t MaxFrameBytes = 8U * 1024U * 1024U;
+inline constexpr std::size_t MaxFrameBytes = std::size_t{8} * 1024 * 1024;
 inline constexpr std::size_t FrameHeaderBytes = 8;
 inline constexpr std::uint16_t FrameVersion = 1;
 
--- a/src/mulberryramp/worker/fwd.hpp
+++ b/src/mulberryramp/worker/fwd.hpp
@@ -8,7 +8,7 @@
 
 namespace mulberryramp {
 
-inline constexpr std::size_t MaxAnswerBytes = 64U * 1024U;
+inline constexpr std::size_t MaxAnswerBytes = std::size_t{64} * 1024;
 inline constexpr std::size_t MaxReportsPerPoll = 4096;
 inline constexpr std::uint32_t MaxAnswerParts = 1024;
 
--- a/src/mulberryramp/worker/message.hpp
+++ b/src/mulberryramp/worker/message.hpp
@@ -113,7 +113,7 @@
   std::uint64_t Epoch = 0;
   std::uint64_t Sequence = 0;
   bool WantsFull = false; ///< The next poll has to list all attempts.
-  Millis Lease{0}; ///< From the moment the worker sent its poll.
+  Millis Lease{0};        ///< From the moment the worker sent its poll.
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
   std::vector<AttemptId> Forgets; ///< Settled; the worker may drop them.
--- a/test/admin/api_test.cpp
+++ b/test/admin/api_test.cpp
@@ -82,9 +82,10 @@
 
 TEST(AdminApi, HugeAndNegativeSizesAreFindings) {
   const auto Check = [](const std::string &Number) {
-    return reportOf(post("/v1/requests",
-                         R"({"customer":"c","team":"t","key":"k","need":{"memory_mb":)" +
-                             Number + "}}"));
+    return reportOf(
+        post("/v1/requests",
+             R"({"customer":"c","team":"t","key":"k","need":{"memory_mb":)" +
+                 Number + "}}"));
   };
   CHECK_FALSE(Check("-1").empty());
   CHECK_FALSE(Check("18446744073709551615").empty());
@@ -93,9 +94,12 @@
 }
 
 TEST(AdminApi, UnknownPathsAndMethodsAreRefused) {
-  CHECK_EQUAL(404, parseApiRequest({"GET", "/nothing", {}, ""}, Now).error().Status);
-  CHECK_EQUAL(405, parseApiRequest({"PUT", "/v1/rules", {}, ""}, Now).error().Status);
-  CHECK_EQUAL(400, parseApiRequest(post("/v1/requests", "{"), Now).error().Status);
+  CHECK_EQUAL(404,
+              parseApiRequest({"GET", "/nothing", {}, ""}, Now).error().Status);
+  CHECK_EQUAL(
+      405, parseApiRequest({"PUT", "/v1/rules", {}, ""}, Now).error().Status);
+  CHECK_EQUAL(400,
+              parseApiRequest(post("/v1/requests", "{"), Now).error().Status);
 }
 
 TEST(AdminApi, PollOfTheStandInIsUnderstood) {
@@ -106,8 +110,8 @@
   Poll.Incarnation = 3;
   Poll.Reports.push_back(
       {7, AttemptPhase::Done, "", AnswerPart{1, 2, "half"}, 0, 0});
-  const auto Action = parseApiRequest(
-      post("/v1/worker/poll", test::renderPoll(Poll)), Now);
+  const auto Action =
+      parseApiRequest(post("/v1/worker/poll", test::renderPoll(Poll)), Now);
   CHECK(Action.has_value());
   const auto &Read = std::get<WorkerPoll>(*Action);
   CHECK_EQUAL(1U, Read.Reports.size());
@@ -118,7 +122,8 @@
   WorkerReply Reply;
   Reply.Epoch = 4;
   Reply.Sequence = 5;
-  Reply.Starts.push_back({9, "c", "k", 0, 1, WorkKind::Gang, true, {}, "p", ""});
+  Reply.Starts.push_back(
+      {9, "c", "k", 0, 1, WorkKind::Gang, true, {}, "p", ""});
   Reply.Stops.push_back({8, StopMode::Checkpoint});
   Reply.Forgets.push_back(6);
   const auto Read = test::parseReply(renderReply(Reply));
@@ -190,6 +195,6 @@
 TEST(AdminApi, MessageOfWrongTypesIsRefused) {
   CHECK_FALSE(decodeMessage("").has_value());
   CHECK_FALSE(decodeMessage("\x93\x01\x02\xc0").has_value());
-  CHECK_FALSE(decodeMessage(encodeMessage({1, 2, ForwardResult{}}) + "x")
-                  .has_value());
+  CHECK_FALSE(
+      decodeMessage(encodeMessage({1, 2, ForwardResult{}}) + "x").has_value());
 }
--- a/test/config/rules_test.cpp
+++ b/test/config/rules_test.cpp
@@ -56,10 +56,11 @@
 }
 
 TEST(ConfigRules, ReportsAllFindingsTogether) {
-  const std::string Report = reportOf("class priority=9999 # asked by A\n"
-                                      "\n"
-                                      "jump high=1 # asked by A\n"
-                                      "policy customer=x weigh=fast colour=1 # asked by A\n");
+  const std::string Report =
+      reportOf("class priority=9999 # asked by A\n"
+               "\n"
+               "jump high=1 # asked by A\n"
+               "policy customer=x weigh=fast colour=1 # asked by A\n");
   CHECK(Report.find("r:1:1: class needs name=") != std::string::npos);
   CHECK(Report.find("r:1:16: priority=9999") != std::string::npos);
   CHECK(Report.find("r:3:1: unknown rule `jump`") != std::string::npos);
--- a/test/explore/main.cpp
+++ b/test/explore/main.cpp
@@ -70,8 +70,8 @@
 int main(int Count, char **Values) {
   cxxopts::Options Parser{"mulberryramp_explore",
                           "Seeded schedules of faults over the pure cores"};
-  Parser.add_options()("first-seed", "", cxxopts::value<std::uint64_t>()
-                                             ->default_value("1"))(
+  Parser.add_options()("first-seed", "",
+                       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "count", "", cxxopts::value<std::uint64_t>()->default_value("100"))(
       "jobs", "", cxxopts::value<unsigned>()->default_value("0"))(
       "only", "", cxxopts::value<std::string>()->default_value(""))(
--- a/test/explore/world.cpp
+++ b/test/explore/world.cpp
@@ -137,7 +137,7 @@
     NextOrder += 1;
   }
 
-  void scheduleEvery(std::int64_t Every, std::function<void()> Run) {
+  void scheduleEvery(std::int64_t Every, const std::function<void()> &Run) {
     after(Every, [this, Every, Run] {
       Run();
       scheduleEvery(Every, Run);
@@ -145,8 +145,8 @@
   }
 
   Instant localNow(std::int64_t DriftPermille, std::int64_t Offset) const {
-    return Instant{Millis{100000 + Offset + Time +
-                          Time * DriftPermille / 1000}};
+    return Instant{
+        Millis{100000 + Offset + Time + Time * DriftPermille / 1000}};
   }
 
   Instant nowOf(const DaemonProcess &Daemon) const {
@@ -263,12 +263,13 @@
   void startDaemon(DaemonProcess &Daemon) {
     Settings Mine = Deployment;
     Mine.Self = Daemon.Id;
-    auto Started = NodeClass::start(Mine, Daemon.HasDisk ? &Daemon.Files : nullptr,
-                               Daemon.Incarnation, Draw.next(), nowOf(Daemon));
+    auto Started =
+        NodeClass::start(Mine, Daemon.HasDisk ? &Daemon.Files : nullptr,
+                         Daemon.Incarnation, Draw.next(), nowOf(Daemon));
     if (!Started) {
-      violate(Invariant::Progress, "daemon " + std::to_string(Daemon.Id) +
-                                       " cannot start: " +
-                                       Started.error().Text);
+      violate(Invariant::Progress,
+              "daemon " + std::to_string(Daemon.Id) +
+                  " cannot start: " + Started.error().Text);
       return;
     }
     Daemon.Core = std::move(*Started);
@@ -304,9 +305,9 @@
 
   void startWorker(WorkerProcess &Worker) {
     Worker.Incarnation = freshIncarnation();
-    Worker.Core = std::make_unique<WorkerCore>(Worker.Name, Worker.Centre,
-                                               Worker.Rack, Worker.Capacity,
-                                               Worker.Incarnation);
+    Worker.Core =
+        std::make_unique<WorkerCore>(Worker.Name, Worker.Centre, Worker.Rack,
+                                     Worker.Capacity, Worker.Incarnation);
     Worker.Core->Faults = Worker.Faults;
   }
 
@@ -341,8 +342,8 @@
     if (Found == Daemons.end() || isLost(Message.From, Message.To)) {
       return;
     }
-    const std::int64_t Delay = delayBetween(Daemons[Message.From].Centre,
-                                            Found->second.Centre);
+    const std::int64_t Delay =
+        delayBetween(Daemons[Message.From].Centre, Found->second.Centre);
     const auto Arrive = [this, Message] {
       DaemonProcess &To = Daemons[Message.To];
       deliver(To, [this, &To, Message] {
@@ -376,14 +377,14 @@
     Result.Steps += 1;
     auto Output = Daemon.Core->step(nowOf(Daemon), wallOf(Daemon));
     if (!Output) {
-      trace("daemon " + std::to_string(Daemon.Id) + " stops: " +
-            Output.error().Text);
+      trace("daemon " + std::to_string(Daemon.Id) +
+            " stops: " + Output.error().Text);
       killDaemon(Daemon, false);
       return;
     }
     if (Options.Faults.contains(Fault::Pause) && Time < FaultsEndMs &&
         Draw.below(2000) == 0) {
-      pauseBeforeSending(Daemon, std::move(*Output));
+      pauseBeforeSending(Daemon, *Output);
       return;
     }
     checkDaemon(Daemon);
@@ -403,7 +404,7 @@
   }
 
   /// A pause between the decision and the sending.
-  void pauseBeforeSending(DaemonProcess &Daemon, NodeOutput Output) {
+  void pauseBeforeSending(DaemonProcess &Daemon, const NodeOutput &Output) {
     const auto Length = static_cast<std::int64_t>(500 + Draw.below(4000));
     Daemon.PausedUntil = Time + Length;
     trace("pause daemon " + std::to_string(Daemon.Id) + " before sending for " +
@@ -549,7 +550,7 @@
     return 1 + static_cast<NodeId>(Draw.below(Deployment.Nodes.size()));
   }
 
-  void sendCall(CallBody Body,
+  void sendCall(const CallBody &Body,
                 const std::function<void(const CallResult *)> &Take) {
     const NodeId To = anyDaemon();
     const std::uint64_t Id = NextCall;
@@ -605,8 +606,9 @@
   void afterSubmit(const std::string &Key, const CallResult *Got,
                    std::int64_t Sent) {
     ClientRequest &Item = Requests[Key];
-    const bool Accepted = Got != nullptr && (Got->Status == CallStatus::Done ||
-                                             Got->Status == CallStatus::Refused);
+    const bool Accepted =
+        Got != nullptr &&
+        (Got->Status == CallStatus::Done || Got->Status == CallStatus::Refused);
     if (Accepted) {
       noteTold(Key, *Got, Sent);
       Item.IsAccepted = true;
@@ -617,7 +619,8 @@
     if (Got != nullptr && Got->Status == CallStatus::Conflict) {
       violate(Invariant::Stable, "resend of " + Key + " conflicts with itself");
     }
-    const bool Doubtful = Got != nullptr && Got->Status == CallStatus::Unknown &&
+    const bool Doubtful = Got != nullptr &&
+                          Got->Status == CallStatus::Unknown &&
                           Got->Reason.starts_with("it may have run");
     const bool IsTold = Item.Told && *Item.Told != Outcome::Pending &&
                         *Item.Told != Outcome::Unknown;
@@ -640,8 +643,8 @@
       }
       const ClientRequest &Asked = Requests[Key];
       const bool IsRefused = Asked.Told == Outcome::NotRun;
-      if (Got != nullptr && Got->Status == CallStatus::NotFound &&
-          !IsRefused && !RecoveredCentres.contains(Asked.Home)) {
+      if (Got != nullptr && Got->Status == CallStatus::NotFound && !IsRefused &&
+          !RecoveredCentres.contains(Asked.Home)) {
         violate(Invariant::Progress, "accepted " + Key + " is not found");
       }
       after(500 + static_cast<std::int64_t>(Draw.below(1500)),
@@ -678,10 +681,9 @@
                           *Item.Told != Outcome::Pending;
     if (WasFinal && Sent > Item.ToldAt && *Item.Told != Seen.Result &&
         !RecoveredCentres.contains(Item.Home)) {
-      violate(Invariant::Stable, Key + " was told " +
-                                     std::string{nameOf(*Item.Told)} +
-                                     ", then " +
-                                     std::string{nameOf(Seen.Result)});
+      violate(Invariant::Stable,
+              Key + " was told " + std::string{nameOf(*Item.Told)} + ", then " +
+                  std::string{nameOf(Seen.Result)});
     }
     if (!WasFinal) {
       Item.Told = Seen.Result;
@@ -696,9 +698,8 @@
     }
     if (Seen.Result == Outcome::Done) {
       for (const TaskView &Task : Seen.Tasks) {
-        const std::string Wanted =
-            expectedAnswer(Item.Spec.Customer, Key, Task.Ordinal,
-                           Item.Spec.Payload);
+        const std::string Wanted = expectedAnswer(
+            Item.Spec.Customer, Key, Task.Ordinal, Item.Spec.Payload);
         if (Task.Answer != Wanted) {
           violate(Invariant::Answer, Key + ": " + Task.Answer);
         }
@@ -717,8 +718,9 @@
       Change.Call.ChangeKey = Name;
       Change.Call.Operator = Name;
       Change.Call.Base = Base;
-      Change.Call.Text = RuleText + "drain worker=none-" + Name +
-                         "  # asked by " + Name + "\n";
+      Change.Call.Text = RuleText;
+      Change.Call.Text.append("drain worker=none-").append(Name);
+      Change.Call.Text.append("  # asked by ").append(Name).append("\n");
       Changes[Name] = std::move(Change);
       sendChange(Name, 0);
     }
@@ -752,8 +754,8 @@
     }
     const auto [Winner, Fresh] = Winners.try_emplace(Record.Number, Name);
     if (!Fresh && Winner->second != Name) {
-      violate(Invariant::Rules, "revision " + std::to_string(Record.Number) +
-                                    " has two winners");
+      violate(Invariant::Rules,
+              "revision " + std::to_string(Record.Number) + " has two winners");
     }
     if (Record.Number > HighestAccepted) {
       HighestAccepted = Record.Number;
@@ -896,11 +898,10 @@
     const bool OneWay = Draw.percent(30);
     for (const NodeSettings &From : Deployment.Nodes) {
       for (const NodeSettings &To : Deployment.Nodes) {
-        const bool Inside =
-            WholeCentre ? From.Centre == Daemons[Victim].Centre
-                        : From.Id == Victim;
-        const bool Outside = WholeCentre ? To.Centre != Daemons[Victim].Centre
-                                         : To.Id != Victim;
+        const bool Inside = WholeCentre ? From.Centre == Daemons[Victim].Centre
+                                        : From.Id == Victim;
+        const bool Outside =
+            WholeCentre ? To.Centre != Daemons[Victim].Centre : To.Id != Victim;
         if (Inside && Outside) {
           Mine.insert({From.Id, To.Id});
           if (!OneWay) {
@@ -1027,7 +1028,8 @@
           (Item.InTerm << 8U) ^ static_cast<std::uint64_t>(Item.Kind);
       const auto [Found, Fresh] = Committed[Group].try_emplace(Index, Hash);
       if (!Fresh && Found->second != Hash) {
-        violate(Invariant::Agreement, "group " + Group + " disagrees on entry " +
+        violate(Invariant::Agreement, "group " + Group +
+                                          " disagrees on entry " +
                                           std::to_string(Index));
       }
     }
@@ -1121,11 +1123,10 @@
     for (auto &[Id, Daemon] : Daemons) {
       const Replica *Member =
           Daemon.Core ? Daemon.Core->replica(Group) : nullptr;
-      const bool Better =
-          Member != nullptr &&
-          (Best == nullptr ||
-           std::pair{Member->Hard.Current, lastIndex(*Member)} >
-               std::pair{Best->Hard.Current, lastIndex(*Best)});
+      const bool Better = Member != nullptr &&
+                          (Best == nullptr ||
+                           std::pair{Member->Hard.Current, lastIndex(*Member)} >
+                               std::pair{Best->Hard.Current, lastIndex(*Best)});
       if (Better && !membership(*Member).Voters.empty()) {
         Best = Member;
       }
@@ -1187,7 +1188,8 @@
         Text << ", not in the ledger";
         continue;
       }
-      Text << ", " << nameOf(Row->Result) << (Row->IsCancelled ? " cancelled" : "")
+      Text << ", " << nameOf(Row->Result)
+           << (Row->IsCancelled ? " cancelled" : "")
            << (Row->IsRestarting ? " restarting" : "")
            << (Row->IsFailing ? " failing" : "");
       for (const TaskId Each : Row->Tasks) {
@@ -1266,17 +1268,18 @@
     }
     std::int64_t Services = 0;
     for (const auto &[Key, Other] : Requests) {
-      Services += Other.Home == Item.Home &&
-                          Other.Spec.Kind == WorkKind::Service
-                      ? Other.Spec.TaskCount * 3
-                      : 0;
+      Services +=
+          Other.Home == Item.Home && Other.Spec.Kind == WorkKind::Service
+              ? Other.Spec.TaskCount * 3
+              : 0;
     }
     return Places >= Item.Spec.TaskCount + Services;
   }
 
   void checkConverged(const std::set<std::string> &Dead) {
     for (auto &[Id, Daemon] : Daemons) {
-      if (Daemon.Core && !Dead.contains(Daemon.Centre) && Daemon.Core->rules().Number < HighestAccepted) {
+      if (Daemon.Core && !Dead.contains(Daemon.Centre) &&
+          Daemon.Core->rules().Number < HighestAccepted) {
         violate(Invariant::Rules,
                 "daemon " + std::to_string(Id) + " has revision " +
                     std::to_string(Daemon.Core->rules().Number) + " of " +
--- a/test/explore/world.hpp
+++ b/test/explore/world.hpp
@@ -33,11 +33,18 @@
   RestartCentre
 };
 
-constexpr std::array<std::string_view, 12>
-nameTable(Fault /*Kind*/) noexcept {
-  return {"kill",        "lose-disk",    "pause",       "cut",
-          "loss",        "drift",        "disk-error",  "worker-kill",
-          "worker-pause", "cancel-wave", "kill-after-repair",
+constexpr std::array<std::string_view, 12> nameTable(Fault /*Kind*/) noexcept {
+  return {"kill",
+          "lose-disk",
+          "pause",
+          "cut",
+          "loss",
+          "drift",
+          "disk-error",
+          "worker-kill",
+          "worker-pause",
+          "cancel-wave",
+          "kill-after-repair",
           "restart-centre"};
 }
 
@@ -58,9 +65,9 @@
 
 constexpr std::array<std::string_view, 11>
 nameTable(Invariant /*Kind*/) noexcept {
-  return {"capacity", "one-place",  "at-most-once", "not-run",
-          "answer",   "stable",     "one-leader",   "agreement",
-          "rules",    "ledger",     "progress"};
+  return {"capacity", "one-place", "at-most-once", "not-run",
+          "answer",   "stable",    "one-leader",   "agreement",
+          "rules",    "ledger",    "progress"};
 }
 
 /// @brief What a schedule is made of.
--- a/test/ledger/ledger_test.cpp
+++ b/test/ledger/ledger_test.cpp
@@ -53,9 +53,9 @@
   }
 
   void end(RequestId Owner, AttemptEnd End, std::size_t Index = 0) {
-    apply(State, SettleCommand{{{task(Owner, Index).Attempt, End, "answer",
-                                 "reason"}},
-                               At});
+    apply(State,
+          SettleCommand{{{task(Owner, Index).Attempt, End, "answer", "reason"}},
+                        At});
   }
 
   Outcome outcome(RequestId Owner) const {
@@ -100,8 +100,9 @@
   CHECK(Again.Accept == AcceptVerdict::Resend);
   CHECK(Again.Accepted == Id);
   Spec.Payload = "other";
-  CHECK(apply(It.State, AcceptCommand{Spec, digestOf(Spec), "", It.At})
-            .Accept == AcceptVerdict::Conflict);
+  CHECK(
+      apply(It.State, AcceptCommand{Spec, digestOf(Spec), "", It.At}).Accept ==
+      AcceptVerdict::Conflict);
 }
 
 TEST(LedgerApply, CancelBeforeAssignmentWinsAndIsNotRun) {
@@ -146,8 +147,8 @@
   const AttemptId Attempt = It.task(Id).Attempt;
   apply(It.State, RemoveWorkerCommand{"w1", 1, false, It.At});
   CHECK(It.outcome(Id) == Outcome::Unknown);
-  apply(It.State, SettleCommand{{{Attempt, AttemptEnd::Done, "late", ""}},
-                                It.At});
+  apply(It.State,
+        SettleCommand{{{Attempt, AttemptEnd::Done, "late", ""}}, It.At});
   CHECK(It.outcome(Id) == Outcome::Done);
   STRCMP_EQUAL("late", It.task(Id).Answer.c_str());
 }
@@ -199,8 +200,7 @@
   Spec.TaskCount = 2;
   const auto Id = It.accept(Spec);
   const TaskId First = It.State.Requests[Id].Tasks[0];
-  apply(It.State,
-        AssignCommand{{{Id, {{First, It.worker("w1")}}}}, It.At});
+  apply(It.State, AssignCommand{{{Id, {{First, It.worker("w1")}}}}, It.At});
   CHECK(It.task(Id).State == TaskState::Queued);
 }
 
@@ -235,8 +235,9 @@
   const WallTime Later = It.At + AnswerRetention + MaxClockSkew + Millis{1};
   apply(It.State, ExpireCommand{Later});
   CHECK_FALSE(findRequest(It.State, "c", "bill").isSet());
-  CHECK(apply(It.State, AcceptCommand{Spec, digestOf(Spec), "", Later})
-            .Accept == AcceptVerdict::Doubtful);
+  CHECK(
+      apply(It.State, AcceptCommand{Spec, digestOf(Spec), "", Later}).Accept ==
+      AcceptVerdict::Doubtful);
 }
 
 TEST(LedgerApply, RecoveryPutsQueuedWorkInDoubt) {
@@ -252,8 +253,9 @@
   CHECK(isBeforeRecovery(It.State, Before));
   RequestSpec Lost = It.spec("lost-bill");
   Lost.IsIdempotent = false;
-  CHECK(apply(It.State, AcceptCommand{Lost, digestOf(Lost), "", It.At})
-            .Accept == AcceptVerdict::Doubtful);
+  CHECK(
+      apply(It.State, AcceptCommand{Lost, digestOf(Lost), "", It.At}).Accept ==
+      AcceptVerdict::Doubtful);
 }
 
 TEST(LedgerApply, ResendOfAnIdempotentRequestInDoubtRunsIt) {
--- a/test/replica/replica_test.cpp
+++ b/test/replica/replica_test.cpp
@@ -122,7 +122,8 @@
   Replica State = startReplica("g", {1, 1}, Group::options(3),
                                foundGroup({{1, 1}, {2, 1}, {3, 1}}), 1,
                                Instant{Millis{1000}});
-  ReplicaMessage Request{"g", {2, 1}, {1, 1}, VoteRequest{5, false, false, 9, 4}};
+  ReplicaMessage Request{
+      "g", {2, 1}, {1, 1}, VoteRequest{5, false, false, 9, 4}};
   receive(State, Instant{Millis{1100}}, Request);
   CHECK(State.Out.empty());
   CHECK_EQUAL(0U, State.Hard.Current);
@@ -131,9 +132,9 @@
 }
 
 TEST(ReplicaGroup, VoteIsGivenOncePerTermAlsoAfterARestart) {
-  Replica State = startReplica("g", {1, 1}, Group::options(3),
-                               foundGroup({{1, 1}, {2, 1}, {3, 1}}), 1,
-                               Instant{Millis{0}});
+  Replica State =
+      startReplica("g", {1, 1}, Group::options(3),
+                   foundGroup({{1, 1}, {2, 1}, {3, 1}}), 1, Instant{Millis{0}});
   const Instant Late{Millis{5000}};
   receive(State, Late,
           {"g", {2, 1}, {1, 1}, VoteRequest{5, false, false, 9, 4}});
@@ -149,8 +150,8 @@
   Group Three{3};
   Three.pass(1500);
   NodeId Other = Three.leader()->Self.Node % 3 + 1;
-  Three.Members[Other] = startReplica("g", {Other, 7}, Group::options(3), {},
-                                      9, Three.Now);
+  Three.Members[Other] =
+      startReplica("g", {Other, 7}, Group::options(3), {}, 9, Three.Now);
   CHECK_FALSE(isVoter(Three.Members[Other], {Other, 7}));
   Three.pass(3000);
   CHECK(isVoter(*Three.leader(), {Other, 7}));
--- a/test/standin/worker_core.cpp
+++ b/test/standin/worker_core.cpp
@@ -97,7 +97,7 @@
   }
 }
 
-void WorkerCore::end(Local &Item, AttemptPhase Phase, std::string Answer,
+void WorkerCore::end(Local &Item, AttemptPhase Phase, const std::string &Answer,
                      Instant Now) {
   Item.Phase = Phase;
   Item.IsDirty = true;
--- a/test/standin/worker_core.hpp
+++ b/test/standin/worker_core.hpp
@@ -77,7 +77,8 @@
 
   void start(const StartOrder &Order, Instant Now);
   void stop(const StopOrder &Order, Instant Now);
-  void end(Local &Item, AttemptPhase Phase, std::string Answer, Instant Now);
+  void end(Local &Item, AttemptPhase Phase, const std::string &Answer,
+           Instant Now);
   [[nodiscard]] AttemptReport reportOf(AttemptId Attempt, Local &Item) const;
 
   std::string Name;
--- a/test/support/memory_files.hpp
+++ b/test/support/memory_files.hpp
@@ -50,7 +50,7 @@
   [[nodiscard]] StorageStatus spend();
 
   std::map<std::string, std::string> Live;
-  std::map<std::string, std::string> Synced; ///< Content by present name.
+  std::map<std::string, std::string> Synced;  ///< Content by present name.
   std::map<std::string, std::string> Lasting; ///< Names and content on disk.
   std::optional<std::size_t> CallsLeft;
   std::size_t Calls = 0;
--- a/test/system/placement_test.cpp
+++ b/test/system/placement_test.cpp
@@ -63,8 +63,8 @@
   }
 
   std::string placeOf(RequestId Id, std::size_t Index = 0) const {
-    const Worker *Row = State.Workers.find(
-        State.Tasks[State.Requests[Id].Tasks[Index]].Place);
+    const Worker *Row =
+        State.Workers.find(State.Tasks[State.Requests[Id].Tasks[Index]].Place);
     return Row == nullptr ? "" : Row->Name;
   }
 };
@@ -115,8 +115,8 @@
     It.submit("first" + std::to_string(Index), Small);
   }
   It.runAndApply();
-  const auto Gang = It.submit("gang", {8000, 8000, 0, 1, 0}, "normal",
-                              WorkKind::Gang, 2);
+  const auto Gang =
+      It.submit("gang", {8000, 8000, 0, 1, 0}, "normal", WorkKind::Gang, 2);
   bool IsPlaced = false;
   for (int Round = 0; Round < 40 && !IsPlaced; ++Round) {
     It.Now += Millis{500};
@@ -175,8 +175,8 @@
 TEST(SystemPlacement, FloodOfOneTeamLeavesRoomForAnother) {
   It.addWorker("w", "r", {4000, 8000, 0, 8, 8});
   for (int Index = 0; Index < 100; ++Index) {
-    It.submit("flood" + std::to_string(Index), Small, "normal",
-              WorkKind::Batch, 1, "loud");
+    It.submit("flood" + std::to_string(Index), Small, "normal", WorkKind::Batch,
+              1, "loud");
   }
   It.Wall += Millis{10};
   const auto Quiet =
