--- a/test/process/process_test.cpp
+++ b/test/process/process_test.cpp
@@ -226,7 +226,8 @@
     return isAccepted(Cluster.submit(5, "own-b", {{"home", "b"}}));
   }));
   const json Refused = Cluster.submit(2, "other", {{"home", "b"}});
-  CHECK(Refused["http"] == 503 || Refused["http"] == 504);
+  CHECK_TEXT(Refused["http"] == 503 || Refused["http"] == 504,
+             Refused.dump().c_str());
   const auto Done = [&](int Id, const std::string &Key,
                         const std::string &Home) {
     return Deployment::eventually(Soon, [&] {
--- a/test/process/relay.cpp
+++ b/test/process/relay.cpp
@@ -33,6 +33,7 @@
   int Listener = -1;
   int TargetPort = 0;
   std::atomic<bool> IsCut{false};
+  std::atomic<bool> IsHeld{false}; ///< The loop has seen the cut.
   std::atomic<bool> IsOver{false};
   std::list<Pipe> Pipes;
   std::thread Loop;
@@ -73,7 +74,8 @@
 
   void run() {
     while (!IsOver) {
-      if (IsCut) {
+      IsHeld = IsCut.load();
+      if (IsHeld) {
         std::this_thread::sleep_for(Millis{10});
         continue;
       }
@@ -127,6 +129,11 @@
   ::close(Parts->Listener);
 }
 
-void Relay::cut(bool IsCut) { Parts->IsCut = IsCut; }
+void Relay::cut(bool IsCut) {
+  Parts->IsCut = IsCut;
+  while (Parts->IsHeld != IsCut) {
+    std::this_thread::sleep_for(Millis{1});
+  }
+}
 
 } // namespace mulberryramp::test
