Measure policy on replayed loads, and share between teams when work ages

Waiting raised the priority of each old request above all fresh ones, so a backlog passed by.

Ruled out: no ageing at all (low classes would starve); a bonus for the oldest request of each team only (a backlog always has one).

Now waiting lifts a request to the level of a higher class, where teams share. Other changes: queues are heaps, needs without a place are remembered also while workers are held, workers are held only for gangs and large tasks.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,207 @@
+#include "replay.hpp"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+using namespace mulberryramp;
+using namespace mulberryramp::bench;
+using nlohmann::json;
+
+constexpr double UrgentTargetMs = 2300;
+/// A flood or a wave of one team moves the waiting of another by no more.
+constexpr double QuietTargetMs = 5000;
+constexpr double DecisionTargetMs = 1;
+constexpr double PlacementsTarget = 5000;
+
+struct Row {
+  std::string Name;
+  std::string Unit;
+  double Ours = 0;
+  double Baseline = 0;
+  double Target = 0;
+  std::string Better;
+};
+
+double percentileOf(std::vector<double> Values, double Percent) {
+  if (Values.empty()) {
+    return 0;
+  }
+  std::sort(Values.begin(), Values.end());
+  const auto At = static_cast<std::size_t>(
+      Percent / 100 * static_cast<double>(Values.size() - 1));
+  return Values[At];
+}
+
+double rateOf(const ReplayResult &Result) {
+  return Result.DecideSeconds > 0
+             ? static_cast<double>(Result.Placements) / Result.DecideSeconds
+             : 0;
+}
+
+void addWaits(std::vector<Row> &Rows, const std::string &Name,
+              const ReplayResult &Ours, const ReplayResult &Base) {
+  for (const auto &[Class, Values] : Ours.WaitMsByClass) {
+    const auto Found = Base.WaitMsByClass.find(Class);
+    const std::vector<std::int64_t> Other = Found == Base.WaitMsByClass.end()
+                                                ? std::vector<std::int64_t>{}
+                                                : Found->second;
+    for (const auto &[Label, Percent] :
+         {std::pair{"p50", 50.0}, {"p99", 99.0}, {"max", 100.0}}) {
+      const double Target = Class == "urgent" ? UrgentTargetMs : 0;
+      Rows.push_back({Name + " wait " + Class + " " + Label, "ms",
+                      static_cast<double>(percentile(Values, Percent)),
+                      static_cast<double>(percentile(Other, Percent)), Target,
+                      "lower"});
+    }
+  }
+}
+
+std::vector<Row> measure(const Trace &Recorded) {
+  const Rules InForce = benchRules();
+  const ReplayResult Ours = replay(Recorded, InForce, {});
+  const ReplayResult Base = replay(Recorded, InForce, baselineOptions());
+  const std::string &Name = Recorded.Name;
+  std::vector<Row> Rows;
+  addWaits(Rows, Name, Ours, Base);
+  const auto Quiet = Ours.WaitMsByTeam.find("quiet");
+  if (Quiet != Ours.WaitMsByTeam.end()) {
+    Rows.push_back(
+        {Name + " wait of the quiet team p99", "ms",
+         static_cast<double>(percentile(Quiet->second, 99)),
+         static_cast<double>(percentile(Base.WaitMsByTeam.at("quiet"), 99)),
+         QuietTargetMs, "lower"});
+  }
+  Rows.push_back({Name + " mean wait", "ms", Ours.MeanWaitMs, Base.MeanWaitMs,
+                  0.7 * Base.MeanWaitMs, "lower"});
+  Rows.push_back({Name + " packed share while work waits", "%",
+                  Ours.PackedShare * 100, Base.PackedShare * 100,
+                  std::min(100.0, Base.PackedShare * 100 + 10), "higher"});
+  Rows.push_back({Name + " end of finite work", "ms",
+                  static_cast<double>(Ours.EndMs),
+                  static_cast<double>(Base.EndMs),
+                  static_cast<double>(Ours.BoundMs), "lower"});
+  Rows.push_back({Name + " overcommits", "count",
+                  static_cast<double>(Ours.Overcommits),
+                  static_cast<double>(Base.Overcommits), 0, "lower"});
+  Rows.push_back({Name + " requests without an outcome", "count",
+                  static_cast<double>(Ours.Unsettled),
+                  static_cast<double>(Base.Unsettled), 0, "lower"});
+  Rows.push_back({Name + " requests that failed", "count",
+                  static_cast<double>(Ours.Failed),
+                  static_cast<double>(Base.Failed), 0, "lower"});
+  Rows.push_back({Name + " placements a second of deciding", "1/s",
+                  rateOf(Ours), rateOf(Base), PlacementsTarget, "higher"});
+  Rows.push_back(
+      {Name + " time a decision p99", "ms", percentileOf(Ours.DecisionMs, 99),
+       percentileOf(Base.DecisionMs, 99), DecisionTargetMs, "lower"});
+  return Rows;
+}
+
+void print(const std::vector<Row> &Rows, bool IsJson) {
+  if (IsJson) {
+    json List = json::array();
+    for (const Row &Item : Rows) {
+      List.push_back({{"name", Item.Name},
+                      {"unit", Item.Unit},
+                      {"ours", Item.Ours},
+                      {"baseline", Item.Baseline},
+                      {"target", Item.Target},
+                      {"better", Item.Better}});
+    }
+    std::cout << List.dump(2) << '\n';
+    return;
+  }
+  std::cout << std::left << std::setw(46) << "measure" << std::right
+            << std::setw(14) << "ours" << std::setw(14) << "baseline"
+            << std::setw(14) << "target"
+            << "  unit\n"
+            << std::fixed << std::setprecision(2);
+  for (const Row &Item : Rows) {
+    std::cout << std::left << std::setw(46) << Item.Name << std::right
+              << std::setw(14) << Item.Ours << std::setw(14) << Item.Baseline
+              << std::setw(14) << Item.Target << "  " << Item.Unit << '\n';
+  }
+}
+
+std::optional<Trace> readTrace(const std::string &Name) {
+  std::ifstream Source{Name};
+  if (!Source) {
+    std::cerr << Name << ": cannot be read\n";
+    return std::nullopt;
+  }
+  const std::string Text{std::istreambuf_iterator<char>{Source}, {}};
+  auto Parsed = parseTrace(Name, Text);
+  if (!Parsed) {
+    std::cerr << Parsed.error().render();
+    return std::nullopt;
+  }
+  return *Parsed;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  cxxopts::Options Options{"mulberryramp_bench",
+                           "Replays loads in virtual time, ours beside the "
+                           "baseline"};
+  Options.add_options()("format", "table or json",
+                        cxxopts::value<std::string>()->default_value("table"))(
+      "trace", "file of a recorded load",
+      cxxopts::value<std::string>()->default_value(""))(
+      "load", "one standard load",
+      cxxopts::value<std::string>()->default_value(""))(
+      "workers", "number of workers, 0 as in the load",
+      cxxopts::value<std::size_t>()->default_value("0"))(
+      "seed", "seed of the standard loads",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "write", "print the load as a trace instead")("h,help", "this help");
+  try {
+    const auto Given = Options.parse(Count, Values);
+    if (Given.count("help") != 0) {
+      std::cout << Options.help();
+      return 0;
+    }
+    const std::string File = Given["trace"].as<std::string>();
+    const std::string Wanted = Given["load"].as<std::string>();
+    std::vector<Trace> Loads;
+    if (!File.empty()) {
+      auto Recorded = readTrace(File);
+      if (!Recorded) {
+        return 2;
+      }
+      Loads.push_back(std::move(*Recorded));
+    }
+    for (const std::string &Name : traceNames()) {
+      if (File.empty() && (Wanted.empty() || Wanted == Name)) {
+        Loads.push_back(makeTrace(Name, Given["workers"].as<std::size_t>(),
+                                  Given["seed"].as<std::uint64_t>()));
+      }
+    }
+    if (Loads.empty()) {
+      std::cerr << "no load " << Wanted << '\n';
+      return 2;
+    }
+    if (Given.count("write") != 0) {
+      std::cout << renderTrace(Loads.front());
+      return 0;
+    }
+    std::vector<Row> Rows;
+    for (const Trace &Load : Loads) {
+      const std::vector<Row> More = measure(Load);
+      Rows.insert(Rows.end(), More.begin(), More.end());
+    }
+    print(Rows, Given["format"].as<std::string>() == "json");
+    return 0;
+  } catch (const std::exception &Error) {
+    std::cerr << "mulberryramp_bench: " << Error.what() << '\n';
+    return 2;
+  }
+}
--- a/src/mulberryramp/node/centre_service.cpp
+++ b/src/mulberryramp/node/centre_service.cpp
@@ -457,7 +457,7 @@
   PlacementRun Run = place(Input, View, Options.Placing);
   Counters.PlacementRuns += 1;
   Counters.Considered += Run.Considered;
-  if (!Run.Blocked.empty()) {
+  if (!Run.Blocked.empty() && Options.Placing.MayPreempt) {
     const std::size_t Before = View.Preempted.size();
     preempt(Input, View, Run.Blocked);
     Counters.Preempted +=
--- a/src/mulberryramp/system/placement.cpp
+++ b/src/mulberryramp/system/placement.cpp
@@ -4,6 +4,7 @@
 #include "mulberryramp/system/failures.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <unordered_map>
@@ -39,7 +40,6 @@
   double Held = 0; ///< Largest granted part of the data centre, by weight.
   std::int64_t Weight = 1;
   std::vector<Candidate> Queue;
-  std::size_t Next = 0;
 };
 
 double part(std::int64_t Amount, std::int64_t Whole) {
@@ -60,6 +60,7 @@
       : Input{Input}, View{View}, Options{Options},
         RetriesAreSpent{isRetryBudgetSpent(Input.InForce, View)} {
     listRooms();
+    listLevels();
     listCandidates();
   }
 
@@ -96,6 +97,9 @@
       return !Input.State.Waiting.contains(Item.second) ||
              !RackOf.contains(Item.first);
     });
+    for (const auto &[Place, Owner] : View.Held) {
+      Holders.insert(Owner);
+    }
     for (Room &Item : Rooms) {
       const auto Held = View.Held.find(Item.Id);
       if (Held != View.Held.end()) {
@@ -110,21 +114,38 @@
                        [&](TaskId Id) { return isDueTask(Id); });
   }
 
-  std::int64_t agedPriority(const Request &Row) {
-    const auto [Found, Fresh] =
-        AgesEvery.try_emplace(Row.Spec.ClassName, Millis{0});
-    if (Fresh) {
-      Found->second = findClass(Input.InForce, Row.Spec.ClassName)
-                          .value_or(ClassRule{})
-                          .AgesEvery;
-    }
-    const Millis Every = Found->second;
-    const Millis Waited = Input.Wall - Row.AcceptedAt;
-    const std::int64_t Bonus = Every.count() > 0 ? Waited / Every : 0;
-    return Row.Spec.Priority + std::max<std::int64_t>(Bonus, 0);
+  /// Priorities that waiting can lift a request to: those of the classes that
+  /// push nothing out. Lifted requests join that class and share with it by
+  /// team; a higher priority for each would let one team's backlog pass by.
+  void listLevels() {
+    LiftLevels.insert(findClass(Input.InForce, "normal")->Priority);
+    for (const ClassRule &Rule : Input.InForce.Classes) {
+      if (!Rule.MayPreempt) {
+        LiftLevels.insert(Rule.Priority);
+      }
+    }
+  }
+
+  std::int64_t liftedPriority(const Request &Row) {
+    if (Row.Spec.ClassName != LastClass) {
+      LastClass = Row.Spec.ClassName;
+      LastAgesEvery =
+          findClass(Input.InForce, LastClass).value_or(ClassRule{}).AgesEvery;
+    }
+    const Millis Waited =
+        std::max(Millis{Input.Wall - Row.AcceptedAt}, Millis{0});
+    const std::int64_t Bonus =
+        LastAgesEvery.count() > 0 ? Waited / LastAgesEvery : 0;
+    const auto Above = LiftLevels.upper_bound(Row.Spec.Priority + Bonus);
+    const std::int64_t Lifted =
+        Above == LiftLevels.begin() ? 0 : *std::prev(Above);
+    return std::max<std::int64_t>(Row.Spec.Priority, Lifted);
   }
 
   std::size_t teamOf(const std::string &Name) {
+    if (!Teams.empty() && Teams[LastTeam].Name == Name) {
+      return LastTeam;
+    }
     const auto [Found, Fresh] = TeamIndex.try_emplace(Name, Teams.size());
     if (Fresh) {
       const QuotaRule *Rule = findQuota(Input.InForce, Name);
@@ -137,7 +158,8 @@
       }
       Teams.push_back(std::move(Share));
     }
-    return Found->second;
+    LastTeam = Found->second;
+    return LastTeam;
   }
 
   void listCandidates() {
@@ -148,7 +170,7 @@
         continue;
       }
       Candidates.push_back(
-          {Id, agedPriority(Row), Row.AcceptedAt, teamOf(Row.Spec.Team)});
+          {Id, liftedPriority(Row), Row.AcceptedAt, teamOf(Row.Spec.Team)});
     }
   }
 
@@ -167,39 +189,41 @@
   }
 
   void runFair() {
-    std::sort(Candidates.begin(), Candidates.end(),
-              [](const Candidate &Left, const Candidate &Right) {
-                return Left.Priority != Right.Priority
-                           ? Left.Priority > Right.Priority
-                           : byArrival(Left, Right);
-              });
-    std::size_t Begin = 0;
-    while (Begin < Candidates.size() && !isFull()) {
-      std::size_t End = Begin;
-      while (End < Candidates.size() &&
-             Candidates[End].Priority == Candidates[Begin].Priority) {
-        End += 1;
+    std::map<std::int64_t, std::vector<Candidate>, std::greater<>> Levels;
+    for (const Candidate &Item : Candidates) {
+      Levels[Item.Priority].push_back(Item);
+    }
+    for (const auto &[Priority, Level] : Levels) {
+      if (isFull()) {
+        return;
       }
-      runLevel(Begin, End);
-      Begin = End;
+      runLevel(Level);
     }
   }
 
-  void runLevel(std::size_t Begin, std::size_t End) {
+  static bool isLater(const Candidate &Left, const Candidate &Right) {
+    return byArrival(Right, Left);
+  }
+
+  /// The queues are heaps: a run takes few requests of a long queue.
+  void runLevel(const std::vector<Candidate> &Level) {
     for (TeamShare &Share : Teams) {
       Share.Queue.clear();
-      Share.Next = 0;
     }
-    for (std::size_t Index = Begin; Index < End; ++Index) {
-      Teams[Candidates[Index].Team].Queue.push_back(Candidates[Index]);
+    for (const Candidate &Item : Level) {
+      Teams[Item.Team].Queue.push_back(Item);
+    }
+    for (TeamShare &Share : Teams) {
+      std::make_heap(Share.Queue.begin(), Share.Queue.end(), isLater);
     }
     while (!isFull()) {
       TeamShare *Least = leastServed();
       if (Least == nullptr) {
         return;
       }
-      const Candidate Item = Least->Queue[Least->Next];
-      Least->Next += 1;
+      std::pop_heap(Least->Queue.begin(), Least->Queue.end(), isLater);
+      const Candidate Item = Least->Queue.back();
+      Least->Queue.pop_back();
       tryRequest(Item);
     }
   }
@@ -207,7 +231,7 @@
   TeamShare *leastServed() {
     TeamShare *Least = nullptr;
     for (TeamShare &Share : Teams) {
-      if (Share.Next >= Share.Queue.size()) {
+      if (Share.Queue.empty()) {
         continue;
       }
       if (Least == nullptr ||
@@ -335,7 +359,8 @@
   }
 
   bool placeTasks(RequestId Owner, const Request &Row, Placement &Wanted) {
-    if (Row.Spec.MaxPerRack == 0 && isHopeless(Row.Spec) && View.Held.empty()) {
+    const bool IsPlain = Row.Spec.MaxPerRack == 0 && !Holders.contains(Owner);
+    if (IsPlain && isHopeless(Row.Spec)) {
       return false;
     }
     std::vector<std::uint32_t> PerRack = tasksPerRack(Row);
@@ -349,7 +374,7 @@
         return true;
       }
       if (!placeOne(Owner, Row, Id, PerRack, Wanted)) {
-        if (PerRack.empty() && View.Held.empty()) {
+        if (IsPlain) {
           Failed.push_back(Row.Spec.Need);
         }
         return false;
@@ -394,11 +419,20 @@
     return Sum;
   }
 
+  /// Smaller tasks get the next place that is freed without any help.
+  bool isLarge(const RequestSpec &Spec) const {
+    const bool IsGang = Spec.Kind == WorkKind::Gang && Spec.TaskCount > 1;
+    return IsGang ||
+           std::none_of(Rooms.begin(), Rooms.end(), [&Spec](const Room &Item) {
+             return fitsIn(Spec.Need + Spec.Need, Item.Capacity);
+           });
+  }
+
   /// Keeps workers free for the first request that has waited long enough, so
   /// that a stream of small tasks cannot starve it. One request at a time
   /// holds workers, so two of them cannot wait for each other.
   void holdWorkers(const Candidate &Item, const Request &Row) {
-    if (!Options.MayHold || !View.Held.empty() ||
+    if (!Options.MayHold || !View.Held.empty() || !isLarge(Row.Spec) ||
         Input.Wall - Row.AcceptedAt < Options.HoldAfter) {
       return;
     }
@@ -447,9 +481,13 @@
   std::vector<Candidate> Candidates;
   std::vector<TeamShare> Teams;
   std::unordered_map<std::string, std::size_t> TeamIndex;
-  std::unordered_map<std::string, Millis> AgesEvery;
+  std::size_t LastTeam = 0;
+  std::set<std::int64_t> LiftLevels;
+  std::string LastClass;
+  Millis LastAgesEvery{0};
   std::map<std::size_t, Resources> Tentative;
-  std::vector<Resources> Failed;
+  std::vector<Resources> Failed; ///< Needs without a place in this run.
+  std::set<RequestId> Holders;   ///< Requests that workers are held for.
   PlacementRun Result;
 };
 
--- a/src/mulberryramp/system/placement.hpp
+++ b/src/mulberryramp/system/placement.hpp
@@ -9,7 +9,7 @@
 
 /// @brief Order in which placement takes the queue.
 enum class QueueOrder : std::uint8_t {
-  Fair,   ///< By priority with ageing, then by the shares of the teams.
+  Fair,   ///< By priority lifted by waiting, then by the shares of the teams.
   Arrival ///< By arrival, each request blocking those behind it.
 };
 
@@ -35,6 +35,7 @@
 struct PlacementOptions {
   QueueOrder Order = QueueOrder::Fair;
   WorkerChoice Choice = WorkerChoice::BestFit;
+  bool MayPreempt = true; ///< Stop weaker work for classes that may.
   bool MayHold = true;                    ///< Keep workers for large requests.
   Millis HoldAfter{3000};                 ///< Waiting before workers are kept.
   std::size_t Most = MaxPlacementsPerRun; ///< Requests placed in one run.
--- /dev/null
+++ b/test/node/poll_test.cpp
@@ -0,0 +1,268 @@
+#include "mulberryramp/node/node.hpp"
+#include "support/memory_files.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+using mulberryramp::test::MemoryFiles;
+
+namespace {
+
+constexpr WallTime WallStart{Millis{1'700'000'000'000}};
+
+/// One daemon that leads its data centre alone.
+struct Single {
+  MemoryFiles Files;
+  Settings Deployment;
+  std::unique_ptr<Node> Core;
+  Instant Now{Millis{100000}};
+  WallTime Wall = WallStart;
+  std::uint64_t NextId = 1;
+
+  Single() {
+    Deployment.Self = 1;
+    NodeSettings Mine;
+    Mine.Id = 1;
+    Mine.Centre = "a";
+    Mine.Region = "r";
+    Mine.HasDisk = true;
+    Mine.Http = {"127.0.0.1", 8001};
+    Deployment.Nodes.push_back(Mine);
+    CHECK(Node::found(Deployment, Files).has_value());
+    restart();
+    pass(4000);
+  }
+
+  void restart() {
+    Core.reset();
+    auto Started = Node::start(Deployment, &Files, 1, 7, Now);
+    CHECK(Started.has_value());
+    Core = std::move(*Started);
+  }
+
+  NodeOutput pass(std::int64_t Ms) {
+    NodeOutput All;
+    for (std::int64_t Done = 0; Done < Ms; Done += 20) {
+      Now += Millis{20};
+      Wall += Millis{20};
+      auto Output = Core->step(Now, Wall);
+      CHECK(Output.has_value());
+      All.Polls.insert(All.Polls.end(), Output->Polls.begin(),
+                       Output->Polls.end());
+      All.Results.insert(All.Results.end(), Output->Results.begin(),
+                         Output->Results.end());
+    }
+    return All;
+  }
+
+  WorkerReply poll(WorkerPoll Poll, std::int64_t Ms = 60) {
+    const std::uint64_t Id = NextId++;
+    Core->poll(Id, Poll, Now, Wall);
+    for (const PollDone &Done : pass(Ms).Polls) {
+      if (Done.PollId == Id) {
+        return Done.Reply;
+      }
+    }
+    WorkerReply None;
+    None.Verdict = PollVerdict::Refused;
+    None.Reason = "no answer";
+    return None;
+  }
+
+  CallResult call(CallBody Body, std::int64_t Ms = 100) {
+    const std::uint64_t Id = NextId++;
+    Core->call(Id, std::move(Body), Now, Wall);
+    for (const LocalResult &Done : pass(Ms).Results) {
+      if (Done.CallId == Id) {
+        return Done.Result;
+      }
+    }
+    return makeResult(CallStatus::Unknown, "no answer");
+  }
+
+  CallResult submit(const std::string &Key, bool IsIdempotent = true) {
+    SubmitCall Call;
+    Call.ReceivedAt = Wall;
+    Call.Spec.Customer = "c";
+    Call.Spec.Team = "t";
+    Call.Spec.Key = Key;
+    Call.Spec.ClassName = "normal";
+    Call.Spec.Need = {1000, 100, 0, 1, 0};
+    Call.Spec.IsIdempotent = IsIdempotent;
+    Call.Spec.IssuedAt = WallStart + Millis{1};
+    return call(Call);
+  }
+
+  static WorkerPoll pollOf(std::uint64_t Incarnation) {
+    WorkerPoll Poll;
+    Poll.Name = "w";
+    Poll.Incarnation = Incarnation;
+    Poll.Centre = "a";
+    Poll.Rack = "r";
+    Poll.Capacity = {4000, 4000, 0, 4, 4};
+    Poll.IsFull = true;
+    return Poll;
+  }
+
+  /// Announces a worker and gets it confirmed.
+  WorkerPoll confirm(std::uint64_t Incarnation) {
+    WorkerPoll Poll = pollOf(Incarnation);
+    (void)poll(Poll);
+    const WorkerReply First = poll(Poll);
+    CHECK(First.WantsFull);
+    Poll.Epoch = First.Epoch;
+    Poll.Ack = First.Sequence;
+    return Poll;
+  }
+};
+
+} // namespace
+
+TEST_GROUP(NodePoll) { Single It; };
+
+TEST(NodePoll, StartIsOrderedOnceAndAgainAfterALostReply) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k");
+  const WorkerReply First = It.poll(Poll);
+  CHECK_EQUAL(1U, First.Starts.size());
+  const WorkerReply Again = It.poll(Poll);
+  CHECK_EQUAL(1U, Again.Starts.size());
+  CHECK(First.Starts[0].Attempt == Again.Starts[0].Attempt);
+  Poll.Ack = Again.Sequence;
+  Poll.Reports.push_back(
+      {First.Starts[0].Attempt, AttemptPhase::Running, "", {}, 0, 0});
+  STRCMP_EQUAL("no answer", It.poll(Poll).Reason.c_str());
+}
+
+TEST(NodePoll, AnswerIsWithheldOnceTheLeaseIsOver) {
+  PollDone Done;
+  Done.Reply.Verdict = PollVerdict::Taken;
+  Done.Reply.Starts.resize(1);
+  Done.NotAfter = Instant{Millis{100}};
+  CHECK(asSent(Done, Instant{Millis{99}}).Reply.Verdict == PollVerdict::Taken);
+  const PollDone Late = asSent(Done, Instant{Millis{100}});
+  CHECK(Late.Reply.Verdict == PollVerdict::NotLeader);
+  CHECK(Late.Reply.Starts.empty());
+}
+
+TEST(NodePoll, PartsOfAnAnswerMayComeInAnyOrder) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k");
+  const WorkerReply Reply = It.poll(Poll);
+  Poll.Ack = Reply.Sequence;
+  const AttemptId Attempt = Reply.Starts[0].Attempt;
+  Poll.Reports = {
+      {Attempt, AttemptPhase::Done, "", AnswerPart{1, 2, "b"}, 0, 0}};
+  (void)It.poll(Poll);
+  CHECK(It.call(StatusCall{"", "c", "k", {}}).Item->Result == Outcome::Pending);
+  Poll.IsFull = false;
+  Poll.Reports = {
+      {Attempt, AttemptPhase::Done, "", AnswerPart{0, 2, "a"}, 0, 0}};
+  (void)It.poll(Poll);
+  const CallResult Done = It.call(StatusCall{"", "c", "k", {}});
+  CHECK(Done.Item->Result == Outcome::Done);
+  STRCMP_EQUAL("ab", Done.Item->Tasks[0].Answer.c_str());
+}
+
+TEST(NodePoll, AnswerWithContradictingPartsFails) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k", false);
+  const WorkerReply Reply = It.poll(Poll);
+  Poll.Ack = Reply.Sequence;
+  const AttemptId Attempt = Reply.Starts[0].Attempt;
+  Poll.Reports = {
+      {Attempt, AttemptPhase::Done, "", AnswerPart{0, 2, "a"}, 0, 0},
+      {Attempt, AttemptPhase::Done, "", AnswerPart{0, 3, "x"}, 0, 0}};
+  (void)It.poll(Poll);
+  CHECK(It.call(StatusCall{"", "c", "k", {}}).Item->Result == Outcome::Failed);
+}
+
+TEST(NodePoll, ChangedCapacityInOneLifeIsRefused) {
+  WorkerPoll Poll = It.confirm(1);
+  Poll.Capacity.MilliCpus = 64000;
+  CHECK(It.poll(Poll).Verdict == PollVerdict::Refused);
+}
+
+TEST(NodePoll, SecondLifeWaitsUntilTheLeaseOfTheFirstIsOver) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k", false);
+  CHECK_EQUAL(1U, It.poll(Poll).Starts.size());
+  const WorkerPoll Second = Single::pollOf(2);
+  CHECK(It.poll(Second).Verdict == PollVerdict::Wait);
+  It.pass(14000);
+  CHECK(It.call(StatusCall{"", "c", "k", {}}).Item->Result == Outcome::Unknown);
+  (void)It.poll(Second);
+  CHECK(It.poll(Second).Verdict == PollVerdict::Taken);
+}
+
+TEST(NodePoll, CancelledAttemptIsNotRunOnlyOnceTheWorkerSaysSo) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k");
+  const WorkerReply Reply = It.poll(Poll);
+  const AttemptId Attempt = Reply.Starts[0].Attempt;
+  It.call(CancelCall{"", "c", "k"});
+  const WorkerReply Stop = It.poll(Poll);
+  CHECK_EQUAL(1U, Stop.Stops.size());
+  CHECK(It.call(StatusCall{"", "c", "k", {}}).Item->Result == Outcome::Pending);
+  Poll.Ack = Stop.Sequence;
+  Poll.Reports = {{Attempt, AttemptPhase::Refused, "", {}, 0, 0}};
+  (void)It.poll(Poll);
+  CHECK(It.call(StatusCall{"", "c", "k", {}}).Item->Result == Outcome::NotRun);
+}
+
+TEST(NodePoll, UnknownRunningAttemptIsStoppedAndBlocksNewWork) {
+  WorkerPoll Poll = It.confirm(1);
+  Poll.Reports = {{999, AttemptPhase::Running, "", {}, 0, 0}};
+  const WorkerReply Reply = It.poll(Poll);
+  CHECK_EQUAL(1U, Reply.Stops.size());
+  It.submit("k");
+  Poll.Ack = Reply.Sequence;
+  CHECK(It.poll(Poll).Starts.empty());
+}
+
+TEST(NodePoll, TaskAboveItsGrantIsThrottledOnce) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k");
+  const WorkerReply Reply = It.poll(Poll);
+  Poll.Ack = Reply.Sequence;
+  Poll.Reports = {
+      {Reply.Starts[0].Attempt, AttemptPhase::Running, "", {}, 9000, 0}};
+  const WorkerReply Hold = It.poll(Poll);
+  CHECK_EQUAL(1U, Hold.Stops.size());
+  CHECK(Hold.Stops[0].Mode == StopMode::Throttle);
+}
+
+TEST(NodePoll, CallThatCameTooLateIsNotTakenIn) {
+  SubmitCall Call;
+  Call.ReceivedAt = It.Wall - MaxCallAge - Millis{1};
+  Call.Spec.Customer = "c";
+  Call.Spec.Key = "late";
+  Call.Spec.ClassName = "normal";
+  CHECK(It.call(Call).Status == CallStatus::Unavailable);
+  CHECK(It.call(StatusCall{"", "c", "late", {}}).Status ==
+        CallStatus::NotFound);
+}
+
+TEST(NodePoll, RestartKeepsTheLedgerAndTheAnswer) {
+  WorkerPoll Poll = It.confirm(1);
+  It.submit("k", false);
+  const WorkerReply Reply = It.poll(Poll);
+  Poll.Ack = Reply.Sequence;
+  Poll.Reports = {{Reply.Starts[0].Attempt, AttemptPhase::Done, "",
+                   AnswerPart{0, 1, "whole"}, 0, 0}};
+  (void)It.poll(Poll);
+  It.Files.crash(0);
+  It.restart();
+  It.pass(4000);
+  const CallResult Again = It.submit("k", false);
+  CHECK(Again.Item->Result == Outcome::Done);
+  STRCMP_EQUAL("whole", Again.Item->Tasks[0].Answer.c_str());
+}
+
+TEST(NodePoll, FullDiskStopsTheNode) {
+  It.Files.failAfter(0);
+  It.Core->call(77, SubmitCall{"", {}, It.Wall}, It.Now, It.Wall);
+  CHECK_FALSE(It.Core->step(It.Now + Millis{20}, It.Wall).has_value());
+}
