--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -148,9 +148,10 @@
     Http->respond(Id, {Ready ? 200 : 503, "application/json",
                        Ready ? R"({"ready":true})" : R"({"ready":false})"});
   } else {
-    Http->respond(Id, {200, "text/plain; version=0.0.4",
-                       Telemetry.render({*Core, Links->counters(), Now,
-                                         Http->openRequests()})});
+    Http->respond(Id,
+                  {200, "text/plain; version=0.0.4",
+                   Telemetry.render({*Core, Links->counters(), Now,
+                                     Http->openRequests(), Http->bytes()})});
   }
 }
 
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -52,6 +52,7 @@
   MHD_Daemon *Daemon = nullptr;
   int Descriptor = -1;
   std::uint64_t NextId = 1;
+  std::uint64_t Bytes = 0;
   std::map<std::uint64_t, internal::Exchange *> Open;
 
   MHD_Result begin(MHD_Connection *Connection, const char *Url,
@@ -74,6 +75,7 @@
     if (*Size != 0) {
       Item.IsTooLarge =
           Item.IsTooLarge || Item.Request.Body.size() + *Size > MaxBodyBytes;
+      Bytes += *Size;
       if (!Item.IsTooLarge) {
         Item.Request.Body.append(Data, *Size);
       }
@@ -178,6 +180,7 @@
     return;
   }
   internal::Exchange &Item = *Found->second;
+  Parts->Bytes += Response.Body.size() + Item.Request.Path.size();
   Item.Response = std::move(Response);
   if (Item.IsSuspended) {
     Item.IsSuspended = false;
@@ -189,6 +192,8 @@
   return Parts->Open.size();
 }
 
+std::uint64_t HttpServer::bytes() const noexcept { return Parts->Bytes; }
+
 void HttpServer::stopListening() {
   const MHD_socket Listener = MHD_quiesce_daemon(Parts->Daemon);
   if (Listener != MHD_INVALID_SOCKET) {
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -55,6 +55,9 @@
   /// @brief Counts the requests that wait for an answer or for its sending.
   [[nodiscard]] std::size_t openRequests() const noexcept;
 
+  /// @brief Counts the bytes of bodies and paths, in and out.
+  [[nodiscard]] std::uint64_t bytes() const noexcept;
+
   /// @brief Takes no new connections from now on.
   void stopListening();
 
--- a/src/mulberryramp/ledger/ledger.cpp
+++ b/src/mulberryramp/ledger/ledger.cpp
@@ -249,8 +249,7 @@
   Task &Row = State.Tasks[Id];
   State.ByAttempt.erase(Row.Attempt);
   Row.Answer = Item.Answer;
-  if (Item.End == AttemptEnd::Refused && Row.Attempts <= 1 &&
-      Row.Refusals == 0) {
+  if (Item.End == AttemptEnd::Refused && !Row.RanBefore) {
     settleTask(State, Id, TaskState::NotRun, Item.Reason);
   } else {
     const bool Done = Item.End == AttemptEnd::Done;
@@ -487,6 +486,7 @@
   Place.Tasks.push_back(Item.Item);
   State.GrantedByTeam[Spec.Team] += Spec.Need;
   Row.State = TaskState::Assigned;
+  Row.RanBefore = Row.MayHaveRun;
   Row.Attempt = State.NextAttempt;
   Row.Attempts += 1;
   Row.Place = Item.Place;
--- a/src/mulberryramp/node/node.cpp
+++ b/src/mulberryramp/node/node.cpp
@@ -124,6 +124,7 @@
   void passOn(std::uint64_t Id, internal::Passed &Item, Instant Now);
   void finish(const CallOrigin &Origin, CallResult Result);
   void takeForwardResult(const ForwardResult &Result, Instant Now);
+  [[nodiscard]] bool hasNewLeader(const internal::Passed &Item) const;
   void tickPassed(Instant Now, WallTime Wall);
   void collectDone();
   [[nodiscard]] tl::expected<bool, StorageError> saveAll();
@@ -372,10 +373,21 @@
   Passed.erase(Found);
 }
 
+/// A call may be passed on again: its identity keeps it from counting twice.
+bool Node::Impl::hasNewLeader(const internal::Passed &Item) const {
+  const auto Found = Groups.find(groupOf(Item.Body));
+  if (Item.IsWaiting || Found == Groups.end()) {
+    return false;
+  }
+  const auto &Leader = Found->second->replica().Leader;
+  return Leader && Leader->Node != Item.To;
+}
+
 void Node::Impl::tickPassed(Instant Now, WallTime Wall) {
   std::vector<std::uint64_t> Due;
   for (const auto &[Id, Item] : Passed) {
-    if (Now >= Item.Until || (Item.IsWaiting && Now >= Item.RetryAt)) {
+    if (Now >= Item.Until || (Item.IsWaiting && Now >= Item.RetryAt) ||
+        hasNewLeader(Item)) {
       Due.push_back(Id);
     }
   }
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -11,6 +11,8 @@
 
 /// Lag in entries below which a learner is admitted as a voter.
 constexpr LogIndex AdmitLag = 16;
+/// Heartbeats of a voter for one of a learner.
+constexpr int LearnerHeartbeatFactor = 4;
 
 const Entry &entryAt(const Replica &State, LogIndex Index) {
   return State.Entries[Index - State.Start - 1];
@@ -156,13 +158,24 @@
   }
   Request.PrevTerm = termAt(State, Request.PrevIndex);
   if (EvenEmpty || !Request.Entries.empty()) {
+    Peer.SentAt = Now;
+    Peer.SentCommit = State.Commit;
     send(State, To, std::move(Request));
   }
 }
 
+/// Learners need a commit at once, but fewer heartbeats than voters.
+bool wantsHeartbeat(const Replica &State, const Member &To,
+                    const Progress &Peer, Instant Now) {
+  return isVoter(State, To) || Peer.SentCommit < State.Commit ||
+         Now - Peer.SentAt >=
+             State.Options.HeartbeatEvery * LearnerHeartbeatFactor;
+}
+
 void broadcast(Replica &State, Instant Now, bool EvenEmpty) {
   for (auto &[To, Peer] : State.Peers) {
-    sendAppend(State, To, Peer, Now, EvenEmpty);
+    const bool IsDue = EvenEmpty && wantsHeartbeat(State, To, Peer, Now);
+    sendAppend(State, To, Peer, Now, IsDue);
   }
   if (EvenEmpty) {
     State.HeartbeatAt = Now + State.Options.HeartbeatEvery;
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -49,9 +49,11 @@
   LogIndex Next = 1;
   LogIndex Match = 0;
   LogIndex Applied = 0;
-  Instant AckedSend;      ///< When the last answered request was sent.
-  Instant HeardAt;        ///< When the last answer came.
-  Instant SnapshotSentAt; ///< When a snapshot was last sent.
+  Instant AckedSend;       ///< When the last answered request was sent.
+  Instant HeardAt;         ///< When the last answer came.
+  Instant SnapshotSentAt;  ///< When a snapshot was last sent.
+  Instant SentAt;          ///< When anything was last sent.
+  LogIndex SentCommit = 0; ///< Commit in the last request.
 };
 
 /// @brief Term and index of an entry that changes the voters.
--- a/src/mulberryramp/system/placement.cpp
+++ b/src/mulberryramp/system/placement.cpp
@@ -70,10 +70,20 @@
     } else {
       runFair();
     }
+    releaseHolds();
     return std::move(Result);
   }
 
 private:
+  /// Only requests that wait for a place right now may hold workers.
+  void releaseHolds() {
+    const std::set<RequestId> Blocked{Result.Blocked.begin(),
+                                      Result.Blocked.end()};
+    std::erase_if(View.Held, [&Blocked](const auto &Item) {
+      return !Blocked.contains(Item.second);
+    });
+  }
+
   void listRooms() {
     std::unordered_map<std::string, std::uint32_t> Racks;
     for (const WorkerId Id : Input.State.Workers.ids()) {
--- a/src/mulberryramp/system/placement.hpp
+++ b/src/mulberryramp/system/placement.hpp
@@ -36,8 +36,8 @@
   QueueOrder Order = QueueOrder::Fair;
   WorkerChoice Choice = WorkerChoice::BestFit;
   bool MayPreempt = true; ///< Stop weaker work for classes that may.
-  bool MayHold = true;                    ///< Keep workers for large requests.
-  Millis HoldAfter{3000};                 ///< Waiting before workers are kept.
+  bool MayHold = true;    ///< Keep workers for large requests.
+  Millis HoldAfter{3000}; ///< Waiting before workers are kept.
   std::size_t Most = MaxPlacementsPerRun; ///< Requests placed in one run.
 };
 
--- a/src/mulberryramp/table/request.hpp
+++ b/src/mulberryramp/table/request.hpp
@@ -89,6 +89,7 @@
   std::uint32_t Attempts = 0; ///< Attempts that count against the limit.
   std::uint32_t Refusals = 0; ///< Attempts that a worker refused to start.
   bool MayHaveRun = false;    ///< Some attempt may have begun.
+  bool RanBefore = false;     ///< An attempt before the last may have begun.
   WorkerId Place;             ///< Where the attempt is, while assigned.
   WallTime AssignedAt;
   WallTime NotBefore; ///< Earliest next attempt.
@@ -98,8 +99,9 @@
   static constexpr auto fields() {
     return std::make_tuple(&Task::Owner, &Task::Ordinal, &Task::State,
                            &Task::Attempt, &Task::Attempts, &Task::Refusals,
-                           &Task::MayHaveRun, &Task::Place, &Task::AssignedAt,
-                           &Task::NotBefore, &Task::Answer, &Task::Reason);
+                           &Task::MayHaveRun, &Task::RanBefore, &Task::Place,
+                           &Task::AssignedAt, &Task::NotBefore, &Task::Answer,
+                           &Task::Reason);
   }
 };
 
--- a/src/mulberryramp/telemetry/metrics.cpp
+++ b/src/mulberryramp/telemetry/metrics.cpp
@@ -118,6 +118,8 @@
           Input.Daemon.rules().Number);
   Out.set("mulberryramp_open_http_requests", "HTTP requests without an answer",
           std::uint64_t{Input.OpenRequests});
+  Out.set("mulberryramp_http_bytes_total", "Bytes of HTTP bodies and paths",
+          Input.HttpBytes);
   Out.set("process_resident_memory_bytes", "Resident memory",
           internal::residentBytes());
   Out.set("process_cpu_seconds_total", "Processor time",
--- a/src/mulberryramp/telemetry/metrics.hpp
+++ b/src/mulberryramp/telemetry/metrics.hpp
@@ -14,7 +14,8 @@
   const Node &Daemon;
   const LinkCounters &Links;
   Instant Now;
-  std::size_t OpenRequests = 0;
+  std::size_t OpenRequests = 0; ///< HTTP requests without an answer.
+  std::uint64_t HttpBytes = 0;
 };
 
 /// @brief Metrics of a daemon in the text format of Prometheus.
--- a/test/ledger/ledger_test.cpp
+++ b/test/ledger/ledger_test.cpp
@@ -153,6 +153,20 @@
   STRCMP_EQUAL("late", It.task(Id).Answer.c_str());
 }
 
+TEST(LedgerApply, RefusalOfALaterAttemptInDoubtIsNeverNotRun) {
+  const auto Id = It.accept(It.spec("k"));
+  It.assign(Id, "w1");
+  apply(It.State, RemoveWorkerCommand{"w1", 1, false, It.At});
+  It.assign(Id, "w2");
+  const AttemptId Second = It.task(Id).Attempt;
+  apply(It.State, CancelCommand{"c", "k", It.At});
+  apply(It.State, RemoveWorkerCommand{"w2", 1, false, It.At});
+  CHECK(It.outcome(Id) == Outcome::Unknown);
+  apply(It.State,
+        SettleCommand{{{Second, AttemptEnd::Refused, "", ""}}, It.At});
+  CHECK(It.outcome(Id) == Outcome::Failed);
+}
+
 TEST(LedgerApply, LostIdempotentTaskIsQueuedAgainAndItsOldAnswerDropped) {
   const auto Id = It.accept(It.spec("k"));
   It.assign(Id, "w1");
--- a/test/system/placement_test.cpp
+++ b/test/system/placement_test.cpp
@@ -137,6 +137,26 @@
   CHECK(IsPlaced);
 }
 
+TEST(SystemPlacement, WorkersAreHeldNoLongerThanTheirRequestIsDue) {
+  It.addWorker("w1", "r", Machine);
+  const auto Large = It.submit("large", {8000, 8000, 0, 1, 0});
+  const auto First = It.submit("first", Small);
+  apply(It.State, AssignCommand{{{First,
+                                  {{It.State.Requests[First].Tasks[0],
+                                    findWorker(It.State, "w1")}}}},
+                                It.Wall});
+  It.Wall += Millis{10000};
+  It.runAndApply();
+  CHECK_EQUAL(1U, It.View.Held.size());
+  It.State.Tasks[It.State.Requests[Large].Tasks[0]].NotBefore =
+      It.Wall + Millis{60000};
+  It.runAndApply();
+  CHECK_EQUAL(0U, It.View.Held.size());
+  const auto Next = It.submit("next", Small);
+  It.runAndApply();
+  STRCMP_EQUAL("w1", It.placeOf(Next).c_str());
+}
+
 TEST(SystemPlacement, TwoGangsDoNotBlockEachOther) {
   It.addWorker("w1", "r", Machine);
   It.addWorker("w2", "r", Machine);
