--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -465,7 +465,9 @@
   if (From.Incarnation < Seen.Incarnation) {
     return;
   }
-  Seen = {From.Incarnation, Request.LastIndex, Now};
+  const bool IsFirst = From.Incarnation > Seen.Incarnation;
+  Seen = {From.Incarnation, Request.LastIndex, IsFirst ? Now : Seen.FirstAt,
+          Now};
   if (State.Role != ReplicaRole::Leader) {
     return;
   }
@@ -545,10 +547,22 @@
   });
 }
 
+/// When the last of the former voters is known to have ended. Only a request
+/// to join from after that proves that its sender is no voter: until then a
+/// leader may have admitted it.
+Instant lastEnd(const Replica &State) {
+  Instant Last;
+  for (const auto &[Node, Seen] : State.Joins) {
+    Last = std::max(Last, Seen.FirstAt);
+  }
+  return Last + State.Options.ElectionMax;
+}
+
 bool isSuperseded(const Replica &State, NodeId Node, Instant Now) {
   const auto Found = State.Joins.find(Node);
   if (Found == State.Joins.end() ||
       Now - Found->second.At > State.Options.JoinEvery * 10 ||
+      Found->second.At < lastEnd(State) ||
       Found->second.LastIndex > lastIndex(State)) {
     return false;
   }
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -66,7 +66,8 @@
 struct JoinSeen {
   std::uint64_t Incarnation = 0;
   LogIndex LastIndex = 0;
-  Instant At;
+  Instant FirstAt; ///< First request of this incarnation.
+  Instant At;      ///< Last one.
 };
 
 /// @brief State of one member of one group.
--- a/src/mulberryramp/system/placement.cpp
+++ b/src/mulberryramp/system/placement.cpp
@@ -84,6 +84,19 @@
     });
   }
 
+  /// Without one of its workers the others cannot help a request either.
+  void dropBrokenHolds() {
+    std::set<RequestId> Broken;
+    for (const auto &[Place, Owner] : View.Held) {
+      if (!Input.State.Waiting.contains(Owner) || !RackOf.contains(Place)) {
+        Broken.insert(Owner);
+      }
+    }
+    std::erase_if(View.Held, [&Broken](const auto &Item) {
+      return Broken.contains(Item.second);
+    });
+  }
+
   void listRooms() {
     std::unordered_map<std::string, std::uint32_t> Racks;
     for (const WorkerId Id : Input.State.Workers.ids()) {
@@ -103,10 +116,7 @@
                        {}});
       RackOf[Id] = Rack.first->second;
     }
-    std::erase_if(View.Held, [this](const auto &Item) {
-      return !Input.State.Waiting.contains(Item.second) ||
-             !RackOf.contains(Item.first);
-    });
+    dropBrokenHolds();
     for (const auto &[Place, Owner] : View.Held) {
       Holders.insert(Owner);
     }
--- a/test/explore/world.cpp
+++ b/test/explore/world.cpp
@@ -1199,6 +1199,15 @@
              << " refusals " << Part.Refusals
              << (Place == nullptr ? "" : " on " + Place->Name);
       }
+      const CentreView &View = Daemon.Core->centre().view();
+      Text << "; retries " << View.RetryCount << " of " << View.AttemptCount
+           << ", held " << View.Held.size();
+      for (const auto &[Place, Owner] : View.Held) {
+        const Request &Holder = State.Requests[Owner];
+        Text << " for " << Holder.Spec.Key << " " << nameOf(Holder.Spec.Kind)
+             << " of " << Holder.Spec.TaskCount << " x "
+             << Holder.Spec.Need.MilliCpus;
+      }
       for (const WorkerId Each : State.Workers.ids()) {
         const Worker &Place = State.Workers[Each];
         const auto Seen = Daemon.Core->centre().view().Workers.find(Each);
--- a/test/system/placement_test.cpp
+++ b/test/system/placement_test.cpp
@@ -157,6 +157,26 @@
   STRCMP_EQUAL("w1", It.placeOf(Next).c_str());
 }
 
+TEST(SystemPlacement, HoldsEndTogetherWhenOneHeldWorkerIsLost) {
+  It.addWorker("w1", "r", Machine);
+  const auto Lost = It.addWorker("w2", "r", Machine);
+  for (const char *Name : {"w1", "w2"}) {
+    const auto Id = It.submit(std::string{"on "} + Name, Small);
+    apply(It.State, AssignCommand{{{Id,
+                                    {{It.State.Requests[Id].Tasks[0],
+                                      findWorker(It.State, Name)}}}},
+                                  It.Wall});
+  }
+  It.submit("gang", {8000, 8000, 0, 1, 0}, "normal", WorkKind::Gang, 2);
+  It.Wall += Millis{10000};
+  It.runAndApply();
+  CHECK_EQUAL(2U, It.View.Held.size());
+  It.View.Workers[Lost].QuarantineEnd = It.Now + Millis{60000};
+  const auto Next = It.submit("next", Small);
+  It.runAndApply();
+  STRCMP_EQUAL("w1", It.placeOf(Next).c_str());
+}
+
 TEST(SystemPlacement, TwoGangsDoNotBlockEachOther) {
   It.addWorker("w1", "r", Machine);
   It.addWorker("w2", "r", Machine);
