Number attempts by term, serve only with no entry on its way

Numbers now hold the term, and after a recovery start from the time, so that two recoveries do not share them either.

--- a/src/mulberryramp/ledger/command.hpp
+++ b/src/mulberryramp/ledger/command.hpp
@@ -102,9 +102,11 @@
 struct AssignCommand {
   std::vector<Placement> Placements;
   WallTime At;
+  std::uint64_t InTerm = 0; ///< Term of the leader that grants.
 
   static constexpr auto fields() {
-    return std::make_tuple(&AssignCommand::Placements, &AssignCommand::At);
+    return std::make_tuple(&AssignCommand::Placements, &AssignCommand::At,
+                           &AssignCommand::InTerm);
   }
 };
 
--- a/src/mulberryramp/ledger/ledger.cpp
+++ b/src/mulberryramp/ledger/ledger.cpp
@@ -7,7 +7,14 @@
 
 namespace internal {
 
-constexpr int GenerationShift = 48;
+/// Attempts that a recovery leaves room for in each millisecond before it, so
+/// that no number of a lost entry comes again.
+constexpr int AttemptsPerMsShift = 6;
+/// The number of an attempt is a count, then the end of the leader's term: a
+/// grant that a leader could not commit must not share its number with that of
+/// the next leader, as a recovery may bring it back.
+constexpr int TermBits = 16;
+constexpr std::uint64_t TermMask = (1U << TermBits) - 1;
 constexpr const char *LostMemory =
     "what became of it was lost with the memory of the data centre";
 
@@ -478,7 +485,8 @@
   return Whole;
 }
 
-void grant(Ledger &State, const Assignment &Item, WallTime At) {
+void grant(Ledger &State, const Assignment &Item,
+           const AssignCommand &Command) {
   Task &Row = State.Tasks[Item.Item];
   const RequestSpec &Spec = State.Requests[Row.Owner].Spec;
   Worker &Place = State.Workers[Item.Place];
@@ -487,12 +495,12 @@
   State.GrantedByTeam[Spec.Team] += Spec.Need;
   Row.State = TaskState::Assigned;
   Row.RanBefore = Row.MayHaveRun;
-  Row.Attempt = State.NextAttempt;
+  Row.Attempt = (State.NextCount << TermBits) | (Command.InTerm & TermMask);
   Row.Attempts += 1;
   Row.Place = Item.Place;
-  Row.AssignedAt = At;
+  Row.AssignedAt = Command.At;
   State.ByAttempt[Row.Attempt] = Item.Item;
-  State.NextAttempt += 1;
+  State.NextCount += 1;
 }
 
 ApplyResult run(Ledger &State, const AssignCommand &Command) {
@@ -502,7 +510,7 @@
       continue;
     }
     for (const Assignment &Item : Wanted.Tasks) {
-      grant(State, Item, Command.At);
+      grant(State, Item, Command);
     }
     refreshWaiting(State, Wanted.Owner);
     Result.Changed.push_back(Wanted.Owner);
@@ -594,6 +602,10 @@
   ApplyResult Result;
   State.DoubtUntil = std::max(State.DoubtUntil, Command.Until);
   State.NeedsDoubt = false;
+  const auto SinceEpoch =
+      static_cast<std::uint64_t>(Command.Until.time_since_epoch().count());
+  State.NextCount = std::max(State.NextCount, SinceEpoch << AttemptsPerMsShift);
+  State.FirstCount = State.NextCount;
   for (const RequestId Id : State.Requests.ids()) {
     Request &Row = State.Requests[Id];
     if (Row.Result != Outcome::Pending) {
@@ -629,15 +641,10 @@
       Command);
 }
 
-void markRecovery(Ledger &State) {
-  const AttemptId Generation = State.NextAttempt >> internal::GenerationShift;
-  State.NextAttempt = ((Generation + 1) << internal::GenerationShift) + 1;
-  State.NeedsDoubt = true;
-}
+void markRecovery(Ledger &State) { State.NeedsDoubt = true; }
 
 bool isBeforeRecovery(const Ledger &State, AttemptId Attempt) noexcept {
-  return Attempt >> internal::GenerationShift !=
-         State.NextAttempt >> internal::GenerationShift;
+  return State.NeedsDoubt || Attempt >> internal::TermBits < State.FirstCount;
 }
 
 RequestId findRequest(const Ledger &State, const std::string &Customer,
--- a/src/mulberryramp/ledger/ledger.hpp
+++ b/src/mulberryramp/ledger/ledger.hpp
@@ -26,7 +26,8 @@
   Table<Worker> Workers;
   Table<Task> Tasks;
   Table<Request> Requests;
-  AttemptId NextAttempt = 1;
+  std::uint64_t NextCount = 1;   ///< Count in the number of the next attempt.
+  std::uint64_t FirstCount = 1;  ///< First one since the last recovery.
   bool NeedsDoubt = false;       ///< A recovery waits for its doubt command.
   WallTime DoubtUntil;           ///< Earlier requests may have left no trace.
   std::uint64_t RulesNumber = 0; ///< Revision in force in the data centre.
@@ -41,9 +42,9 @@
 
   static constexpr auto fields() {
     return std::make_tuple(&Ledger::Workers, &Ledger::Tasks, &Ledger::Requests,
-                           &Ledger::NextAttempt, &Ledger::NeedsDoubt,
-                           &Ledger::DoubtUntil, &Ledger::RulesNumber,
-                           &Ledger::RulesText);
+                           &Ledger::NextCount, &Ledger::FirstCount,
+                           &Ledger::NeedsDoubt, &Ledger::DoubtUntil,
+                           &Ledger::RulesNumber, &Ledger::RulesText);
   }
 };
 
--- a/src/mulberryramp/node/centre_service.cpp
+++ b/src/mulberryramp/node/centre_service.cpp
@@ -132,6 +132,8 @@
   return propose(Member, encodeCommand(Command)).has_value();
 }
 
+/// Begins with no entry on its way: a leader that lost and regained its lease
+/// in one term must not lease out a worker that it has proposed to remove.
 void CentreService::startServing(Replica &Member, Instant Now, WallTime Wall) {
   IsServing = true;
   IsReleasing = false;
@@ -467,6 +469,7 @@
     AssignCommand Command;
     Command.Placements = std::move(Run.Placements);
     Command.At = Input.Wall;
+    Command.InTerm = Member.Hard.Current;
     AssignInFlight = propose(Member, encodeCommand(Command)).value_or(0);
   }
 }
@@ -481,6 +484,10 @@
     return;
   }
   if (!IsServing) {
+    const bool IsSettled = Member.Applied == lastIndex(Member);
+    if (!IsSettled) {
+      return;
+    }
     startServing(Member, Now, Wall);
   }
   const DecisionInput Input{State, InForce, Now, Wall};
--- a/src/mulberryramp/node/centre_workers.cpp
+++ b/src/mulberryramp/node/centre_workers.cpp
@@ -103,6 +103,11 @@
     finishPoll(PollId, PollVerdict::Refused, std::move(Text), NotAfter);
     return;
   }
+  if (Poll.Epoch > Member.Hard.Current) {
+    raiseTerm(Member, Now, Poll.Epoch);
+    finishPoll(PollId, PollVerdict::NotLeader, "", Instant::max());
+    return;
+  }
   const WorkerId Id = findWorker(State, Poll.Name);
   const Worker *Row = State.Workers.find(Id);
   if (Row == nullptr) {
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -859,6 +859,12 @@
   internal::rebase(State, std::move(Base));
 }
 
+void raiseTerm(Replica &State, Instant Now, Term InTerm) {
+  if (InTerm > State.Hard.Current) {
+    internal::becomeFollower(State, Now, InTerm);
+  }
+}
+
 void transferLeadership(Replica &State, Instant Now) {
   if (State.Role != ReplicaRole::Leader || State.TransferTo) {
     return;
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -184,6 +184,12 @@
 /// @param Now The present moment.
 void transferLeadership(Replica &State, Instant Now);
 
+/// @brief Takes over a higher term that a leader has used outside the group.
+/// @param State The member; gives up its role if its own term is lower.
+/// @param Now The present moment.
+/// @param InTerm The term.
+void raiseTerm(Replica &State, Instant Now, Term InTerm);
+
 /// @brief Reads the voters in force.
 [[nodiscard]] const Membership &membership(const Replica &State) noexcept;
 
--- a/test/ledger/ledger_test.cpp
+++ b/test/ledger/ledger_test.cpp
@@ -272,6 +272,25 @@
       AcceptVerdict::Doubtful);
 }
 
+TEST(LedgerApply, TwoRecoveriesOfTheSameStateNumberAttemptsApart) {
+  Ledger Other = It.State;
+  markRecovery(It.State);
+  apply(It.State, DoubtCommand{It.At});
+  markRecovery(Other);
+  apply(Other, DoubtCommand{It.At + Millis{2000}});
+  CHECK(Other.NextCount > It.State.NextCount + 100000);
+}
+
+TEST(LedgerApply, GrantsOfTwoLeadersNeverShareANumber) {
+  const auto Id = It.accept(It.spec("k"));
+  const TaskId Item = It.State.Requests[Id].Tasks[0];
+  Ledger Other = It.State;
+  const Placement Wanted{Id, {{Item, It.worker("w1")}}};
+  apply(It.State, AssignCommand{{Wanted}, It.At, 1});
+  apply(Other, AssignCommand{{Wanted}, It.At, 2});
+  CHECK(It.State.Tasks[Item].Attempt != Other.Tasks[Item].Attempt);
+}
+
 TEST(LedgerApply, ResendOfAnIdempotentRequestInDoubtRunsIt) {
   const RequestSpec Spec = It.spec("k");
   const auto Id = It.accept(Spec);
