--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -56,10 +56,11 @@
     for (const auto &[Label, Percent] :
          {std::pair{"p50", 50.0}, {"p99", 99.0}, {"max", 100.0}}) {
       const double Target = Class == "urgent" ? UrgentTargetMs : 0;
-      Rows.push_back({Name + " wait " + Class + " " + Label, "ms",
-                      static_cast<double>(percentile(Values, Percent)),
-                      static_cast<double>(percentile(Other, Percent)), Target,
-                      "lower"});
+      std::string Title = Name;
+      Title.append(" wait ").append(Class).append(" ").append(Label);
+      Rows.push_back(
+          {Title, "ms", static_cast<double>(percentile(Values, Percent)),
+           static_cast<double>(percentile(Other, Percent)), Target, "lower"});
     }
   }
 }
--- a/bench/trace.cpp
+++ b/bench/trace.cpp
@@ -222,7 +222,7 @@
                   "nightly",
                   WorkKind::Gang,
                   static_cast<std::uint32_t>(Make.between(4, 10)),
-                  {8000, 30 * 1024, 0, 1, 0},
+                  {8000, 30720, 0, 1, 0},
                   Make.between(30, 90) * SecondMs,
                   true});
   }
--- a/test/node/poll_test.cpp
+++ b/test/node/poll_test.cpp
@@ -57,7 +57,7 @@
     return All;
   }
 
-  WorkerReply poll(WorkerPoll Poll, std::int64_t Ms = 60) {
+  WorkerReply poll(const WorkerPoll &Poll, std::int64_t Ms = 60) {
     const std::uint64_t Id = NextId++;
     Core->poll(Id, Poll, Now, Wall);
     for (const PollDone &Done : pass(Ms).Polls) {
--- a/test/process/timing_main.cpp
+++ b/test/process/timing_main.cpp
@@ -95,6 +95,7 @@
       return Cluster.votersOf("a") == 3 && Cluster.readyWorkers("a") == 3;
     });
     std::vector<std::int64_t> Kills;
+    Kills.reserve(static_cast<std::size_t>(Rounds));
     for (int Round = 0; Round < Rounds; ++Round) {
       Kills.push_back(timeOneKill(Cluster, Round));
     }
@@ -111,6 +112,7 @@
     (void)Deployment::eventually(
         Longest, [&] { return Cluster.leaderOf("config") != 0; });
     std::vector<std::int64_t> Changes;
+    Changes.reserve(static_cast<std::size_t>(Rounds));
     for (int Base = 0; Base < Rounds; ++Base) {
       Changes.push_back(timeOneChange(Cluster, Base));
     }
