--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -16,7 +16,6 @@
 }
 
 void printTable(const Row &Header, const std::vector<Row> &Rows) {
-  Row Widths(Header.size());
   std::vector<std::size_t> Width(Header.size(), 0);
   const auto Widen = [&Width](const Row &Line) {
     for (std::size_t Index = 0; Index < Line.size(); ++Index) {
--- a/src/mulberryramp/ledger/command.hpp
+++ b/src/mulberryramp/ledger/command.hpp
@@ -155,18 +155,6 @@
   static constexpr auto fields() { return std::make_tuple(&ExpireCommand::At); }
 };
 
-/// @brief Ends queued requests that can never run.
-struct RejectCommand {
-  RequestId Owner;
-  std::string Reason;
-  WallTime At;
-
-  static constexpr auto fields() {
-    return std::make_tuple(&RejectCommand::Owner, &RejectCommand::Reason,
-                           &RejectCommand::At);
-  }
-};
-
 /// @brief Notes that entries may be lost that were made before a moment.
 struct DoubtCommand {
   WallTime Until;
@@ -189,7 +177,7 @@
 using LedgerCommand =
     std::variant<AcceptCommand, CancelCommand, AnnounceCommand, LeavingCommand,
                  RemoveWorkerCommand, AssignCommand, SettleCommand,
-                 ExpireCommand, RejectCommand, DoubtCommand, RulesCommand>;
+                 ExpireCommand, DoubtCommand, RulesCommand>;
 
 /// @brief Encodes a command as data of a log entry.
 [[nodiscard]] std::string encodeCommand(const LedgerCommand &Command);
--- a/src/mulberryramp/ledger/ledger.cpp
+++ b/src/mulberryramp/ledger/ledger.cpp
@@ -584,18 +584,6 @@
   return Result;
 }
 
-ApplyResult run(Ledger &State, const RejectCommand &Command) {
-  ApplyResult Result;
-  const Request *Row = State.Requests.find(Command.Owner);
-  if (Row == nullptr || Row->Result != Outcome::Pending) {
-    return Result;
-  }
-  settleWaitingTasks(State, *Row, Command.Reason);
-  updateRequest(State, Command.Owner, Command.At);
-  Result.Changed.push_back(Command.Owner);
-  return Result;
-}
-
 /// After a recovery a queued task may have been started or told to be not run
 /// by entries that are lost, so it must neither run nor be told not to have.
 ApplyResult run(Ledger &State, const DoubtCommand &Command) {
--- a/src/mulberryramp/node/centre_workers.cpp
+++ b/src/mulberryramp/node/centre_workers.cpp
@@ -153,7 +153,6 @@
   const auto [Found, Fresh] = View.Workers.try_emplace(Id);
   if (Fresh) {
     Found->second.LeaseEnd = Now + Options.WorkerLease + leaseMargin();
-    Found->second.HeardAt = Now;
     Found->second.Sequence = ServeCount << internal::SequenceShift;
   }
   return Found->second;
@@ -162,7 +161,6 @@
 void CentreService::takeReports(WorkerId Id, const WorkerPoll &Poll,
                                 Term InTerm, Instant Now) {
   WorkerView &Seen = seenOf(Id, Now);
-  Seen.HeardAt = Now;
   const bool IsCurrent = Poll.Epoch == InTerm;
   if (!IsCurrent || Poll.Ack < Seen.Sequence) {
     Seen.Orders.clear();
--- a/src/mulberryramp/system/view.hpp
+++ b/src/mulberryramp/system/view.hpp
@@ -30,7 +30,6 @@
 /// @brief What a leader knows of a worker beside the ledger.
 struct WorkerView {
   Instant LeaseEnd;           ///< The worker may run its tasks until then.
-  Instant HeardAt;            ///< Last poll.
   bool IsConfirmed = false;   ///< Reported all its attempts in this epoch.
   bool HasOrphans = false;    ///< Runs attempts that the ledger does not know.
   std::uint64_t Sequence = 0; ///< Of the last reply.
