--- a/test/admin/api_test.cpp
+++ b/test/admin/api_test.cpp
@@ -1,5 +1,9 @@
 #include "mulberryramp/admin/api.hpp"
+#include "mulberryramp/config/rules.hpp"
+#include "mulberryramp/config/settings.hpp"
 #include "mulberryramp/core/random.hpp"
+#include "mulberryramp/ledger/ledger.hpp"
+#include "mulberryramp/storage/record_codec.hpp"
 #include "mulberryramp/wire/frame.hpp"
 #include "standin/worker_json.hpp"
 
@@ -150,6 +154,28 @@
   }
 }
 
+TEST(AdminApi, MutatedFilesNeverBreakTheirParsers) {
+  Random Draw{3};
+  const std::string Settings = "[daemon]\nid = 1\n[timing]\nheartbeat-ms = 9\n"
+                               "[node.1]\ncentre = a\npeer = 127.0.0.1:7\n";
+  const std::string Rules = "class name=x priority=1 # asked by A\n"
+                            "quota team=t cpus=2 weight=3 # asked by B\n"
+                            "drain rack=r # asked by C\n";
+  std::string Records = makeRecord(encodeBatch({}));
+  Records += makeRecord(encodeSnapshot({3, 1, {{{1, 1}}}, "state"}));
+  for (int Round = 0; Round < 20000; ++Round) {
+    (void)parseSettings("s", mutated(Settings, Draw), 1);
+    (void)parseRules("r", mutated(Rules, Draw));
+    const auto Scan = scanRecords(mutated(Records, Draw));
+    for (const std::string &Body :
+         Scan ? Scan->Bodies : std::vector<std::string>{}) {
+      (void)decodeBatch(mutated(Body, Draw));
+      (void)decodeSnapshot(mutated(Body, Draw));
+    }
+    (void)decodeLedger(mutated(encodeLedger({}), Draw));
+  }
+}
+
 TEST(AdminApi, MutatedFramesNeverBreakTheReader) {
   Random Draw{2};
   SubmitCall Call;
--- a/test/process/timing_main.cpp
+++ b/test/process/timing_main.cpp
@@ -35,6 +35,22 @@
          Answer["request"]["tasks"][0]["state"] != "queued";
 }
 
+/// Submissions of one caller, one after another, through a daemon that is not
+/// the leader.
+void printRate(Deployment &Cluster) {
+  constexpr int Requests = 500;
+  const int Entry = Cluster.leaderOf("a") % 3 + 1;
+  const Instant Begin = SuspendAwareClock::now();
+  int Accepted = 0;
+  for (int Index = 0; Index < Requests; ++Index) {
+    const json Answer = Cluster.submit(Entry, "rate" + std::to_string(Index));
+    Accepted += Answer.is_object() && Answer["http"] == 200 ? 1 : 0;
+  }
+  const auto TookMs = (SuspendAwareClock::now() - Begin).count();
+  std::cout << Accepted << " of " << Requests << " submissions accepted in "
+            << TookMs << " ms by one caller\n";
+}
+
 /// Time from the kill of the leader until new work is placed on a worker.
 std::int64_t timeOneKill(Deployment &Cluster, int Round) {
   const int Leader = Cluster.leaderOf("a");
@@ -94,6 +110,7 @@
     (void)Deployment::eventually(Longest, [&] {
       return Cluster.votersOf("a") == 3 && Cluster.readyWorkers("a") == 3;
     });
+    printRate(Cluster);
     std::vector<std::int64_t> Kills;
     Kills.reserve(static_cast<std::size_t>(Rounds));
     for (int Round = 0; Round < Rounds; ++Round) {
