--- /dev/null
+++ b/src/celld/cell_daemon.cpp
@@ -0,0 +1,545 @@
+#include "celld/cell_daemon.hpp"
+
+#include "celld/cell_metrics.hpp"
+#include "celld/event_log.hpp"
+#include "celld/group_writer.hpp"
+#include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/core/time.hpp"
+#include "mulberryramp/net/peer_links.hpp"
+#include "mulberryramp/storage/identity.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Reactor.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <random>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Longest wait of the event loop of a voter, and of another node.
+constexpr Millis VoterTick{10};
+constexpr Millis RelayTick{25};
+constexpr int MaxBatchesPerStep = 64;
+/// An order that was decided longer ago is not sent: the node was suspended.
+constexpr Millis StaleOrderAfter{150};
+/// Between looks at the settings file.
+constexpr Millis ReloadEvery{1000};
+/// A balancer sends no new connections this long after the request to end.
+constexpr Millis LingerCallers{2500};
+/// Connections to one worker: one for the open hold, others for orders.
+constexpr long MaxConnectionsPerWorker = 3;
+/// Entries of the log between snapshots, and kept behind one.
+constexpr std::size_t SnapshotEvery = 2000;
+constexpr std::size_t KeepEntries = 500;
+constexpr const char *GroupFolder = "cell";
+
+volatile std::sig_atomic_t StopRequested = 0;
+volatile std::sig_atomic_t ReloadRequested = 0;
+
+void onStopSignal(int /*Signal*/) { StopRequested = 1; }
+void onReloadSignal(int /*Signal*/) { ReloadRequested = 1; }
+
+std::uint64_t drawSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32U) | Source();
+}
+
+/// Runs a function when a descriptor becomes readable.
+class ReadableHandler final : public ACE_Event_Handler {
+public:
+  ReadableHandler(ACE_Reactor &Loop, int Descriptor,
+                  std::function<void()> OnReadable)
+      : ACE_Event_Handler{&Loop}, Descriptor{Descriptor},
+        OnReadable{std::move(OnReadable)} {
+    Loop.register_handler(this, READ_MASK);
+  }
+  ~ReadableHandler() override {
+    reactor()->remove_handler(this, READ_MASK | DONT_CALL);
+  }
+  ACE_HANDLE get_handle() const override { return Descriptor; }
+  int handle_input(ACE_HANDLE /*Handle*/) override {
+    OnReadable();
+    return 0;
+  }
+
+private:
+  int Descriptor;
+  std::function<void()> OnReadable;
+};
+
+/// An HTTP server with the handler that drives it.
+struct Front {
+  std::unique_ptr<HttpServer> Http;
+  std::unique_ptr<ReadableHandler> Waker;
+};
+
+/// A request that waits for the answer of the cell.
+struct OpenRequest {
+  HttpServer *Http = nullptr;
+  std::uint64_t Exchange = 0;
+  CallShape Shape;
+  Instant Since;
+};
+
+std::vector<NodeId> seedNodes(const CellSettings &Settings) {
+  std::vector<NodeId> Nodes;
+  for (const std::string &Host : Settings.Seeds) {
+    Nodes.push_back(nodeIdOf(Host));
+  }
+  return Nodes;
+}
+
+std::string readFile(const std::string &Name) {
+  std::ifstream Source{Name};
+  return {std::istreambuf_iterator<char>{Source}, {}};
+}
+
+CellNodeOptions nodeOptions(const CellSettings &Settings,
+                            std::uint64_t Incarnation) {
+  CellNodeOptions Options;
+  Options.Self = nodeIdOf(Settings.Host);
+  Options.Seeds = seedNodes(Settings);
+  Options.IsVoter = Settings.IsVoter;
+  Options.Incarnation = Incarnation;
+  Options.Agreement.IsOpen = true;
+  Options.Agreement.MayRecoverAlone = false;
+  Options.Agreement.MinVoters = 2 * Settings.MayLose + 1;
+  Options.Agreement.SnapshotEvery = SnapshotEvery;
+  Options.Agreement.KeepEntries = KeepEntries;
+  Options.Dispatch.Lease = Settings.Lease;
+  Options.Dispatch.ReportEvery = Settings.ReportEvery;
+  Options.Dispatch.Retention = Settings.Retention;
+  Options.Seed = drawSeed();
+  return Options;
+}
+
+} // namespace
+
+struct CellDaemon::Impl {
+  Impl(std::string File, CellSettings Settings,
+       std::unique_ptr<Gateway> Protocol)
+      : File{std::move(File)}, Settings{std::move(Settings)},
+        Protocol{std::move(Protocol)}, Log{this->Settings.Name},
+        Client{Loop, MaxConnectionsPerWorker} {}
+
+  std::string File;
+  std::string FileText;
+  CellSettings Settings;
+  std::unique_ptr<Gateway> Protocol;
+  EventLog Log;
+  ACE_Reactor Loop{new ACE_Dev_Poll_Reactor, true};
+  AsyncHttpClient Client;
+  std::unique_ptr<FileSystem> Files;
+  std::unique_ptr<GroupWriter> Writer;
+  std::unique_ptr<ReadableHandler> WriterWaker;
+  std::unique_ptr<CellNode> Node;
+  std::unique_ptr<PeerLinks> Links;
+  std::vector<Front> Fronts;
+  CellMetrics Telemetry;
+  std::map<std::uint64_t, OpenRequest> Open;
+  std::uint64_t NextCall = 1;
+  Instant ReloadAt;
+  bool IsLeaving = false;
+  Instant LeftAt;
+
+  [[nodiscard]] tl::expected<void, std::string> openNode();
+  [[nodiscard]] tl::expected<StoredGroup, std::string>
+  openStore(std::uint64_t &Incarnation);
+  [[nodiscard]] tl::expected<void, std::string> openLinks();
+  using Serve = std::function<void(HttpServer &, std::uint64_t, ApiRequest)>;
+  [[nodiscard]] tl::expected<void, std::string>
+  listen(const std::optional<Endpoint> &Where, Serve OnRequest);
+  [[nodiscard]] tl::expected<void, std::string> openFronts();
+
+  void onCall(Listener Where, HttpServer &Http, std::uint64_t Exchange,
+              const ApiRequest &Request);
+  void event(std::string_view Line) {
+    Log.add(wallNow().time_since_epoch().count(), Line);
+  }
+  void sendPeer(const CellMessage &Message);
+  void sendOrder(const WorkerOrder &Order, Instant DecidedAt);
+  void sendQuestion(const AdviceQuestion &Question);
+  void answerCall(const LocalReply &Done);
+  [[nodiscard]] std::string controlAddress() const;
+  void step();
+  void reload();
+  void beginToLeave();
+  [[nodiscard]] bool hasLeft() const;
+};
+
+CellDaemon::CellDaemon(std::unique_ptr<Impl> Parts) : Parts{std::move(Parts)} {}
+CellDaemon::~CellDaemon() = default;
+
+/// Opens the log of a voter. The seeds of a new cell are its first voters and
+/// all write the same first state; what is on the disk goes before that.
+tl::expected<StoredGroup, std::string>
+CellDaemon::Impl::openStore(std::uint64_t &Incarnation) {
+  const auto Problem = [](const StorageError &Error) {
+    return tl::make_unexpected("storage: " + Error.Text);
+  };
+  auto Opened = openDiskFiles(Settings.DataFolder);
+  if (!Opened) {
+    return Problem(Opened.error());
+  }
+  Files = std::move(*Opened);
+  const std::vector<NodeId> Seeds = seedNodes(Settings);
+  const bool IsFounder =
+      Settings.Founds && std::find(Seeds.begin(), Seeds.end(),
+                                   nodeIdOf(Settings.Host)) != Seeds.end();
+  StoredGroup Stored;
+  auto Store = GroupStore::open(*Files, GroupFolder, Stored);
+  if (!Store) {
+    return Problem(Store.error());
+  }
+  const bool IsNew = Stored.Base.Voters.Voters.empty();
+  if (IsFounder && IsNew) {
+    std::vector<Member> Founders;
+    for (const NodeId Seed : Seeds) {
+      Founders.push_back({Seed, FounderIncarnation});
+    }
+    std::sort(Founders.begin(), Founders.end());
+    Stored = foundGroup(std::move(Founders));
+    PersistBatch First;
+    First.Base = Stored.Base;
+    auto Written = writeIdentity(*Files, FounderIncarnation).and_then([&] {
+      return Store->write(First);
+    });
+    if (!Written) {
+      return Problem(Written.error());
+    }
+  }
+  const auto Identity = openIdentity(*Files, wallNow());
+  if (!Identity) {
+    return Problem(Identity.error());
+  }
+  Incarnation = *Identity;
+  Writer = std::make_unique<GroupWriter>(std::move(*Store));
+  WriterWaker = std::make_unique<ReadableHandler>(
+      Loop, Writer->descriptor(), [this] {
+        if (Writer->takeDone()) {
+          Node->writeDone();
+        }
+      });
+  return Stored;
+}
+
+tl::expected<void, std::string> CellDaemon::Impl::openNode() {
+  std::uint64_t Incarnation = newIncarnation(wallNow());
+  StoredGroup Stored;
+  if (Settings.IsVoter) {
+    auto Opened = openStore(Incarnation);
+    if (!Opened) {
+      return tl::make_unexpected(Opened.error());
+    }
+    Stored = std::move(*Opened);
+  }
+  Node = std::make_unique<CellNode>(nodeOptions(Settings, Incarnation),
+                                    std::move(Stored),
+                                    SuspendAwareClock::now());
+  event("event=start incarnation=" + std::to_string(Incarnation) +
+        " voter=" + (Settings.IsVoter ? "yes" : "no"));
+  return {};
+}
+
+tl::expected<void, std::string> CellDaemon::Impl::openLinks() {
+  auto Opened = PeerLinks::open({Settings.Host, Settings.PeerPort}, Loop,
+                                [this](std::string_view Payload) {
+                                  const auto Message =
+                                      decodeCellMessage(Payload);
+                                  if (Message) {
+                                    Node->receive(*Message,
+                                                  SuspendAwareClock::now(),
+                                                  wallNow());
+                                  }
+                                  return Message.has_value();
+                                });
+  if (!Opened) {
+    return tl::make_unexpected(Opened.error());
+  }
+  Links = std::move(*Opened);
+  return {};
+}
+
+tl::expected<void, std::string>
+CellDaemon::Impl::listen(const std::optional<Endpoint> &Where,
+                         Serve OnRequest) {
+  if (!Where) {
+    return {};
+  }
+  const std::size_t Index = Fronts.size();
+  auto Http = HttpServer::listen(
+      *Where,
+      [this, Index, OnRequest](std::uint64_t Id, ApiRequest Request) {
+        OnRequest(*Fronts[Index].Http, Id, std::move(Request));
+      },
+      [](std::uint64_t) {});
+  if (!Http) {
+    return tl::make_unexpected(Http.error());
+  }
+  Front Item;
+  Item.Http = std::move(*Http);
+  HttpServer &Server = *Item.Http;
+  Item.Waker = std::make_unique<ReadableHandler>(
+      Loop, Server.descriptor(), [&Server] { Server.run(); });
+  Fronts.push_back(std::move(Item));
+  return {};
+}
+
+tl::expected<void, std::string> CellDaemon::Impl::openFronts() {
+  const auto CallsFrom = [this](Listener Where) -> Serve {
+    return [this, Where](HttpServer &Http, std::uint64_t Id,
+                         const ApiRequest &Request) {
+      onCall(Where, Http, Id, Request);
+    };
+  };
+  const Serve Readiness = [this](HttpServer &Http, std::uint64_t Id,
+                                 const ApiRequest & /*Request*/) {
+    const bool IsReady = Node->isReadyForCallers(SuspendAwareClock::now());
+    Http.respond(Id, {IsReady ? 200 : 503, "application/json",
+                      IsReady ? R"({"ready":true})" : R"({"ready":false})"});
+  };
+  const Serve Metrics = [this](HttpServer &Http, std::uint64_t Id,
+                               const ApiRequest & /*Request*/) {
+    Http.respond(Id,
+                 {200, "text/plain; version=0.0.4",
+                  Telemetry.render(Node->view(), Links->counters(),
+                                   Writer ? Writer->failures() : 0)});
+  };
+  return listen(Settings.Callers, CallsFrom(Listener::Callers))
+      .and_then([&] {
+        return listen(Settings.Control, CallsFrom(Listener::Control));
+      })
+      .and_then([&] { return listen(Settings.Readiness, Readiness); })
+      .and_then([&] { return listen(Settings.Metrics, Metrics); });
+}
+
+tl::expected<std::unique_ptr<CellDaemon>, std::string>
+CellDaemon::start(const std::string &SettingsFile, const CellSettings &Settings,
+                  std::unique_ptr<Gateway> Protocol) {
+  auto Parts =
+      std::make_unique<Impl>(SettingsFile, Settings, std::move(Protocol));
+  Parts->FileText = readFile(SettingsFile);
+  // Reallocation would move the servers that handlers refer to.
+  Parts->Fronts.reserve(4);
+  auto Opened = Parts->openNode()
+                    .and_then([&] { return Parts->openLinks(); })
+                    .and_then([&] { return Parts->openFronts(); });
+  if (!Opened) {
+    return tl::make_unexpected(Opened.error());
+  }
+  return std::unique_ptr<CellDaemon>{new CellDaemon{std::move(Parts)}};
+}
+
+void CellDaemon::Impl::onCall(Listener Where, HttpServer &Http,
+                              std::uint64_t Exchange,
+                              const ApiRequest &Request) {
+  auto Call = Protocol->decodeCall(Where, Request);
+  if (!Call) {
+    event("event=rejected method=" + Request.Method + " path=" + Request.Path +
+          " status=" + std::to_string(Call.error().Status) +
+          " reason=" + Call.error().Body);
+    Http.respond(Exchange, std::move(Call.error()));
+    return;
+  }
+  OpenRequest Item;
+  Item.Http = &Http;
+  Item.Exchange = Exchange;
+  Item.Shape.Kind = Call->index();
+  Item.Since = SuspendAwareClock::now();
+  if (const auto *OfJob = std::get_if<JobCall>(&*Call)) {
+    Item.Shape.Verb = OfJob->Verb;
+  }
+  const std::uint64_t Id = NextCall;
+  NextCall += 1;
+  Open[Id] = Item;
+  Node->call(Id, std::move(*Call), Item.Since);
+}
+
+std::string CellDaemon::Impl::controlAddress() const {
+  const NodeId Leader = Node->leader();
+  return Leader == 0 ? std::string{}
+                     : render(Endpoint{hostOf(Leader), Settings.ControlPort});
+}
+
+void CellDaemon::Impl::answerCall(const LocalReply &Done) {
+  const auto Found = Open.find(Done.CallId);
+  if (Found == Open.end()) {
+    return;
+  }
+  const OpenRequest Item = Found->second;
+  Open.erase(Found);
+  const auto Took = SuspendAwareClock::now() - Item.Since;
+  Telemetry.observeCall(std::chrono::duration<double>(Took).count());
+  if (Done.Reply.Verdict == CellVerdict::Refused ||
+      Done.Reply.Verdict == CellVerdict::Unknown) {
+    event("event=not-served verdict=" +
+          std::string{nameOf(Done.Reply.Verdict)} +
+          " after_ms=" + std::to_string(Took.count()) +
+          " reason=" + Done.Reply.Text);
+  }
+  Item.Http->respond(Item.Exchange, Protocol->encodeReply(Item.Shape, Done.Reply,
+                                                          controlAddress()));
+}
+
+void CellDaemon::Impl::sendPeer(const CellMessage &Message) {
+  if (!Links->knows(Message.To)) {
+    Links->name(Message.To, {hostOf(Message.To), Settings.PeerPort}, false);
+  }
+  Links->send(Message.To, encodeCellMessage(Message));
+}
+
+void CellDaemon::Impl::sendOrder(const WorkerOrder &Order, Instant DecidedAt) {
+  if (SuspendAwareClock::now() - DecidedAt > StaleOrderAfter) {
+    OrderResult Unsent;
+    Unsent.Id = Order.Id;
+    Unsent.Verdict = OrderVerdict::Unsent;
+    Node->orderDone(Unsent, SuspendAwareClock::now(), wallNow());
+    return;
+  }
+  Client.send(Protocol->encodeOrder(Order),
+              [this, Order](const OutboundResponse &Response) {
+                Node->orderDone(Protocol->decodeOrderAnswer(Order, Response),
+                                SuspendAwareClock::now(), wallNow());
+              });
+}
+
+void CellDaemon::Impl::sendQuestion(const AdviceQuestion &Question) {
+  if (!Settings.Advisor) {
+    AdviceAnswer None;
+    None.Id = Question.Id;
+    Node->adviceDone(None, SuspendAwareClock::now());
+    return;
+  }
+  Client.send(Protocol->encodeQuestion(Question, *Settings.Advisor),
+              [this, Question](const OutboundResponse &Response) {
+                Node->adviceDone(Protocol->decodeAdvice(Question, Response),
+                                 SuspendAwareClock::now());
+              });
+}
+
+void CellDaemon::Impl::step() {
+  Client.run();
+  const Instant Now = SuspendAwareClock::now();
+  const WallTime Wall = wallNow();
+  CellOutput Output = Node->step(Now, Wall);
+  for (const CellMessage &Message : Output.Messages) {
+    sendPeer(Message);
+  }
+  if (Output.Write) {
+    Writer->write(std::move(*Output.Write));
+  }
+  for (const WorkerOrder &Order : Output.Orders) {
+    sendOrder(Order, Now);
+  }
+  for (const AdviceQuestion &Question : Output.Questions) {
+    sendQuestion(Question);
+  }
+  for (const LocalReply &Done : Output.Replies) {
+    answerCall(Done);
+  }
+  for (const std::string &Line : Output.Events) {
+    event(Line);
+  }
+  for (const Front &Item : Fronts) {
+    Item.Http->run();
+  }
+  Client.run();
+  Links->tick(Now);
+  if (ReloadRequested != 0 || Now >= ReloadAt) {
+    ReloadRequested = 0;
+    ReloadAt = Now + ReloadEvery;
+    reload();
+  }
+  Log.flush();
+}
+
+void CellDaemon::Impl::reload() {
+  const std::string Text = readFile(File);
+  if (Text == FileText || Text.empty()) {
+    return;
+  }
+  FileText = Text;
+  const auto Fresh = parseCellSettings(File, Text);
+  if (!Fresh) {
+    event("event=reload outcome=refused");
+    LOG(ERROR) << "settings not taken over: " << Fresh.error().render();
+    return;
+  }
+  Settings.Seeds = Fresh->Seeds;
+  Settings.Advisor = Fresh->Advisor;
+  Node->learnSeeds(seedNodes(Settings));
+  event("event=reload outcome=taken seeds=" +
+        std::to_string(Settings.Seeds.size()));
+}
+
+void CellDaemon::Impl::beginToLeave() {
+  IsLeaving = true;
+  LeftAt = SuspendAwareClock::now();
+  event("event=leave open=" + std::to_string(Open.size()));
+  Node->leave(LeftAt);
+}
+
+bool CellDaemon::Impl::hasLeft() const {
+  if (!IsLeaving) {
+    return false;
+  }
+  const Instant Now = SuspendAwareClock::now();
+  if (Now - LeftAt >= Settings.LeaveWithin) {
+    return true;
+  }
+  const bool IsDrained =
+      !Settings.Callers || Now - LeftAt >= LingerCallers;
+  return IsDrained && Open.empty() && !Node->isLeading(Now);
+}
+
+int CellDaemon::run() {
+  Impl &Self = *Parts;
+  const Millis Tick = Self.Settings.IsVoter ? VoterTick : RelayTick;
+  while (!Self.hasLeft()) {
+    const Millis Wait = Self.Client.waitTime(Tick);
+    ACE_Time_Value Left{0, static_cast<suseconds_t>(Wait.count()) * 1000};
+    for (int Batch = 0; Batch < MaxBatchesPerStep; ++Batch) {
+      if (Self.Loop.handle_events(Left) <= 0) {
+        break;
+      }
+      Left = ACE_Time_Value::zero;
+    }
+    if (StopRequested != 0 && !Self.IsLeaving) {
+      Self.beginToLeave();
+    }
+    Self.step();
+  }
+  Self.event("event=stop");
+  Self.Log.flush();
+  return 0;
+}
+
+int CellDaemon::main(const std::string &SettingsFile,
+                     std::unique_ptr<Gateway> Protocol) {
+  const auto Settings =
+      parseCellSettings(SettingsFile, readFile(SettingsFile));
+  if (!Settings) {
+    LOG(ERROR) << Settings.error().render();
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, onStopSignal);
+  std::signal(SIGINT, onStopSignal);
+  std::signal(SIGHUP, onReloadSignal);
+  auto Started = start(SettingsFile, *Settings, std::move(Protocol));
+  if (!Started) {
+    LOG(ERROR) << Started.error();
+    return 1;
+  }
+  return (*Started)->run();
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/celld/group_writer.cpp
@@ -0,0 +1,84 @@
+#include "celld/group_writer.hpp"
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Between tries of a write that failed, as on a full disk.
+constexpr std::chrono::milliseconds RetryEvery{300};
+
+} // namespace
+
+GroupWriter::GroupWriter(GroupStore Store) : Store{std::move(Store)} {
+  if (::pipe2(Ready, O_NONBLOCK | O_CLOEXEC) != 0) {
+    LOG(FATAL) << "no pipe for the storage thread";
+  }
+  Worker = std::thread{[this] { work(); }};
+}
+
+GroupWriter::~GroupWriter() {
+  {
+    const std::lock_guard Lock{Guard};
+    IsEnding = true;
+  }
+  Wake.notify_one();
+  Worker.join();
+  ::close(Ready[0]);
+  ::close(Ready[1]);
+}
+
+void GroupWriter::write(PersistBatch Batch) {
+  {
+    const std::lock_guard Lock{Guard};
+    Next = std::move(Batch);
+  }
+  Wake.notify_one();
+}
+
+bool GroupWriter::takeDone() {
+  char Byte = 0;
+  return ::read(Ready[0], &Byte, 1) == 1;
+}
+
+void GroupWriter::work() {
+  while (true) {
+    std::optional<PersistBatch> Batch;
+    {
+      std::unique_lock Lock{Guard};
+      Wake.wait(Lock, [this] { return IsEnding || Next; });
+      if (IsEnding) {
+        return;
+      }
+      Batch = std::exchange(Next, std::nullopt);
+    }
+    writeUntilDone(*Batch);
+    const char Byte = 1;
+    if (::write(Ready[1], &Byte, 1) != 1) {
+      LOG(ERROR) << "cannot wake the event loop";
+    }
+  }
+}
+
+void GroupWriter::writeUntilDone(const PersistBatch &Batch) {
+  while (true) {
+    const auto Written = Store.write(Batch);
+    if (Written) {
+      return;
+    }
+    if (Failures.fetch_add(1) == 0) {
+      LOG(ERROR) << "storage failed, trying again: " << Written.error().Text;
+    }
+    std::unique_lock Lock{Guard};
+    if (Wake.wait_for(Lock, RetryEvery, [this] { return IsEnding; })) {
+      return;
+    }
+  }
+}
+
+} // namespace mulberryramp
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,6 @@
 #include "daemon/daemon.hpp"
 
-#include "daemon/identity.hpp"
+#include "mulberryramp/storage/identity.hpp"
 #include "daemon/state_log.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/http/server.hpp"
@@ -104,16 +104,26 @@
     return tl::make_unexpected(Core.error().Text);
   }
   Self.Core = std::move(*Core);
+  const NodeSettings &Mine = *findNode(Deployment, Deployment.Self);
   auto Links = PeerLinks::open(
-      Deployment, Self.Loop, [&Self](const PeerMessage &Message) {
-        Self.Core->receive(Message, SuspendAwareClock::now(), wallNow());
+      Mine.Peer, Self.Loop, [&Self](std::string_view Payload) {
+        const auto Message = decodeMessage(Payload);
+        if (Message) {
+          Self.Core->receive(*Message, SuspendAwareClock::now(), wallNow());
+        }
+        return Message.has_value();
       });
   if (!Links) {
     return tl::make_unexpected(Links.error());
   }
   Self.Links = std::move(*Links);
+  for (const NodeSettings &Node : Deployment.Nodes) {
+    if (Node.Id != Mine.Id) {
+      Self.Links->name(Node.Id, Node.Peer, Node.Region != Mine.Region);
+    }
+  }
   auto Http = HttpServer::listen(
-      findNode(Deployment, Deployment.Self)->Http,
+      Mine.Http,
       [&Self](std::uint64_t Id, const ApiRequest &Request) {
         Self.onRequest(Id, Request);
       },
@@ -175,7 +185,7 @@
     return false;
   }
   for (const PeerMessage &Message : Output->Messages) {
-    Links->send(Message);
+    Links->send(Message.To, encodeMessage(Message));
   }
   for (const PollDone &Done : Output->Polls) {
     answerPoll(Done);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,5 @@
 #include "daemon/daemon.hpp"
-#include "daemon/identity.hpp"
+#include "mulberryramp/storage/identity.hpp"
 #include "mulberryramp/node/node.hpp"
 
 #include <cxxopts.hpp>
--- a/src/mulberryramp/admin/api.hpp
+++ b/src/mulberryramp/admin/api.hpp
@@ -20,6 +20,7 @@
   std::string Path;
   std::map<std::string, std::string> Query;
   std::string Body;
+  std::string Host{}; ///< Host header, as the caller sent it.
 };
 
 /// @brief Why a request is answered without being carried out.
--- /dev/null
+++ b/src/mulberryramp/cell/advice.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "mulberryramp/cell/dispatcher.hpp"
+
+/// @file
+/// @brief Which workers a step may use, where an advisor outside decides.
+
+namespace mulberryramp {
+
+/// @brief Estimates how long the advisor takes to answer.
+[[nodiscard]] Millis answerTime(const AdviceRules &Rules, std::size_t Workers);
+
+/// @brief Tells whether a step may be started on a worker now.
+[[nodiscard]] bool isAdmitted(const StepAdvice &Known, LifeId Worker,
+                              Instant Now);
+
+/// @brief Asks about a step, unless a question is open or no node is free.
+/// @param Workers Workers that would be used, best first.
+/// @return True if it was asked.
+bool askAdvice(Dispatcher &Lead, const CellState &State, const StepKey &Step,
+               const AdviceRules &Rules, const std::vector<LifeId> &Workers,
+               Instant Now);
+
+/// @brief Gives up questions that were not answered in time.
+void expireQuestions(Dispatcher &Lead, Instant Now);
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -0,0 +1,550 @@
+#include "mulberryramp/cell/cell_node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace {
+
+constexpr const char *GroupName = "cell";
+
+/// Nothing but what this node has synced may be claimed by these.
+bool needsSync(const ReplicaBody &Body) {
+  return std::holds_alternative<VoteRequest>(Body) ||
+         std::holds_alternative<VoteReply>(Body) ||
+         std::holds_alternative<AppendReply>(Body);
+}
+
+CellReply reply(CellVerdict Verdict, std::string Text = {}) {
+  CellReply Item;
+  Item.Verdict = Verdict;
+  Item.Text = std::move(Text);
+  return Item;
+}
+
+} // namespace
+
+CellNode::CellNode(const CellNodeOptions &Options, StoredGroup Stored,
+                   Instant Now)
+    : Options{Options}, Relay{Options.Self, Options.Seeds}, Clock{Now} {
+  Lead.Options = Options.Dispatch;
+  Lead.Self = Options.Self;
+  if (Options.IsVoter) {
+    Group.emplace(startReplica(GroupName, {Options.Self, Options.Incarnation},
+                               Options.Agreement, std::move(Stored),
+                               Options.Seed, Now),
+                  std::nullopt, static_cast<GroupState &>(*this));
+    learnSeeds(Options.Seeds);
+  }
+}
+
+CellNode::~CellNode() = default;
+
+void CellNode::learnSeeds(const std::vector<NodeId> &Seeds) {
+  Relay.learn(Seeds);
+  if (Group) {
+    Group->replica().Options.VoterNodes.insert(Seeds.begin(), Seeds.end());
+    Group->replica().Options.VoterNodes.erase(0);
+  }
+}
+
+void CellNode::send(NodeId To, CellBody Body) {
+  Out.push_back({Options.Self, To, std::move(Body)});
+}
+
+void CellNode::receive(const CellMessage &Message, Instant Now, WallTime Wall) {
+  Clock = Now;
+  CivilNow = Wall;
+  if (Message.To != Options.Self) {
+    return;
+  }
+  std::visit(
+      [&](const auto &Body) {
+        using Kind = std::decay_t<decltype(Body)>;
+        if constexpr (std::is_same_v<Kind, ReplicaMessage>) {
+          if (Group) {
+            mulberryramp::receive(Group->replica(), Now, Body);
+          }
+        } else if constexpr (std::is_same_v<Kind, NodeHello>) {
+          onHello(Message.From, Now);
+        } else if constexpr (std::is_same_v<Kind, NodeWelcome>) {
+          Relay.receive(Message.From, Body, Now);
+          learnSeeds(Body.Voters);
+        } else if constexpr (std::is_same_v<Kind, RelayedCall>) {
+          onCall(Message.From, Body, Wall);
+        } else if constexpr (std::is_same_v<Kind, RelayedReply>) {
+          Relay.receive(Message.From, Body, Now);
+        } else if constexpr (std::is_same_v<Kind, AdviceQuestion>) {
+          onQuestion(Message.From, Body);
+        } else if (isLeading(Now)) {
+          noteAdvice(Lead, State, Body, Now);
+        }
+      },
+      Message.Body);
+}
+
+void CellNode::onHello(NodeId From, Instant Now) {
+  if (!Group) {
+    return;
+  }
+  NodeWelcome Welcome;
+  Welcome.Leader = leader();
+  Welcome.IsConfigured = State.Rules.Version != 0;
+  for (const Member &Voter : membership(Group->replica()).Voters) {
+    Welcome.Voters.push_back(Voter.Node);
+  }
+  if (isLeading(Now)) {
+    Lead.Nodes[From].HeardAt = Now;
+  } else if (Welcome.Leader == Options.Self) {
+    Welcome.Leader = 0;
+  }
+  send(From, std::move(Welcome));
+}
+
+void CellNode::onQuestion(NodeId From, const AdviceQuestion &Question) {
+  AdviceQuestion Own = Question;
+  Own.Id = NextQuestion;
+  NextQuestion += 1;
+  Asked[Own.Id] = {From, Question.Id};
+  Questions.push_back(std::move(Own));
+}
+
+void CellNode::adviceDone(const AdviceAnswer &Answer, Instant Now) {
+  const auto Found = Asked.find(Answer.Id);
+  if (Found == Asked.end()) {
+    return;
+  }
+  AdviceAnswer Told = Answer;
+  Told.Id = Found->second.Id;
+  const NodeId To = Found->second.From;
+  Asked.erase(Found);
+  if (To != Options.Self) {
+    send(To, std::move(Told));
+  } else if (isLeading(Now)) {
+    noteAdvice(Lead, State, Told, Now);
+  }
+}
+
+void CellNode::call(std::uint64_t CallId, CellCall Body, Instant Now) {
+  Relay.call(CallId, std::move(Body), Now);
+}
+
+void CellNode::orderDone(const OrderResult &Result, Instant Now,
+                         WallTime Wall) {
+  if (Lead.IsActive) {
+    noteOrderResult(Lead, State, Result, Now, Wall);
+  }
+}
+
+void CellNode::writeDone() {
+  IsWriting = false;
+  finishSave(Group->replica());
+  for (ReplicaMessage &Message : HeldNow) {
+    const NodeId To = Message.To.Node;
+    send(To, std::move(Message));
+  }
+  HeldNow = std::exchange(HeldNext, {});
+}
+
+void CellNode::answer(NodeId To, std::uint64_t Id, CellReply Reply) {
+  send(To, RelayedReply{Id, true, false, std::move(Reply)});
+}
+
+void CellNode::onCall(NodeId From, const RelayedCall &Call, WallTime Wall) {
+  if (!isLeading(Clock)) {
+    send(From, RelayedReply{Call.Id, false, false, {}});
+    return;
+  }
+  const Waiter For{From, Call.Id, std::nullopt};
+  std::visit([&](const auto &Body) { serve(For, Body, Wall); }, Call.Body);
+}
+
+void CellNode::propose(const Waiter &For, CellCommand Command) {
+  Proposals.push_back(std::move(Command));
+  ProposalWaiters.push_back(For);
+}
+
+bool CellNode::isOfQueue(JobId Id, const JobQueue &Queue) const {
+  const JobQueue &Own = State.Jobs[Id].Queue;
+  return Own.Host == Queue.Host && Own.Prefix == Queue.Prefix;
+}
+
+std::uint32_t CellNode::countPending(const JobQueue &Queue) const {
+  std::uint32_t Count = 0;
+  for (const JobId Id : State.Jobs.ids()) {
+    Count +=
+        State.Jobs[Id].Phase == JobPhase::Queued && isOfQueue(Id, Queue) ? 1
+                                                                         : 0;
+  }
+  return Count;
+}
+
+void CellNode::serve(const Waiter &For, const JobCall &Call, WallTime Wall) {
+  const JobQueue *Queue = findQueue(State.Rules, Call.Host, Call.Path);
+  if (Queue == nullptr) {
+    const bool IsConfigured = State.Rules.Version != 0;
+    answer(For.From, For.Id,
+           IsConfigured ? reply(CellVerdict::NotFound, "no such queue")
+                        : reply(CellVerdict::Refused, "no configuration yet"));
+    return;
+  }
+  const std::string Name = Call.Path.substr(Queue->Prefix.size());
+  if (Name.empty() && Call.Verb == JobVerb::Read) {
+    CellReply Count;
+    Count.IsQueue = true;
+    Count.Pending = countPending(*Queue);
+    answer(For.From, For.Id, std::move(Count));
+    return;
+  }
+  const JobId Known = findJob(State, Name);
+  const bool IsKnown = Known.isSet() && isOfQueue(Known, *Queue);
+  if (Call.Verb == JobVerb::Submit && !Known.isSet()) {
+    submitJob(For, *Queue, Name, Call, Wall);
+  } else if (!IsKnown) {
+    answer(For.From, For.Id, reply(CellVerdict::Gone, "no such job"));
+  } else if (Call.Verb == JobVerb::Cancel) {
+    cancelJob(For, *Queue, Name, Wall);
+  } else {
+    CellReply Found;
+    Found.Phase = State.Jobs[Known].Phase;
+    answer(For.From, For.Id, std::move(Found));
+  }
+}
+
+void CellNode::submitJob(const Waiter &For, const JobQueue &Queue,
+                         std::string Name, const JobCall &Call,
+                         WallTime Wall) {
+  if (Name.empty()) {
+    answer(For.From, For.Id, reply(CellVerdict::NotFound, "no job name"));
+    return;
+  }
+  Events.push_back("event=submit job=" + Name + " queue=" + Queue.Prefix +
+                   " steps=" + std::to_string(Call.Spec.Steps.size()) +
+                   " configuration=" + std::to_string(State.Rules.Version));
+  propose(For, SubmitJobCommand{std::move(Name), Queue.Host, Queue.Prefix,
+                                Call.Spec, Wall});
+}
+
+void CellNode::cancelJob(const Waiter &For, const JobQueue & /*Queue*/,
+                         const std::string &Name, WallTime Wall) {
+  if (isOver(State.Jobs[findJob(State, Name)].Phase)) {
+    answer(For.From, For.Id, reply(CellVerdict::Done));
+    return;
+  }
+  Events.push_back("event=cancel job=" + Name);
+  propose(For, CancelJobCommand{Name, Wall});
+}
+
+void CellNode::serve(const Waiter &For, const ConfigureCall &Call,
+                     WallTime /*Wall*/) {
+  if (Call.Rules.Version <= State.Rules.Version) {
+    answer(For.From, For.Id, reply(CellVerdict::Done, "already overtaken"));
+    return;
+  }
+  Events.push_back("event=configure version=" +
+                   std::to_string(Call.Rules.Version) +
+                   " queues=" + std::to_string(Call.Rules.Queues.size()) +
+                   " former=" + std::to_string(State.Rules.Version));
+  propose(For, ConfigureCommand{Call.Rules});
+}
+
+void CellNode::serve(const Waiter &For, const ReadConfigurationCall & /*Call*/,
+                     WallTime /*Wall*/) {
+  answer(For.From, For.Id,
+         State.Rules.Version == 0
+             ? reply(CellVerdict::Refused, "no configuration yet")
+             : reply(CellVerdict::Done, State.Rules.Document));
+}
+
+void CellNode::serve(const Waiter &For, const WorkerReportCall &Call,
+                     WallTime /*Wall*/) {
+  const LifeId Known = findWorker(State, Call.Report.Name);
+  const WorkerLife *Life = State.Workers.find(Known);
+  if (Life == nullptr || Call.Report.Born > Life->Report.Born) {
+    Waiter Joins = For;
+    Joins.Report = Call.Report;
+    propose(Joins, WorkerJoinCommand{Call.Report});
+    return;
+  }
+  if (Call.Report.Born < Life->Report.Born) {
+    answer(For.From, For.Id, reply(CellVerdict::Done, "an earlier life"));
+    return;
+  }
+  noteReport(Lead, Known, Call.Report, Clock);
+  // A life that drains ends: a late report from before does not undo it.
+  if (!Call.Report.IsDraining || Life->Report.IsDraining) {
+    answer(For.From, For.Id, reply(CellVerdict::Done));
+    return;
+  }
+  Events.push_back("event=worker-drains worker=" + Call.Report.Name);
+  propose(For, WorkerDrainCommand{Known});
+}
+
+void CellNode::serve(const Waiter &For, const WorkerLeaveCall &Call,
+                     WallTime /*Wall*/) {
+  // A late call may be from an earlier life; only a drained one may leave.
+  const LifeId Known = findWorker(State, Call.Name);
+  if (!Known.isSet() || !State.Workers[Known].Report.IsDraining) {
+    answer(For.From, For.Id, reply(CellVerdict::Done));
+    return;
+  }
+  Events.push_back("event=worker-left worker=" + Call.Name);
+  propose(For, WorkerLeaveCommand{Known});
+}
+
+void CellNode::onLeadership(const Replica &Member) {
+  const bool IsSame = Member.Role == ReplicaRole::Leader &&
+                      Member.Hard.Current == Lead.Fence;
+  if (Lead.IsActive && !IsSame) {
+    endDispatch(Lead);
+    dropWaiters();
+  }
+}
+
+void CellNode::dropWaiters() {
+  for (const auto &[Index, Waiting] : Waiters) {
+    for (const Waiter &Item : Waiting) {
+      send(Item.From, RelayedReply{Item.Id, false, true, {}});
+    }
+  }
+  Waiters.clear();
+  for (const Waiter &Item : ProposalWaiters) {
+    send(Item.From, RelayedReply{Item.Id, false, false, {}});
+  }
+  ProposalWaiters.clear();
+  Proposals.clear();
+}
+
+void CellNode::onEntry(const Entry &Item) {
+  if (Item.Kind != EntryKind::Command) {
+    return;
+  }
+  const auto Commands = decodeCommands(Item.Data);
+  if (!Commands) {
+    Events.push_back("event=unreadable-entry index=" +
+                     std::to_string(Item.Index));
+    return;
+  }
+  const bool IsOwn = Lead.IsActive && Item.InTerm == Lead.Fence;
+  for (const CellCommand &Command : *Commands) {
+    const CellChange Change = applyCommand(State, Command);
+    if (!Lead.IsActive) {
+      continue;
+    }
+    if (IsOwn && std::holds_alternative<StartCommand>(Command)) {
+      Lead.HasOpenStarts = false;
+    }
+    noteChange(Lead, State, Change, Clock);
+  }
+  const auto Found = Waiters.find(Item.Index);
+  if (Found == Waiters.end()) {
+    return;
+  }
+  for (const Waiter &Each : Found->second) {
+    if (Each.Report) {
+      const LifeId Known = findWorker(State, Each.Report->Name);
+      if (Known.isSet() &&
+          State.Workers[Known].Report.Born == Each.Report->Born) {
+        noteReport(Lead, Known, *Each.Report, Clock);
+      }
+    }
+    answer(Each.From, Each.Id, reply(CellVerdict::Done));
+  }
+  Waiters.erase(Found);
+}
+
+void CellNode::onRestore(const std::string &Data) {
+  State = {};
+  if (Data.empty()) {
+    return;
+  }
+  auto Restored = decodeCellState(Data);
+  if (!Restored) {
+    Events.push_back("event=unreadable-snapshot");
+    return;
+  }
+  State = std::move(*Restored);
+}
+
+std::string CellNode::snapshotData() const { return encodeCellState(State); }
+
+bool CellNode::isLeading(Instant Now) const {
+  return Group && Lead.IsActive && isReady(Group->replica(), Now) &&
+         Group->replica().Hard.Current == Lead.Fence;
+}
+
+NodeId CellNode::leader() const noexcept {
+  if (!Group) {
+    return Relay.leader();
+  }
+  const auto &Known = Group->replica().Leader;
+  return Known ? Known->Node : 0;
+}
+
+bool CellNode::isReadyForCallers(Instant Now) const {
+  return !IsLeaving && Relay.isServed(Now);
+}
+
+void CellNode::proposeOpen() {
+  Proposals.insert(Proposals.end(),
+                   std::make_move_iterator(Lead.Commands.begin()),
+                   std::make_move_iterator(Lead.Commands.end()));
+  Lead.Commands.clear();
+  if (Proposals.empty()) {
+    return;
+  }
+  const auto Index =
+      mulberryramp::propose(Group->replica(), encodeCommands(Proposals));
+  if (!Index) {
+    endDispatch(Lead);
+    dropWaiters();
+    return;
+  }
+  if (!ProposalWaiters.empty()) {
+    Waiters[*Index] = std::move(ProposalWaiters);
+  }
+  ProposalWaiters.clear();
+  Proposals.clear();
+}
+
+void CellNode::stepGroup(Instant Now, WallTime Wall) {
+  Replica &Member = Group->replica();
+  tick(Member, Now);
+  Group->applyCommitted();
+  Member.Reported = Member.Applied;
+  const bool MayLead = isReady(Member, Now);
+  if (MayLead && !Lead.IsActive) {
+    Events.push_back("event=lead term=" + std::to_string(Member.Hard.Current) +
+                     " jobs=" + std::to_string(State.Jobs.size()) +
+                     " workers=" + std::to_string(State.Workers.size()));
+    beginDispatch(Lead, State, Member.Hard.Current, Now);
+  }
+  if (MayLead && Lead.IsActive) {
+    stepDispatch(Lead, State, Now, Wall);
+    proposeOpen();
+    // What was proposed goes out with this step, not with the next heartbeat.
+    tick(Member, Now);
+  }
+  if (Member.Leader && Member.Role != ReplicaRole::Leader) {
+    Relay.noteLeader(Member.Leader->Node, Member.LeaderHeardAt);
+  } else if (MayLead) {
+    Relay.noteLeader(Options.Self, Now);
+  }
+}
+
+void CellNode::beginWrite(CellOutput &Output) {
+  if (IsWriting) {
+    return;
+  }
+  Output.Write = beginSave(Group->replica());
+  IsWriting = Output.Write.has_value();
+}
+
+/// Messages that claim synced state wait for the write that makes it so.
+void CellNode::sortReplicaMessages(CellOutput &Output) {
+  Replica &Member = Group->replica();
+  const bool WasWriting = IsWriting;
+  const bool HasMore = Member.HasUnsaved;
+  beginWrite(Output);
+  for (ReplicaMessage &Message : std::exchange(Member.Out, {})) {
+    if (!needsSync(Message.Body) || (!WasWriting && !HasMore)) {
+      const NodeId To = Message.To.Node;
+      send(To, std::move(Message));
+    } else if (WasWriting && HasMore) {
+      HeldNext.push_back(std::move(Message));
+    } else {
+      HeldNow.push_back(std::move(Message));
+    }
+  }
+}
+
+void CellNode::noteRole(Instant Now) {
+  const CellNodeView Seen = view();
+  std::string Line = "event=role role=" + std::string{Seen.Role} +
+                     " leader=" + std::to_string(Seen.Leader) +
+                     " term=" + std::to_string(Seen.InTerm) +
+                     " voters=" + std::to_string(Seen.Voters) + " ready=" +
+                     (Relay.isServed(Now) ? "yes" : "no");
+  if (Line != LastRole) {
+    Events.push_back(Line);
+    LastRole = std::move(Line);
+  }
+}
+
+CellOutput CellNode::step(Instant Now, WallTime Wall) {
+  Clock = Now;
+  CivilNow = Wall;
+  CellOutput Output;
+  if (Group) {
+    stepGroup(Now, Wall);
+  }
+  Relay.tick(Now);
+  // Messages to this node itself are served within the step.
+  for (int Round = 0; Round < 3; ++Round) {
+    std::vector<CellMessage> Pending = Relay.takeMessages();
+    std::vector<CellMessage> Produced = std::exchange(Out, {});
+    std::move(Produced.begin(), Produced.end(), std::back_inserter(Pending));
+    for (CellMessage &Message : Pending) {
+      if (Message.To == Options.Self) {
+        receive(Message, Now, Wall);
+      } else {
+        Output.Messages.push_back(std::move(Message));
+      }
+    }
+  }
+  if (Group && isLeading(Now)) {
+    proposeOpen();
+    tick(Group->replica(), Now);
+  }
+  if (Group) {
+    sortReplicaMessages(Output);
+  }
+  for (NodeQuestion &Item : std::exchange(Lead.Asks, {})) {
+    if (Item.Node == Options.Self) {
+      onQuestion(Options.Self, Item.Question);
+    } else {
+      send(Item.Node, std::move(Item.Question));
+    }
+  }
+  for (CellMessage &Message : std::exchange(Out, {})) {
+    Output.Messages.push_back(std::move(Message));
+  }
+  noteRole(Now);
+  Output.Replies = Relay.takeReplies();
+  Output.Orders = std::exchange(Lead.Orders, {});
+  Output.Questions = std::exchange(Questions, {});
+  Output.Events = std::exchange(Lead.Events, {});
+  std::move(Events.begin(), Events.end(), std::back_inserter(Output.Events));
+  Events.clear();
+  return Output;
+}
+
+void CellNode::leave(Instant Now) {
+  IsLeaving = true;
+  if (Group) {
+    transferLeadership(Group->replica(), Now);
+  }
+}
+
+CellNodeView CellNode::view() const {
+  CellNodeView Seen;
+  Seen.Role = "relay";
+  Seen.Leader = leader();
+  Seen.Configuration = State.Rules.Version;
+  Seen.Workers = State.Workers.size();
+  Seen.Jobs = State.Jobs.size();
+  Seen.Launches = Lead.Launches.size();
+  Seen.OpenCalls = Relay.openCalls();
+  Seen.Counters = Lead.Counters;
+  if (Group) {
+    const Replica &Member = Group->replica();
+    Seen.Role = nameOf(Member.Role);
+    Seen.InTerm = Member.Hard.Current;
+    Seen.Commit = Member.Commit;
+    Seen.Voters = membership(Member).Voters.size();
+  }
+  return Seen;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "mulberryramp/cell/dispatcher.hpp"
+#include "mulberryramp/cell/relay.hpp"
+#include "mulberryramp/node/hosted_group.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief What a node of a cell is started with.
+struct CellNodeOptions {
+  NodeId Self = 0;
+  std::vector<NodeId> Seeds; ///< Voters to ask first.
+  bool IsVoter = false;      ///< The node keeps the log.
+  std::uint64_t Incarnation = 0;
+  ReplicaOptions Agreement;
+  DispatchOptions Dispatch;
+  std::uint64_t Seed = 1; ///< Of random choices.
+};
+
+/// @brief What a step asks its owner to do.
+struct CellOutput {
+  std::vector<CellMessage> Messages;
+  std::vector<LocalReply> Replies;
+  std::vector<WorkerOrder> Orders;
+  std::vector<AdviceQuestion> Questions; ///< For the advisor.
+  std::optional<PersistBatch> Write; ///< To be synced; `writeDone` tells when.
+  std::vector<std::string> Events;   ///< Lines for the log.
+};
+
+/// @brief State of a node for logs and metrics.
+struct CellNodeView {
+  std::string_view Role; ///< Of the replica, or "relay".
+  NodeId Leader = 0;
+  Term InTerm = 0;
+  LogIndex Commit = 0;
+  std::size_t Voters = 0;
+  std::uint64_t Configuration = 0;
+  std::size_t Workers = 0;
+  std::size_t Jobs = 0;
+  std::size_t Launches = 0;
+  std::size_t OpenCalls = 0;
+  DispatchCounters Counters;
+};
+
+/// @brief One node of a cell, without clock, socket or disk.
+class CellNode final : private GroupState {
+public:
+  /// @brief Starts a node.
+  /// @param Options What it is.
+  /// @param Stored Log and snapshot of a voter.
+  /// @param Now The present moment.
+  CellNode(const CellNodeOptions &Options, StoredGroup Stored, Instant Now);
+  CellNode(const CellNode &) = delete;
+  CellNode &operator=(const CellNode &) = delete;
+  ~CellNode() override;
+
+  /// @brief Takes a message of another node in.
+  void receive(const CellMessage &Message, Instant Now, WallTime Wall);
+
+  /// @brief Takes a call in; its answer comes with a later step.
+  void call(std::uint64_t CallId, CellCall Body, Instant Now);
+
+  /// @brief Takes the answer of a worker in.
+  void orderDone(const OrderResult &Result, Instant Now, WallTime Wall);
+
+  /// @brief Takes the answer of the advisor in.
+  void adviceDone(const AdviceAnswer &Answer, Instant Now);
+
+  /// @brief Notes that the last batch is synced.
+  void writeDone();
+
+  /// @brief Adds nodes that may know the leader.
+  void learnSeeds(const std::vector<NodeId> &Seeds);
+
+  /// @brief Does what is due.
+  [[nodiscard]] CellOutput step(Instant Now, WallTime Wall);
+
+  /// @brief Hands leadership over, before the node ends.
+  void leave(Instant Now);
+
+  /// @brief Tells whether callers are served from here.
+  [[nodiscard]] bool isReadyForCallers(Instant Now) const;
+
+  /// @brief Tells whether the node leads and holds its lease.
+  [[nodiscard]] bool isLeading(Instant Now) const;
+
+  /// @brief Reads the leader, or 0.
+  [[nodiscard]] NodeId leader() const noexcept;
+
+  /// @brief Reads what logs and metrics show.
+  [[nodiscard]] CellNodeView view() const;
+
+  /// @brief Reads the replicated state.
+  [[nodiscard]] const CellState &state() const noexcept { return State; }
+
+private:
+  struct Waiter {
+    NodeId From = 0;
+    std::uint64_t Id = 0;
+    std::optional<WorkerReport> Report; ///< Noted once the worker joined.
+  };
+  struct AskedFor {
+    NodeId From = 0;
+    std::uint64_t Id = 0;
+  };
+
+  void onLeadership(const Replica &Member) override;
+  void onEntry(const Entry &Item) override;
+  void onRestore(const std::string &Data) override;
+  [[nodiscard]] std::string snapshotData() const override;
+
+  void onHello(NodeId From, Instant Now);
+  void onCall(NodeId From, const RelayedCall &Call, WallTime Wall);
+  void onQuestion(NodeId From, const AdviceQuestion &Question);
+  void answer(NodeId To, std::uint64_t Id, CellReply Reply);
+  void propose(const Waiter &For, CellCommand Command);
+  void serve(const Waiter &For, const JobCall &Call, WallTime Wall);
+  void serve(const Waiter &For, const ConfigureCall &Call, WallTime Wall);
+  void serve(const Waiter &For, const ReadConfigurationCall &Call,
+             WallTime Wall);
+  void serve(const Waiter &For, const WorkerReportCall &Call, WallTime Wall);
+  void serve(const Waiter &For, const WorkerLeaveCall &Call, WallTime Wall);
+  void submitJob(const Waiter &For, const JobQueue &Queue, std::string Name,
+                 const JobCall &Call, WallTime Wall);
+  void cancelJob(const Waiter &For, const JobQueue &Queue,
+                 const std::string &Name, WallTime Wall);
+  [[nodiscard]] std::uint32_t countPending(const JobQueue &Queue) const;
+  [[nodiscard]] bool isOfQueue(JobId Id, const JobQueue &Queue) const;
+
+  void stepGroup(Instant Now, WallTime Wall);
+  void proposeOpen();
+  void dropWaiters();
+  void sortReplicaMessages(CellOutput &Output);
+  void beginWrite(CellOutput &Output);
+  void send(NodeId To, CellBody Body);
+  void noteRole(Instant Now);
+
+  CellNodeOptions Options;
+  CellState State;
+  Dispatcher Lead;
+  CallRelay Relay;
+  std::optional<HostedGroup> Group;
+  Instant Clock;     ///< Moment of the present step.
+  WallTime CivilNow; ///< Civil time of the present step.
+
+  std::vector<CellCommand> Proposals;
+  std::vector<Waiter> ProposalWaiters;
+  std::map<LogIndex, std::vector<Waiter>> Waiters;
+  std::vector<CellMessage> Out;
+  std::map<std::uint64_t, AskedFor> Asked; ///< Questions under way here.
+  std::uint64_t NextQuestion = 1;
+  std::vector<AdviceQuestion> Questions;
+  std::vector<std::string> Events;
+
+  bool IsWriting = false;
+  std::vector<ReplicaMessage> HeldNow;  ///< Go out after the present write.
+  std::vector<ReplicaMessage> HeldNext; ///< Go out after the next one.
+  bool IsLeaving = false;
+  std::string LastRole;
+};
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -0,0 +1,215 @@
+#pragma once
+
+#include "mulberryramp/cell/fwd.hpp"
+#include "mulberryramp/cell/order.hpp"
+#include "mulberryramp/job/state.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Times that a leader works by.
+struct DispatchOptions {
+  Millis Lease{4000};       ///< Given to what runs with each order.
+  int DriftPercent = 2;     ///< By which a worker's clock may be slow.
+  Millis LeaseSlack{200};   ///< Added to the end of a lease that ran out.
+  Millis HoldWait{1500};    ///< How long a hold waits for an end.
+  Millis ReportEvery{1500}; ///< Between reports of a worker.
+  Millis Retention{125000}; ///< How long jobs that are over can be read.
+  double RemoteFactor = 2;  ///< Stretch of a run away from its data.
+  Millis OpenEarly{0};      ///< Repeated runs open so long before they are due.
+};
+
+/// @brief What the leader knows of a start.
+enum class LaunchPhase : std::uint8_t {
+  Sending,   ///< The order is on its way.
+  Confirmed, ///< The worker has begun it.
+  Doubtful,  ///< The order was not answered.
+  Inherited  ///< An earlier leader sent it, or meant to.
+};
+
+/// @brief Names of the phases.
+constexpr std::array<std::string_view, 4>
+nameTable(LaunchPhase /*Phase*/) noexcept {
+  return {"sending", "confirmed", "doubtful", "inherited"};
+}
+
+/// @brief One start, from its agreement to the agreement on its end.
+struct Launch {
+  Grant Item;
+  LaunchPhase Phase = LaunchPhase::Sending;
+  Instant Since;      ///< When the phase began.
+  Instant StartedAt;  ///< When the order was sent, or the launch inherited.
+  Instant StopSentAt; ///< Null if no stop was sent.
+  std::optional<Instant> StopAckedAt;
+  std::uint64_t StopOrder = 0; ///< Open stop.
+  bool IsEndProposed = false;
+  std::uint32_t Percent = 0; ///< Last progress that was listed.
+  Instant ProgressAt;        ///< When it last rose.
+  std::uint32_t ListedPercent = 0; ///< Progress when it was first listed.
+  Instant ListedAt;                ///< When it was first listed; null: never.
+  std::int64_t Gauge = 0;          ///< Last listed tail or processors.
+  Instant OverLimitSince;          ///< Tail over its limit; null: it is not.
+  std::uint32_t Pace = 100;        ///< Share that it may work at.
+  Instant PaceAt;                  ///< When the pace was last changed.
+};
+
+/// @brief Worker clock at a moment; it cannot have read less.
+struct ClockSample {
+  std::int64_t Clock = 0;
+  Instant At;
+};
+
+/// @brief What the leader knows of a life of a worker beyond the state.
+struct WorkerSession {
+  std::optional<ClockSample> Clock;
+  bool IsSettled = false; ///< Its lists agree with the state.
+  std::uint64_t HoldOrder = 0;
+  Instant HoldSentAt;
+  Millis HoldTimeout{0};
+  Instant NextHoldAt;
+  Instant ReportedAt;
+  Instant AnsweredAt;
+  Instant LeaseEnd;               ///< Nothing runs there after this.
+  std::uint32_t Misses = 0;       ///< Orders without an answer, in a row.
+  std::uint64_t EndsProposed = 0; ///< Listed ends that were proposed.
+  std::uint64_t AckSent = 0;      ///< Acknowledged in an answered hold.
+  std::uint64_t Sequence = 0;     ///< Of its last report.
+  std::uint32_t FailureStreak = 0;
+  Instant AvoidUntil;
+  std::set<TaskKey> Tasks;
+};
+
+/// @brief Names one step of one run of a job.
+struct StepKey {
+  JobId Job;
+  std::uint32_t Run = 0;
+  std::uint32_t Step = 0;
+
+  constexpr auto operator<=>(const StepKey &) const = default;
+};
+
+/// @brief Admission of a step to a worker.
+struct Ticket {
+  std::string Text;
+  Instant GoodUntil;
+};
+
+/// @brief What the advisor said of a step.
+struct StepAdvice {
+  std::map<LifeId, Ticket> Admitted;
+  std::set<LifeId> Denied;
+  std::uint64_t Question = 0; ///< Open question, or 0.
+  Instant RetryAt;
+};
+
+/// @brief A node that can ask the advisor, which answers each node in turn.
+struct AdviceNode {
+  Instant HeardAt;
+  std::uint64_t Question = 0;
+  Instant AvoidUntil;
+};
+
+/// @brief A question on its way.
+struct OpenQuestion {
+  StepKey Step;
+  NodeId Node = 0;
+  std::vector<LifeId> Workers;
+  Instant GiveUpAt;
+};
+
+/// @brief An order on its way.
+struct OpenOrder {
+  WorkerOrderKind Kind = WorkerOrderKind::Hold;
+  LifeId Worker;
+  TaskKey Key;
+  std::uint32_t Attempt = 0;
+  Instant SentAt;
+  bool HasLease = false;
+  std::uint64_t AckedEnds = 0;
+};
+
+/// @brief A question for a node.
+struct NodeQuestion {
+  NodeId Node = 0;
+  AdviceQuestion Question;
+};
+
+/// @brief Counters of a leader.
+struct DispatchCounters {
+  std::uint64_t Starts = 0;
+  std::uint64_t Ends = 0;
+  std::uint64_t Holds = 0;
+  std::uint64_t Stops = 0;
+  std::uint64_t Questions = 0;
+  std::uint64_t Unanswered = 0;
+};
+
+/// @brief What the leader of a cell keeps beside the replicated state: orders,
+/// leases and advice. All of it can be rebuilt from the state and the workers.
+struct Dispatcher {
+  DispatchOptions Options;
+  bool IsActive = false;
+  Term Fence = 0;
+  NodeId Self = 0;
+  std::map<LifeId, WorkerSession> Sessions;
+  std::map<TaskKey, Launch> Launches;
+  std::map<std::uint64_t, OpenOrder> Sent;
+  std::map<StepKey, StepAdvice> Advice;
+  std::map<NodeId, AdviceNode> Nodes;
+  std::map<std::uint64_t, OpenQuestion> Questions;
+  std::uint64_t NextId = 1;
+  bool IsDirty = false;      ///< Something changed that may let tasks start.
+  bool HasOpenStarts = false; ///< Starts were proposed and not yet applied.
+  Instant PlanAt;             ///< Next look without a change.
+  Instant ReviewAt;           ///< Next look at all launches.
+  Instant SweepAt;            ///< Next look for what can be forgotten.
+  DispatchCounters Counters;
+
+  std::vector<WorkerOrder> Orders;
+  std::vector<NodeQuestion> Asks;
+  std::vector<CellCommand> Commands;
+  std::vector<std::string> Events;
+};
+
+/// @brief Begins to lead.
+/// @param Lead The dispatcher; what it knew as an earlier leader is dropped.
+/// @param State The state, with all entries of earlier terms applied.
+/// @param Fence Term of the leader.
+/// @param Now The present moment.
+void beginDispatch(Dispatcher &Lead, const CellState &State, Term Fence,
+                   Instant Now);
+
+/// @brief Stops leading.
+void endDispatch(Dispatcher &Lead);
+
+/// @brief Follows a change of the state.
+void noteChange(Dispatcher &Lead, const CellState &State,
+                const CellChange &Change, Instant Now);
+
+/// @brief Takes a report of the present life of a worker in.
+void noteReport(Dispatcher &Lead, LifeId Worker, const WorkerReport &Report,
+                Instant Now);
+
+/// @brief Takes the answer of a worker in.
+void noteOrderResult(Dispatcher &Lead, const CellState &State,
+                     const OrderResult &Result, Instant Now, WallTime Wall);
+
+/// @brief Takes the answer of the advisor in.
+void noteAdvice(Dispatcher &Lead, const CellState &State,
+                const AdviceAnswer &Answer, Instant Now);
+
+/// @brief Sends, renews, settles and plans what is due.
+void stepDispatch(Dispatcher &Lead, const CellState &State, Instant Now,
+                  WallTime Wall);
+
+/// @brief Tells whether a worker can be given a start now.
+[[nodiscard]] bool isPlaceable(const Dispatcher &Lead, const CellState &State,
+                               LifeId Worker, Instant Now);
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/fwd.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "mulberryramp/job/fwd.hpp"
+
+/// @file
+/// @brief Forward declarations and defaults of the cell module: one node of a
+/// cell, without clock, socket or disk. A cell is a group of voters with one
+/// log that holds configuration, workers and jobs; other nodes relay calls.
+
+namespace mulberryramp {
+
+/// @brief Pause before a relayed call without an answer is sent again.
+inline constexpr Millis RelayRetryEvery{700};
+/// @brief How long a relayed call may take; callers wait for 3 s.
+inline constexpr Millis RelayPatience{2500};
+/// @brief How long a call waits for a leader before it is refused.
+inline constexpr Millis LeaderPatience{1500};
+/// @brief Between greetings to a leader that answers.
+inline constexpr Millis GreetEvery{500};
+/// @brief Between greetings while no leader is known.
+inline constexpr Millis SeekEvery{200};
+/// @brief Silence after which a leader is looked for again.
+inline constexpr Millis LeaderLostAfter{800};
+/// @brief Silence of a leader that costs a node its readiness.
+inline constexpr Millis UnreadyAfter{3000};
+
+struct CellCallOrigin;
+struct CellMessage;
+struct CellReply;
+struct WorkerOrder;
+struct OrderResult;
+struct Dispatcher;
+class CellNode;
+class CallRelay;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/orders.cpp
@@ -0,0 +1,558 @@
+#include "mulberryramp/cell/orders.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Answers of a worker that is well come within this time.
+constexpr Millis OrderTimeout{1000};
+constexpr Millis HoldGrace{700};
+/// Between holds of a worker that does not answer.
+constexpr Millis HoldRetryEvery{300};
+/// A hold goes out this late even if its acknowledgement is not yet agreed.
+constexpr Millis AckPatience{400};
+/// Between stops of a start that goes on.
+constexpr Millis StopRetryEvery{1500};
+/// How long a worker that refused as unhealthy is left alone.
+constexpr Millis UnhealthyFor{2000};
+/// How long a worker that fails start after start is left alone.
+constexpr Millis FailingFor{6000};
+/// Failed starts in a row that make a worker suspect.
+constexpr std::uint32_t FailureStreakLimit = 3;
+
+std::string describe(const TaskName &Task, std::uint32_t Attempt) {
+  return "job=" + Task.Job + " run=" + std::to_string(Task.Run) +
+         " step=" + std::to_string(Task.Step) +
+         " task=" + std::to_string(Task.Task) +
+         " attempt=" + std::to_string(Attempt);
+}
+
+const std::string &workerName(const CellState &State, LifeId Worker) {
+  static const std::string None = "-";
+  const WorkerLife *Life = State.Workers.find(Worker);
+  return Life == nullptr ? None : Life->Report.Name;
+}
+
+WorkerOrder makeOrder(Dispatcher &Lead, const WorkerLife &Worker,
+                      WorkerOrderKind Kind) {
+  WorkerOrder Order;
+  Order.Id = Lead.NextId;
+  Lead.NextId += 1;
+  Order.Kind = Kind;
+  Order.Address = Worker.Report.Address;
+  Order.Worker = Worker.Report.Name;
+  Order.Fence = Lead.Fence;
+  Order.Timeout = OrderTimeout;
+  return Order;
+}
+
+/// Ends of leases are told on the worker's clock, of which a lower bound is
+/// known; what runs there cannot outlive the lease by more than its drift.
+std::int64_t extendLease(const Dispatcher &Lead, WorkerSession &Session,
+                         Instant Now) {
+  const auto Since = (Now - Session.Clock->At).count();
+  const auto Least =
+      Session.Clock->Clock + Since * (100 - Lead.Options.DriftPercent) / 100;
+  const Millis Longest = Lead.Options.Lease * (100 + Lead.Options.DriftPercent) /
+                             100 + Lead.Options.LeaseSlack;
+  Session.LeaseEnd = std::max(Session.LeaseEnd, Now + Longest);
+  return Least + Lead.Options.Lease.count();
+}
+
+void send(Dispatcher &Lead, WorkerOrder Order, OpenOrder Open) {
+  Open.Kind = Order.Kind;
+  Lead.Sent[Order.Id] = Open;
+  Lead.Orders.push_back(std::move(Order));
+}
+
+bool isOverdue(const WorkerSession &Session, Instant Now) {
+  return Session.HoldOrder != 0 &&
+         Now - Session.HoldSentAt > Session.HoldTimeout - HoldGrace / 2;
+}
+
+bool wantsHold(const WorkerLife &Worker, const WorkerSession &Session) {
+  return Worker.Tasks != 0 || !Session.IsSettled || Session.Misses != 0 ||
+         Session.AckSent < Worker.AckedEnds;
+}
+
+void sendHold(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
+              WorkerSession &Session, Instant Now) {
+  WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
+  const bool IsWell = Session.IsSettled && Session.Misses == 0;
+  Order.AckedEnds = Worker.AckedEnds;
+  if (IsWell && Worker.Tasks != 0) {
+    Order.Wait = Lead.Options.HoldWait;
+  }
+  OpenOrder Open;
+  // A worker that does not answer must not be given more time unseen.
+  if (Session.Clock && Session.Misses == 0) {
+    Order.Expires = extendLease(Lead, Session, Now);
+    Open.HasLease = true;
+  }
+  Order.Timeout = Order.Wait + HoldGrace;
+  Open.Worker = Id;
+  Open.SentAt = Now;
+  Open.AckedEnds = Worker.AckedEnds;
+  Session.HoldOrder = Order.Id;
+  Session.HoldSentAt = Now;
+  Session.HoldTimeout = Order.Timeout;
+  Lead.Counters.Holds += 1;
+  send(Lead, std::move(Order), Open);
+}
+
+void noteMiss(Dispatcher &Lead, const CellState &State, LifeId Worker,
+              WorkerSession &Session, OrderVerdict Verdict, Instant Now) {
+  if (Session.Misses == 0) {
+    Lead.Events.push_back("event=worker-silent worker=" +
+                          workerName(State, Worker) +
+                          " cause=" + std::string{nameOf(Verdict)});
+  }
+  Session.Misses += 1;
+  Session.NextHoldAt = Now + HoldRetryEvery;
+  Lead.Counters.Unanswered += 1;
+}
+
+void noteAnswer(Dispatcher &Lead, const CellState &State, LifeId Worker,
+                WorkerSession &Session, const OrderResult &Result,
+                Instant Now) {
+  Session.AnsweredAt = Now;
+  if (Session.Misses != 0) {
+    Lead.Events.push_back("event=worker-answers worker=" +
+                          workerName(State, Worker));
+    Session.Misses = 0;
+    Lead.IsDirty = true;
+  }
+  if (Result.Clock) {
+    Session.Clock = ClockSample{*Result.Clock, Now};
+  }
+}
+
+void noteStartResult(Dispatcher &Lead, const CellState &State,
+                     const OpenOrder &Order, const OrderResult &Result,
+                     WorkerSession *Session, Instant Now, WallTime Wall) {
+  const auto Found = Lead.Launches.find(Order.Key);
+  if (Found == Lead.Launches.end() ||
+      Found->second.Item.Attempt != Order.Attempt) {
+    return;
+  }
+  Launch &Item = Found->second;
+  if (Result.Verdict == OrderVerdict::Done) {
+    if (Item.Phase == LaunchPhase::Sending) {
+      Item.Phase = LaunchPhase::Confirmed;
+      Item.Since = Now;
+      Item.ProgressAt = Now;
+    }
+    return;
+  }
+  Lead.Events.push_back(
+      "event=start-failed " + describe(nameTask(State, Order.Key), Order.Attempt) +
+      " worker=" + workerName(State, Order.Worker) +
+      " verdict=" + std::string{nameOf(Result.Verdict)} +
+      " reason=" + std::string{nameOf(Result.Reason)});
+  const bool IsOpen =
+      Result.Verdict == OrderVerdict::Unanswered ||
+      (Result.Verdict == OrderVerdict::Refused &&
+       (Result.Reason == RefusalReason::Old ||
+        Result.Reason == RefusalReason::Fence));
+  if (IsOpen) {
+    Item.Phase = LaunchPhase::Doubtful;
+    Item.Since = Now;
+    return;
+  }
+  if (Result.Reason == RefusalReason::Ticket) {
+    const auto Known = Lead.Advice.find(
+        {Order.Key.Job, Order.Key.Run, Order.Key.Step});
+    if (Known != Lead.Advice.end()) {
+      Known->second.Admitted[Order.Worker].GoodUntil = Instant{};
+    }
+  }
+  if (Session != nullptr && Result.Reason == RefusalReason::Unhealthy) {
+    Session->AvoidUntil = Now + UnhealthyFor;
+  }
+  proposeEnd(Lead, Item, EndKind::Refused, Wall);
+}
+
+void noteStopResult(Dispatcher &Lead, const OpenOrder &Order,
+                    const OrderResult &Result, Instant Now) {
+  const auto Found = Lead.Launches.find(Order.Key);
+  if (Found == Lead.Launches.end() ||
+      Found->second.Item.Attempt != Order.Attempt) {
+    return;
+  }
+  Found->second.StopOrder = 0;
+  if (Result.Verdict == OrderVerdict::Done) {
+    Found->second.StopAckedAt = Now;
+  }
+}
+
+void noteProgress(Launch &Item, const RunningTask &Listed, Instant Now) {
+  if (Item.ListedAt == Instant{}) {
+    Item.ListedAt = Now;
+    Item.ListedPercent = Listed.Percent;
+    Item.ProgressAt = Now;
+  }
+  if (Listed.Percent != Item.Percent) {
+    Item.ProgressAt = Now;
+  }
+  Item.Percent = Listed.Percent;
+  Item.Gauge = Listed.Gauge;
+}
+
+void stopStranger(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
+                  const RunningTask &Listed, Instant Now) {
+  WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Stop);
+  Order.Task = Listed.Task;
+  Order.Attempt = Listed.Attempt;
+  Lead.Events.push_back("event=stop " + describe(Listed.Task, Listed.Attempt) +
+                        " worker=" + Worker.Report.Name + " why=unknown-there");
+  OpenOrder Open;
+  Open.Worker = Id;
+  Open.SentAt = Now;
+  Lead.Counters.Stops += 1;
+  send(Lead, std::move(Order), Open);
+}
+
+std::optional<TaskKey> keyOf(const CellState &State, const TaskName &Name) {
+  const JobId Job = findJob(State, Name.Job);
+  if (!Job.isSet()) {
+    return std::nullopt;
+  }
+  return TaskKey{Job, Name.Run, Name.Step, Name.Task};
+}
+
+void noteWorkerEnd(WorkerSession &Session, EndKind Kind, Instant Now) {
+  if (Kind == EndKind::Done) {
+    Session.FailureStreak = 0;
+  } else if (Kind == EndKind::Failed) {
+    Session.FailureStreak += 1;
+    if (Session.FailureStreak >= FailureStreakLimit) {
+      Session.AvoidUntil = Now + FailingFor;
+    }
+  }
+}
+
+void proposeListedEnds(Dispatcher &Lead, const CellState &State, LifeId Worker,
+                       WorkerSession &Session, const OrderResult &Result,
+                       Instant Now, WallTime Wall) {
+  EndsCommand Command;
+  Command.Worker = Worker;
+  Command.At = Wall;
+  for (const ListedEnd &End : Result.Ended) {
+    if (End.Number <= Session.EndsProposed) {
+      continue;
+    }
+    Command.UpTo = std::max(Command.UpTo, End.Number);
+    noteWorkerEnd(Session, End.Kind, Now);
+    const auto Key = keyOf(State, End.Task);
+    if (!Key) {
+      continue;
+    }
+    const auto Found = Lead.Launches.find(*Key);
+    if (Found != Lead.Launches.end() &&
+        Found->second.Item.Attempt == End.Attempt) {
+      Found->second.IsEndProposed = true;
+    }
+    Command.Ends.push_back({*Key, End.Attempt, End.Kind, End.Saved});
+  }
+  if (Command.UpTo > Session.EndsProposed) {
+    Session.EndsProposed = Command.UpTo;
+    Lead.Commands.emplace_back(std::move(Command));
+  }
+}
+
+/// Settles a start that a complete list does not show. The list tells nothing
+/// of a start whose order may have arrived after it was made.
+void settleUnlisted(Dispatcher &Lead, const CellState &State, Launch &Item,
+                    Instant HoldSentAt, Instant Now, WallTime Wall) {
+  if (Item.IsEndProposed || Item.Since >= HoldSentAt) {
+    return;
+  }
+  switch (Item.Phase) {
+  case LaunchPhase::Sending:
+    return;
+  case LaunchPhase::Confirmed:
+  case LaunchPhase::Inherited:
+    proposeEnd(Lead, Item, EndKind::Lost, Wall);
+    return;
+  case LaunchPhase::Doubtful:
+    if (Item.StopAckedAt && *Item.StopAckedAt < HoldSentAt) {
+      proposeEnd(Lead, Item, EndKind::Lost, Wall);
+    } else if (!Item.StopAckedAt) {
+      sendStop(Lead, State, Item, "doubtful", Now);
+    }
+    return;
+  }
+}
+
+void noteHoldResult(Dispatcher &Lead, const CellState &State,
+                    const OpenOrder &Order, const OrderResult &Result,
+                    WorkerSession &Session, Instant Now, WallTime Wall) {
+  const WorkerLife &Worker = State.Workers[Order.Worker];
+  if (Result.Born != 0 && Result.Born != Worker.Report.Born) {
+    // Another life under the same name: it has to join before it is believed.
+    if (Result.Born > Worker.Report.Born) {
+      WorkerJoinCommand Join{Worker.Report};
+      Join.Report.Born = Result.Born;
+      Lead.Commands.emplace_back(std::move(Join));
+    }
+    Session.NextHoldAt = Now + HoldRetryEvery;
+    return;
+  }
+  Session.AckSent = std::max(Session.AckSent, Order.AckedEnds);
+  std::set<TaskKey> Listed;
+  bool HasStrangers = false;
+  for (const RunningTask &Running : Result.Running) {
+    const auto Key = keyOf(State, Running.Task);
+    const auto Found =
+        Key ? Lead.Launches.find(*Key) : Lead.Launches.end();
+    const bool IsOurs = Found != Lead.Launches.end() &&
+                        Found->second.Item.Worker == Order.Worker &&
+                        Found->second.Item.Attempt == Running.Attempt;
+    if (!IsOurs) {
+      HasStrangers = true;
+      stopStranger(Lead, Worker, Order.Worker, Running, Now);
+      continue;
+    }
+    Launch &Item = Found->second;
+    Listed.insert(*Key);
+    if (Item.Phase != LaunchPhase::Confirmed) {
+      Item.Phase = LaunchPhase::Confirmed;
+      Item.Since = Now;
+    }
+    noteProgress(Item, Running, Now);
+  }
+  proposeListedEnds(Lead, State, Order.Worker, Session, Result, Now, Wall);
+  if (!Result.HasMoreEnds) {
+    for (const TaskKey &Key : std::set<TaskKey>{Session.Tasks}) {
+      if (!Listed.contains(Key)) {
+        settleUnlisted(Lead, State, Lead.Launches.at(Key), Order.SentAt, Now,
+                       Wall);
+      }
+    }
+  }
+  if (!Session.IsSettled && !HasStrangers) {
+    Session.IsSettled = true;
+    Lead.IsDirty = true;
+  } else if (HasStrangers) {
+    Session.IsSettled = false;
+    Session.NextHoldAt = Now + HoldRetryEvery;
+  }
+}
+
+} // namespace
+
+TaskName nameTask(const CellState &State, const TaskKey &Key) {
+  const Job *Owner = State.Jobs.find(Key.Job);
+  return {Owner == nullptr ? "-" : Owner->Name, Key.Run, Key.Step, Key.Task};
+}
+
+void sendStart(Dispatcher &Lead, const CellState &State, const Grant &Item,
+               Instant Now) {
+  WorkerSession &Session = Lead.Sessions[Item.Worker];
+  Launch &Begun = Lead.Launches[Item.Key];
+  Begun = {};
+  Begun.Item = Item;
+  Begun.Since = Now;
+  Begun.StartedAt = Now;
+  Session.Tasks.insert(Item.Key);
+  const WorkerLife *Worker = State.Workers.find(Item.Worker);
+  if (Worker == nullptr || !Session.Clock) {
+    Begun.Phase = LaunchPhase::Inherited;
+    return;
+  }
+  const Job &Owner = State.Jobs[Item.Key.Job];
+  WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Start);
+  Order.Task = nameTask(State, Item.Key);
+  Order.Attempt = Item.Attempt;
+  Order.Payload = Owner.Spec.Payload;
+  Order.Saved = findTask(State, Item.Key)->Saved;
+  Order.Expires = extendLease(Lead, Session, Now);
+  const auto Known =
+      Lead.Advice.find({Item.Key.Job, Item.Key.Run, Item.Key.Step});
+  if (Known != Lead.Advice.end()) {
+    Order.Ticket = Known->second.Admitted[Item.Worker].Text;
+  }
+  Lead.Events.push_back("event=start " + describe(Order.Task, Order.Attempt) +
+                        " worker=" + Order.Worker +
+                        " fence=" + std::to_string(Lead.Fence));
+  OpenOrder Open;
+  Open.Worker = Item.Worker;
+  Open.Key = Item.Key;
+  Open.Attempt = Item.Attempt;
+  Open.SentAt = Now;
+  Open.HasLease = true;
+  Lead.Counters.Starts += 1;
+  send(Lead, std::move(Order), Open);
+  if (Session.HoldOrder == 0) {
+    Session.NextHoldAt = std::min(Session.NextHoldAt, Now + HoldRetryEvery);
+  }
+}
+
+void sendStop(Dispatcher &Lead, const CellState &State, Launch &Item,
+              std::string_view Why, Instant Now) {
+  const WorkerLife *Worker = State.Workers.find(Item.Item.Worker);
+  const bool IsRecent = Item.StopSentAt != Instant{} &&
+                        Now - Item.StopSentAt < StopRetryEvery;
+  if (Worker == nullptr || Item.StopOrder != 0 || IsRecent ||
+      Item.IsEndProposed) {
+    return;
+  }
+  WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Stop);
+  Order.Task = nameTask(State, Item.Item.Key);
+  Order.Attempt = Item.Item.Attempt;
+  if (Item.StopSentAt == Instant{}) {
+    Lead.Events.push_back("event=stop " + describe(Order.Task, Order.Attempt) +
+                          " worker=" + Order.Worker +
+                          " why=" + std::string{Why});
+  }
+  Item.StopSentAt = Now;
+  Item.StopOrder = Order.Id;
+  OpenOrder Open;
+  Open.Worker = Item.Item.Worker;
+  Open.Key = Item.Item.Key;
+  Open.Attempt = Item.Item.Attempt;
+  Open.SentAt = Now;
+  Lead.Counters.Stops += 1;
+  send(Lead, std::move(Order), Open);
+}
+
+void sendPace(Dispatcher &Lead, const CellState &State, Launch &Item,
+              std::uint32_t Percent, Instant Now) {
+  const WorkerLife *Worker = State.Workers.find(Item.Item.Worker);
+  if (Worker == nullptr || Item.Pace == Percent) {
+    return;
+  }
+  WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Pace);
+  Order.Task = nameTask(State, Item.Item.Key);
+  Order.Attempt = Item.Item.Attempt;
+  Order.Percent = Percent;
+  Lead.Events.push_back("event=pace " + describe(Order.Task, Order.Attempt) +
+                        " worker=" + Order.Worker +
+                        " percent=" + std::to_string(Percent));
+  Item.Pace = Percent;
+  Item.PaceAt = Now;
+  OpenOrder Open;
+  Open.Worker = Item.Item.Worker;
+  Open.Key = Item.Item.Key;
+  Open.Attempt = Item.Item.Attempt;
+  Open.SentAt = Now;
+  send(Lead, std::move(Order), Open);
+}
+
+void sendHolds(Dispatcher &Lead, const CellState &State, Instant Now) {
+  for (const LifeId Id : State.Workers.ids()) {
+    WorkerSession &Session = Lead.Sessions[Id];
+    const WorkerLife &Worker = State.Workers[Id];
+    if (Session.HoldOrder != 0 || Now < Session.NextHoldAt ||
+        !wantsHold(Worker, Session)) {
+      continue;
+    }
+    const bool WaitsForAck = Session.EndsProposed > Worker.AckedEnds &&
+                             Now - Session.AnsweredAt < AckPatience;
+    if (!WaitsForAck) {
+      sendHold(Lead, Worker, Id, Session, Now);
+    }
+  }
+}
+
+void expireLeases(Dispatcher &Lead, const CellState &State, Instant Now,
+                  WallTime Wall) {
+  for (auto &[Id, Session] : Lead.Sessions) {
+    if (Session.Tasks.empty() || Now < Session.LeaseEnd) {
+      continue;
+    }
+    bool IsNew = false;
+    for (const TaskKey &Key : Session.Tasks) {
+      Launch &Item = Lead.Launches.at(Key);
+      if (!Item.IsEndProposed && Item.Phase != LaunchPhase::Sending) {
+        proposeEnd(Lead, Item, EndKind::Lost, Wall);
+        IsNew = true;
+      }
+    }
+    if (IsNew) {
+      Session.IsSettled = false;
+      Lead.Events.push_back("event=lease-over worker=" +
+                            workerName(State, Id));
+    }
+  }
+}
+
+void proposeEnd(Dispatcher &Lead, Launch &Item, EndKind Kind, WallTime Wall) {
+  if (Item.IsEndProposed) {
+    return;
+  }
+  Item.IsEndProposed = true;
+  EndsCommand Command;
+  Command.Worker = Item.Item.Worker;
+  Command.Ends.push_back({Item.Item.Key, Item.Item.Attempt, Kind, ""});
+  Command.At = Wall;
+  Lead.Commands.emplace_back(std::move(Command));
+}
+
+void noteOrderResult(Dispatcher &Lead, const CellState &State,
+                     const OrderResult &Result, Instant Now, WallTime Wall) {
+  const auto Found = Lead.Sent.find(Result.Id);
+  if (Found == Lead.Sent.end()) {
+    return;
+  }
+  const OpenOrder Order = Found->second;
+  Lead.Sent.erase(Found);
+  const auto Life = Lead.Sessions.find(Order.Worker);
+  WorkerSession *Session =
+      Life == Lead.Sessions.end() ? nullptr : &Life->second;
+  if (Session != nullptr) {
+    if (Session->HoldOrder == Result.Id) {
+      Session->HoldOrder = 0;
+    }
+    if (Result.Verdict == OrderVerdict::Done ||
+        Result.Verdict == OrderVerdict::Refused) {
+      noteAnswer(Lead, State, Order.Worker, *Session, Result, Now);
+    } else {
+      noteMiss(Lead, State, Order.Worker, *Session, Result.Verdict, Now);
+    }
+  }
+  switch (Order.Kind) {
+  case WorkerOrderKind::Start:
+    noteStartResult(Lead, State, Order, Result, Session, Now, Wall);
+    break;
+  case WorkerOrderKind::Stop:
+    noteStopResult(Lead, Order, Result, Now);
+    break;
+  case WorkerOrderKind::Hold:
+    if (Session == nullptr || State.Workers.find(Order.Worker) == nullptr) {
+      break;
+    }
+    if (Result.Verdict == OrderVerdict::Done) {
+      noteHoldResult(Lead, State, Order, Result, *Session, Now, Wall);
+    } else if (Result.Verdict == OrderVerdict::Refused) {
+      Session->NextHoldAt = Now + HoldRetryEvery;
+    }
+    break;
+  case WorkerOrderKind::Pace:
+    if (const auto Paced = Lead.Launches.find(Order.Key);
+        Paced != Lead.Launches.end() &&
+        Result.Verdict != OrderVerdict::Done) {
+      Paced->second.Pace = 100; // Tried again by the next review.
+    }
+    break;
+  }
+}
+
+bool isPlaceable(const Dispatcher &Lead, const CellState &State, LifeId Worker,
+                 Instant Now) {
+  const auto Found = Lead.Sessions.find(Worker);
+  if (Found == Lead.Sessions.end()) {
+    return false;
+  }
+  const WorkerSession &Session = Found->second;
+  const Millis Silence = Lead.Options.ReportEvery * 5 / 2;
+  return Session.IsSettled && Session.Misses == 0 && Session.Clock &&
+         !State.Workers[Worker].Report.IsDraining &&
+         Now >= Session.AvoidUntil && !isOverdue(Session, Now) &&
+         Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/orders.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "mulberryramp/cell/dispatcher.hpp"
+
+/// @file
+/// @brief Orders of the leader to workers, and what is learned from answers.
+
+namespace mulberryramp {
+
+/// @brief Names a task as workers know it.
+[[nodiscard]] TaskName nameTask(const CellState &State, const TaskKey &Key);
+
+/// @brief Sends the order to begin a start that was agreed on.
+void sendStart(Dispatcher &Lead, const CellState &State, const Grant &Item,
+               Instant Now);
+
+/// @brief Sends the order to stop a start, unless one is on its way.
+/// @param Why Reason for the log.
+void sendStop(Dispatcher &Lead, const CellState &State, Launch &Item,
+              std::string_view Why, Instant Now);
+
+/// @brief Sends the order to let a task work at a share.
+void sendPace(Dispatcher &Lead, const CellState &State, Launch &Item,
+              std::uint32_t Percent, Instant Now);
+
+/// @brief Sends the holds that are due: they renew leases, acknowledge ends
+/// and wait for the next one.
+void sendHolds(Dispatcher &Lead, const CellState &State, Instant Now);
+
+/// @brief Gives up what ran on workers whose lease has run out.
+void expireLeases(Dispatcher &Lead, const CellState &State, Instant Now,
+                  WallTime Wall);
+
+/// @brief Proposes the end of a start that a worker has not listed.
+void proposeEnd(Dispatcher &Lead, Launch &Item, EndKind Kind, WallTime Wall);
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/relay.cpp
@@ -0,0 +1,146 @@
+#include "mulberryramp/cell/relay.hpp"
+
+#include <utility>
+
+namespace mulberryramp {
+
+CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds)
+    : Self{Self} {
+  learn(Seeds);
+}
+
+void CallRelay::learn(const std::vector<NodeId> &Nodes) {
+  Known.insert(Nodes.begin(), Nodes.end());
+  Known.erase(0);
+}
+
+void CallRelay::send(NodeId To, CellBody Body) {
+  Out.push_back({Self, To, std::move(Body)});
+}
+
+void CallRelay::submit(std::uint64_t Id, OpenCall &Item, Instant Now) {
+  if (Leader == 0) {
+    return;
+  }
+  Item.IsSent = true;
+  Item.SentAt = Now;
+  send(Leader, RelayedCall{Id, Item.Body});
+}
+
+void CallRelay::call(std::uint64_t CallId, CellCall Body, Instant Now) {
+  const std::uint64_t Id = NextId;
+  NextId += 1;
+  OpenCall &Item = Open[Id];
+  Item.CallId = CallId;
+  Item.Body = std::move(Body);
+  Item.Since = Now;
+  submit(Id, Item, Now);
+}
+
+void CallRelay::finish(std::uint64_t Id, CellReply Reply) {
+  const auto Found = Open.find(Id);
+  Replies.push_back({Found->second.CallId, std::move(Reply)});
+  Open.erase(Found);
+}
+
+void CallRelay::noteLeader(NodeId Node, Instant Now) {
+  if (Node == 0) {
+    return;
+  }
+  LeaderHeardAt = Now;
+  if (Node == Leader) {
+    return;
+  }
+  Leader = Node;
+  for (auto &[Id, Item] : Open) {
+    Item.IsDoubtful = Item.IsDoubtful || Item.IsSent;
+    submit(Id, Item, Now);
+  }
+}
+
+void CallRelay::receive(NodeId From, const NodeWelcome &Welcome, Instant Now) {
+  learn(Welcome.Voters);
+  if (Welcome.Leader != From) {
+    // Another node's view may be old: it tells only whom to greet next.
+    if (Welcome.Leader != 0 && Leader == 0) {
+      learn({Welcome.Leader});
+    }
+    return;
+  }
+  IsConfigured = Welcome.IsConfigured;
+  noteLeader(From, Now);
+}
+
+void CallRelay::receive(NodeId From, const RelayedReply &Reply, Instant Now) {
+  const auto Found = Open.find(Reply.Id);
+  if (Found == Open.end()) {
+    return;
+  }
+  if (Reply.IsLeading) {
+    noteLeader(From, Now);
+    finish(Reply.Id, Reply.Reply);
+    return;
+  }
+  Found->second.IsSent = false;
+  Found->second.IsDoubtful = Found->second.IsDoubtful || Reply.IsDoubtful;
+  if (From == Leader) {
+    loseLeader();
+    GreetAt = Now;
+  }
+}
+
+void CallRelay::loseLeader() { Leader = 0; }
+
+void CallRelay::greet(Instant Now) {
+  if (Now < GreetAt) {
+    return;
+  }
+  GreetAt = Now + (Leader == 0 ? SeekEvery : GreetEvery);
+  if (Leader != 0) {
+    send(Leader, NodeHello{});
+    return;
+  }
+  for (const NodeId Node : Known) {
+    send(Node, NodeHello{});
+  }
+}
+
+void CallRelay::tick(Instant Now) {
+  if (Leader != 0 && Now - LeaderHeardAt > LeaderLostAfter) {
+    loseLeader();
+    GreetAt = Now;
+  }
+  greet(Now);
+  std::vector<std::uint64_t> Ended;
+  for (auto &[Id, Item] : Open) {
+    const bool IsDoubtful = Item.IsSent || Item.IsDoubtful;
+    if (Now - Item.Since >= (IsDoubtful ? RelayPatience : LeaderPatience)) {
+      Ended.push_back(Id);
+    } else if (!Item.IsSent || Now - Item.SentAt >= RelayRetryEvery) {
+      Item.IsDoubtful = IsDoubtful;
+      submit(Id, Item, Now);
+    }
+  }
+  for (const std::uint64_t Id : Ended) {
+    const OpenCall &Item = Open[Id];
+    CellReply Reply;
+    Reply.Verdict = Item.IsSent || Item.IsDoubtful ? CellVerdict::Unknown
+                                                   : CellVerdict::Refused;
+    Reply.Text = "no leader answered in time";
+    finish(Id, std::move(Reply));
+  }
+}
+
+std::vector<CellMessage> CallRelay::takeMessages() {
+  return std::exchange(Out, {});
+}
+
+std::vector<LocalReply> CallRelay::takeReplies() {
+  return std::exchange(Replies, {});
+}
+
+bool CallRelay::isServed(Instant Now) const noexcept {
+  return IsConfigured && Now - LeaderHeardAt <= UnreadyAfter;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/relay.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "mulberryramp/cell/fwd.hpp"
+#include "mulberryramp/cell/message.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Answer to a call that came in at this node.
+struct LocalReply {
+  std::uint64_t CallId = 0;
+  CellReply Reply;
+};
+
+/// @brief Finds the leader and takes the calls of this node there.
+///
+/// A call whose fate is not known is repeated; all calls are safe to repeat.
+class CallRelay {
+public:
+  /// @brief Makes a relay.
+  /// @param Self This node.
+  /// @param Seeds Voters to ask first.
+  CallRelay(NodeId Self, const std::vector<NodeId> &Seeds);
+
+  /// @brief Adds nodes that may know the leader.
+  void learn(const std::vector<NodeId> &Nodes);
+
+  /// @brief Takes a call in.
+  void call(std::uint64_t CallId, CellCall Body, Instant Now);
+
+  /// @brief Takes an answer to a greeting in.
+  void receive(NodeId From, const NodeWelcome &Welcome, Instant Now);
+
+  /// @brief Takes an answer to a call in.
+  void receive(NodeId From, const RelayedReply &Reply, Instant Now);
+
+  /// @brief Notes what the node itself knows of the leader; 0 if nothing.
+  void noteLeader(NodeId Node, Instant Now);
+
+  /// @brief Greets, sends, repeats and gives up what is due.
+  void tick(Instant Now);
+
+  /// @brief Takes the messages that are to be sent.
+  [[nodiscard]] std::vector<CellMessage> takeMessages();
+
+  /// @brief Takes the answers to local calls.
+  [[nodiscard]] std::vector<LocalReply> takeReplies();
+
+  /// @brief Reads the leader, or 0.
+  [[nodiscard]] NodeId leader() const noexcept { return Leader; }
+
+  /// @brief Tells whether a leader with a configuration answered lately.
+  [[nodiscard]] bool isServed(Instant Now) const noexcept;
+
+  /// @brief Counts the calls without an answer.
+  [[nodiscard]] std::size_t openCalls() const noexcept { return Open.size(); }
+
+  /// @brief Reads the nodes that may know the leader.
+  [[nodiscard]] const std::set<NodeId> &known() const noexcept { return Known; }
+
+private:
+  struct OpenCall {
+    std::uint64_t CallId = 0;
+    CellCall Body;
+    Instant Since;
+    Instant SentAt;
+    bool IsSent = false;     ///< To the present leader.
+    bool IsDoubtful = false; ///< May have had its effect.
+  };
+
+  void send(NodeId To, CellBody Body);
+  void submit(std::uint64_t Id, OpenCall &Item, Instant Now);
+  void finish(std::uint64_t Id, CellReply Reply);
+  void greet(Instant Now);
+  void loseLeader();
+
+  NodeId Self;
+  std::set<NodeId> Known;
+  NodeId Leader = 0;
+  Instant LeaderHeardAt;
+  bool IsConfigured = false;
+  Instant GreetAt;
+  std::uint64_t NextId = 1;
+  std::map<std::uint64_t, OpenCall> Open;
+  std::vector<CellMessage> Out;
+  std::vector<LocalReply> Replies;
+};
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -0,0 +1,383 @@
+#include "mulberryramp/cell/start_planner.hpp"
+
+#include "mulberryramp/cell/advice.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Most workers that one question names; answers take longer for more.
+constexpr std::size_t MaxQuestionWorkers = 30;
+/// Workers asked about for each task that waits.
+constexpr std::size_t QuestionWorkersPerTask = 3;
+/// Fewest workers that a question names, if there are as many.
+constexpr std::size_t MinQuestionWorkers = 12;
+/// A step that follows is asked about so long before it is ready.
+constexpr Millis AskAhead{150};
+/// Weights of a place, in units of a worker that is left empty.
+constexpr double AwayFromData = 4;
+constexpr double FailedThere = 3;
+constexpr double BesideLasting = 0.6;
+/// A job this many objectives late is served last.
+constexpr int HopelessFactor = 3;
+
+/// A worker during one pass.
+struct Place {
+  LifeId Worker;
+  const WorkerLife *Life = nullptr;
+  Resources Free;
+  std::uint32_t Lasting = 0; ///< Serving tasks there.
+};
+
+/// A step with tasks that wait.
+struct WaitingStep {
+  StepKey Key;
+  std::uint32_t Priority = 0;
+  bool IsHopeless = false;
+  WallTime Objective;
+};
+
+bool operator<(const WaitingStep &Left, const WaitingStep &Right) {
+  return std::tie(Left.IsHopeless, Left.Priority, Left.Objective, Left.Key) <
+         std::tie(Right.IsHopeless, Right.Priority, Right.Objective, Right.Key);
+}
+
+class StartPlanner {
+public:
+  StartPlanner(Dispatcher &Lead, const CellState &State, Instant Now,
+               WallTime Wall)
+      : Lead{Lead}, State{State}, Now{Now}, Wall{Wall} {}
+
+  std::vector<Grant> plan() {
+    listPlaces();
+    listSteps();
+    for (const WaitingStep &Item : Ready) {
+      planStep(Item.Key);
+    }
+    for (const WaitingStep &Item : Following) {
+      askAhead(Item.Key);
+    }
+    return std::move(Grants);
+  }
+
+private:
+  void listPlaces() {
+    for (const LifeId Id : State.Workers.ids()) {
+      if (!isPlaceable(Lead, State, Id, Now)) {
+        continue;
+      }
+      Place Item;
+      Item.Worker = Id;
+      Item.Life = &State.Workers[Id];
+      Item.Free = freeOn(*Item.Life);
+      for (const TaskKey &Key : Lead.Sessions.at(Id).Tasks) {
+        const Job *Owner = State.Jobs.find(Key.Job);
+        Item.Lasting +=
+            Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLasting ? 1 : 0;
+      }
+      Places.push_back(std::move(Item));
+    }
+  }
+
+  void listSteps() {
+    for (const JobId Id : State.Jobs.ids()) {
+      const Job &Item = State.Jobs[Id];
+      if (isOver(Item.Phase)) {
+        continue;
+      }
+      for (const JobRun &Run : Item.Runs) {
+        listStepsOf(Id, Item, Run);
+      }
+    }
+    std::sort(Ready.begin(), Ready.end());
+    std::sort(Following.begin(), Following.end());
+  }
+
+  void listStepsOf(JobId Id, const Job &Item, const JobRun &Run) {
+    WaitingStep Found;
+    Found.Priority = Item.Queue.Priority;
+    Found.Objective = objectiveOf(Item, Run.Number);
+    const WallTime Due = dueTime(Item, Run.Number);
+    Found.IsHopeless =
+        !Item.Spec.Steps.front().IsLasting &&
+        Wall > Due + (Found.Objective - Due) * HopelessFactor;
+    for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
+      const JobStep &Each = Run.Steps[Step];
+      if (Each.Assigned + Each.Done == Each.Tasks.size()) {
+        continue;
+      }
+      Found.Key = {Id, Run.Number, Step};
+      if (isStepReady(Item, Run, Step)) {
+        Ready.push_back(Found);
+      } else if (Item.Queue.Advice && followsSoon(Item, Id, Run, Step)) {
+        Following.push_back(Found);
+      }
+    }
+  }
+
+  /// Tells whether all that a step waits for runs and is about to end.
+  bool followsSoon(const Job &Item, JobId Id, const JobRun &Run,
+                   std::uint32_t Step) const {
+    const Instant Soon =
+        Now + answerTime(*Item.Queue.Advice, MaxQuestionWorkers) + AskAhead;
+    for (const std::uint32_t Earlier : Item.Spec.Steps[Step].After) {
+      const JobStep &Before = Run.Steps[Earlier];
+      if (Before.Assigned + Before.Done != Before.Tasks.size()) {
+        return false;
+      }
+      for (std::uint32_t Task = 0; Task < Before.Tasks.size(); ++Task) {
+        const auto Found = Lead.Launches.find({Id, Run.Number, Earlier, Task});
+        if (Found != Lead.Launches.end() &&
+            Found->second.StartedAt + Item.Spec.Steps[Earlier].Estimate >
+                Soon) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  bool mayUse(const Place &Item, const Job &Owner, const StepSpec &Step) const {
+    const auto &Labels = Item.Life->Report.Labels;
+    return Item.Life->Report.Pool == Owner.Queue.Pool &&
+           (Step.Label.empty() ||
+            std::find(Labels.begin(), Labels.end(), Step.Label) !=
+                Labels.end());
+  }
+
+  std::uint32_t countOn(const JobStep &Step, const Place &Item) const {
+    std::uint32_t Count = 0;
+    for (const JobTask &Task : Step.Tasks) {
+      Count += Task.State == JobTaskState::Assigned &&
+                       Task.Worker == Item.Worker
+                   ? 1
+                   : 0;
+    }
+    return Count;
+  }
+
+  /// Rates a place; lower is better.
+  double rate(const Place &Item, const StepSpec &Step, const Resources &Need,
+              const JobTask *Task) const {
+    const Resources Left = Item.Free - Need;
+    const auto Share = [](std::int64_t Part, std::int64_t Whole) {
+      return Whole == 0 ? 0.0
+                        : static_cast<double>(Part) /
+                              static_cast<double>(Whole);
+    };
+    const Resources &Whole = Item.Life->Report.Capacity;
+    double Rating = Share(Left.MilliCpus, Whole.MilliCpus) +
+                    Share(Left.MemoryMb, Whole.MemoryMb) / 2;
+    if (!Step.DataRack.empty() && Step.DataRack != Item.Life->Report.Rack) {
+      Rating += AwayFromData;
+    }
+    if (Task != nullptr && Task->Failures != 0 && Task->Worker == Item.Worker) {
+      Rating += FailedThere;
+    }
+    if (!Step.IsLasting && Item.Lasting != 0) {
+      Rating += BesideLasting;
+    }
+    return Rating;
+  }
+
+  /// Chooses the best place for a task, or null.
+  Place *choose(const Job &Owner, const StepSpec &Step, const StepAdvice *Advice,
+                const JobTask *Task, const std::string *Rack,
+                const std::map<LifeId, std::uint32_t> &Counts) {
+    const Resources Need = takenBy(Step);
+    Place *Best = nullptr;
+    double BestRating = std::numeric_limits<double>::max();
+    for (Place &Item : Places) {
+      if (!fitsIn(Need, Item.Free) || !mayUse(Item, Owner, Step) ||
+          (Rack != nullptr && Item.Life->Report.Rack != *Rack) ||
+          (Advice != nullptr && !isAdmitted(*Advice, Item.Worker, Now))) {
+        continue;
+      }
+      if (Step.MaxPerWorker != 0) {
+        const auto Count = Counts.find(Item.Worker);
+        if (Count != Counts.end() && Count->second >= Step.MaxPerWorker) {
+          continue;
+        }
+      }
+      const double Rating = rate(Item, Step, Need, Task);
+      if (Rating < BestRating) {
+        BestRating = Rating;
+        Best = &Item;
+      }
+    }
+    return Best;
+  }
+
+  void take(Place &Item, const StepSpec &Step, const TaskKey &Key,
+            std::uint32_t Attempt) {
+    Item.Free -= takenBy(Step);
+    Item.Lasting += Step.IsLasting ? 1 : 0;
+    Grants.push_back({Key, Attempt, Item.Worker});
+  }
+
+  std::map<LifeId, std::uint32_t> countTasks(const JobStep &Step) const {
+    std::map<LifeId, std::uint32_t> Counts;
+    for (const JobTask &Task : Step.Tasks) {
+      if (Task.State == JobTaskState::Assigned) {
+        Counts[Task.Worker] += 1;
+      }
+    }
+    return Counts;
+  }
+
+  void planStep(const StepKey &Key) {
+    const Job &Owner = State.Jobs[Key.Job];
+    const StepSpec &Spec = Owner.Spec.Steps[Key.Step];
+    const JobStep &Step = findRun(Owner, Key.Run)->Steps[Key.Step];
+    const StepAdvice *Advice = nullptr;
+    if (Owner.Queue.Advice) {
+      Advice = &Lead.Advice[Key];
+    }
+    const std::size_t Missing = Spec.IsGang ? planGang(Key, Owner, Spec, Step, Advice)
+                                            : planTasks(Key, Owner, Spec, Step, Advice);
+    if (Missing != 0 && Advice != nullptr) {
+      askFor(Key, Owner, Spec, Step, Missing);
+    }
+  }
+
+  /// Places what can be placed; returns how many tasks could not.
+  std::size_t planTasks(const StepKey &Key, const Job &Owner,
+                        const StepSpec &Spec, const JobStep &Step,
+                        const StepAdvice *Advice) {
+    auto Counts = countTasks(Step);
+    std::size_t Missing = 0;
+    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+      const JobTask &Task = Step.Tasks[Index];
+      if (Task.State != JobTaskState::Waiting) {
+        continue;
+      }
+      Place *Chosen =
+          Missing != 0 ? nullptr
+                       : choose(Owner, Spec, Advice, &Task, nullptr, Counts);
+      if (Chosen == nullptr) {
+        Missing += 1;
+        continue;
+      }
+      Counts[Chosen->Worker] += 1;
+      take(*Chosen, Spec, {Key.Job, Key.Run, Key.Step, Index}, Task.Run + 1);
+    }
+    return Missing;
+  }
+
+  /// Places all members or none; on one rack if the step asks for it.
+  std::size_t planGang(const StepKey &Key, const Job &Owner,
+                       const StepSpec &Spec, const JobStep &Step,
+                       const StepAdvice *Advice) {
+    if (Step.Assigned != 0) {
+      return 0;
+    }
+    if (Spec.IsSameRack) {
+      std::set<std::string> Racks;
+      for (const Place &Item : Places) {
+        Racks.insert(Item.Life->Report.Rack);
+      }
+      for (const std::string &Rack : Racks) {
+        if (tryGang(Key, Owner, Spec, Step, Advice, &Rack)) {
+          return 0;
+        }
+      }
+    }
+    return tryGang(Key, Owner, Spec, Step, Advice, nullptr) ? 0
+                                                            : Step.Tasks.size();
+  }
+
+  bool tryGang(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
+               const JobStep &Step, const StepAdvice *Advice,
+               const std::string *Rack) {
+    const std::vector<Place> Before = Places;
+    const std::size_t First = Grants.size();
+    std::uint32_t Attempt = 0;
+    for (const JobTask &Task : Step.Tasks) {
+      Attempt = std::max(Attempt, Task.Run + 1);
+    }
+    std::map<LifeId, std::uint32_t> Counts;
+    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+      Place *Chosen =
+          choose(Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts);
+      if (Chosen == nullptr) {
+        Places = Before;
+        Grants.resize(First);
+        return false;
+      }
+      Counts[Chosen->Worker] += 1;
+      take(*Chosen, Spec, {Key.Job, Key.Run, Key.Step, Index}, Attempt);
+    }
+    return true;
+  }
+
+  /// Asks about workers that have room: unknown ones first, then those whose
+  /// ticket has run out.
+  void askFor(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
+              const JobStep &Step, std::size_t Missing) {
+    const StepAdvice &Known = Lead.Advice[Key];
+    const Resources Need = takenBy(Spec);
+    std::vector<std::pair<double, LifeId>> Candidates;
+    for (const Place &Item : Places) {
+      if (!fitsIn(Need, Item.Free) || !mayUse(Item, Owner, Spec) ||
+          Known.Denied.contains(Item.Worker) ||
+          isAdmitted(Known, Item.Worker, Now) ||
+          (Spec.MaxPerWorker != 0 &&
+           countOn(Step, Item) >= Spec.MaxPerWorker)) {
+        continue;
+      }
+      const bool IsKnown = Known.Admitted.contains(Item.Worker);
+      Candidates.emplace_back(
+          (IsKnown ? -8.0 : 0.0) + rate(Item, Spec, Need, nullptr),
+          Item.Worker);
+    }
+    std::sort(Candidates.begin(), Candidates.end());
+    const std::size_t Most =
+        std::clamp(Missing * QuestionWorkersPerTask, MinQuestionWorkers,
+                   MaxQuestionWorkers);
+    std::vector<LifeId> Workers;
+    for (const auto &[Rating, Worker] : Candidates) {
+      if (Workers.size() < Most) {
+        Workers.push_back(Worker);
+      }
+    }
+    askAdvice(Lead, State, Key, *Owner.Queue.Advice, Workers, Now);
+  }
+
+  void askAhead(const StepKey &Key) {
+    const Job &Owner = State.Jobs[Key.Job];
+    const StepSpec &Spec = Owner.Spec.Steps[Key.Step];
+    const JobStep &Step = findRun(Owner, Key.Run)->Steps[Key.Step];
+    const auto Known = Lead.Advice.find(Key);
+    if (Known == Lead.Advice.end() || Known->second.Admitted.empty()) {
+      askFor(Key, Owner, Spec, Step, Step.Tasks.size());
+    }
+  }
+
+  Dispatcher &Lead;
+  const CellState &State;
+  Instant Now;
+  WallTime Wall;
+  std::vector<Place> Places;
+  std::vector<WaitingStep> Ready;
+  std::vector<WaitingStep> Following;
+  std::vector<Grant> Grants;
+};
+
+} // namespace
+
+WallTime objectiveOf(const Job &Item, std::uint32_t Run) {
+  const auto Chain = static_cast<double>(longestChain(Item.Spec).count());
+  return dueTime(Item, Run) + Item.Queue.Target +
+         Millis{std::llround(Chain * Item.Queue.SlackFactor)};
+}
+
+std::vector<Grant> planStarts(Dispatcher &Lead, const CellState &State,
+                              Instant Now, WallTime Wall) {
+  return StartPlanner{Lead, State, Now, Wall}.plan();
+}
+
+} // namespace mulberryramp
--- a/src/mulberryramp/config/settings.cpp
+++ b/src/mulberryramp/config/settings.cpp
@@ -1,10 +1,9 @@
 #include "mulberryramp/config/settings.hpp"
 
+#include "mulberryramp/config/ini.hpp"
+
 #include <algorithm>
-#include <arpa/inet.h>
-#include <charconv>
 #include <functional>
-#include <ini.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,92 +13,15 @@
 
 namespace internal {
 
-struct IniPair {
-  std::string Section;
-  std::string Key;
-  std::string Value;
-  std::size_t Line = 0;
-};
-
-struct IniText {
-  std::vector<std::string> Lines;
-  std::vector<IniPair> Pairs;
-  std::size_t Read = 0;
-};
-
-char *readIniLine(char *Buffer, int Size, void *Stream) {
-  auto &Text = *static_cast<IniText *>(Stream);
-  if (Text.Read >= Text.Lines.size()) {
-    return nullptr;
-  }
-  const std::string Line = Text.Lines[Text.Read] + "\n";
-  Text.Read += 1;
-  const auto Length = std::min(Line.size(), static_cast<std::size_t>(Size) - 1);
-  std::copy_n(Line.data(), Length, Buffer);
-  Buffer[Length] = '\0';
-  return Buffer;
-}
-
-int takeIniPair(void *User, const char *Section, const char *Key,
-                const char *Value) {
-  auto &Text = *static_cast<IniText *>(User);
-  Text.Pairs.push_back({Section, Key, Value, Text.Read});
-  return 1;
-}
-
-std::vector<std::string> splitLines(const std::string &Text) {
-  std::vector<std::string> Lines;
-  std::size_t Begin = 0;
-  while (Begin <= Text.size()) {
-    const std::size_t End = std::min(Text.find('\n', Begin), Text.size());
-    Lines.push_back(Text.substr(Begin, End - Begin));
-    Begin = End + 1;
-  }
-  return Lines;
-}
-
-template <typename Number>
-std::optional<Number> parseNumber(std::string_view Text, Number Least,
-                                  Number Most) {
-  Number Value{};
-  const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc{} || End != Text.data() + Text.size() ||
-      Value < Least || Value > Most) {
-    return std::nullopt;
-  }
-  return Value;
-}
-
-std::optional<Endpoint> parseEndpoint(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos) {
-    return std::nullopt;
-  }
-  const auto Port = parseNumber<std::uint16_t>(
-      std::string_view{Text}.substr(Colon + 1), 1, 65535);
-  in_addr Address{};
-  const std::string Host = Text.substr(0, Colon);
-  if (!Port || inet_pton(AF_INET, Host.c_str(), &Address) != 1) {
-    return std::nullopt;
-  }
-  return Endpoint{Host, *Port};
-}
-
 class SettingsParser {
 public:
   SettingsParser(const std::string &Source, const std::string &Text)
       : Source{Source} {
-    Ini.Lines = splitLines(Text);
-    const int Bad = ini_parse_stream(readIniLine, &Ini, takeIniPair, &Ini);
-    if (Bad > 0) {
-      add(static_cast<std::size_t>(Bad), 1,
-          "neither a section nor `key = value`");
-    }
+    Pairs = readIni(Source, Text, Report);
   }
 
   Settings parse(NodeId Self) {
-    for (const IniPair &Pair : Ini.Pairs) {
+    for (const IniPair &Pair : Pairs) {
       noteRepeat(Pair);
       take(Pair);
     }
@@ -120,8 +42,8 @@
     Report.add({Source, Line, Column, std::move(Text)});
   }
 
-  std::size_t columnOf(const IniPair &Pair, const std::string &Part) {
-    const std::size_t At = Ini.Lines[Pair.Line - 1].rfind(Part);
+  static std::size_t columnOf(const IniPair &Pair, const std::string &Part) {
+    const std::size_t At = Pair.LineText.rfind(Part);
     return At == std::string::npos ? 1 : At + 1;
   }
 
@@ -317,7 +239,7 @@
   }
 
   std::string Source;
-  IniText Ini;
+  std::vector<IniPair> Pairs;
   Settings All;
   std::map<NodeId, NodeSettings> Nodes;
   std::map<NodeId, std::size_t> NodeLines;
--- /dev/null
+++ b/src/mulberryramp/http/async_client.cpp
@@ -0,0 +1,255 @@
+#include "mulberryramp/http/async_client.hpp"
+
+#include "mulberryramp/core/time.hpp"
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <curl/curl.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Data that is not acknowledged for this long means a silent peer.
+constexpr long SilentAfterMs = 1500;
+/// Idle connections that are kept open in all.
+constexpr long MaxKeptConnections = 1200;
+/// Finished handles that are kept for reuse.
+constexpr std::size_t MaxIdleHandles = 64;
+
+struct Transfer {
+  CURL *Handle = nullptr;
+  curl_slist *Headers = nullptr;
+  std::string Body;
+  std::string Received;
+  AsyncHttpClient::Handler OnDone;
+};
+
+std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
+                     void *Into) {
+  static_cast<std::string *>(Into)->append(Data, Size * Count);
+  return Size * Count;
+}
+
+int setSocketOptions(void * /*Context*/, curl_socket_t Socket,
+                     curlsocktype /*Purpose*/) {
+  const unsigned Limit = SilentAfterMs;
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit, sizeof(Limit));
+  return CURL_SOCKOPT_OK;
+}
+
+} // namespace
+
+struct AsyncHttpClient::Impl {
+  /// Tells the transfers what happens on one socket.
+  class Watcher final : public ACE_Event_Handler {
+  public:
+    Watcher(Impl &Owner, curl_socket_t Socket)
+        : ACE_Event_Handler{Owner.Loop}, Owner{Owner}, Socket{Socket} {}
+    ~Watcher() override { ignore(); }
+    /// The number of a closed socket may already name another one.
+    void ignore() {
+      if (IsRegistered) {
+        reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
+        IsRegistered = false;
+      }
+    }
+    void watch(ACE_Reactor_Mask Mask) {
+      if (!IsRegistered) {
+        reactor()->register_handler(this, Mask);
+        IsRegistered = true;
+      } else {
+        reactor()->mask_ops(this, Mask, ACE_Reactor::SET_MASK);
+      }
+    }
+    ACE_HANDLE get_handle() const override { return Socket; }
+    int handle_input(ACE_HANDLE /*Handle*/) override {
+      Owner.act(Socket, CURL_CSELECT_IN);
+      return 0;
+    }
+    int handle_output(ACE_HANDLE /*Handle*/) override {
+      Owner.act(Socket, CURL_CSELECT_OUT);
+      return 0;
+    }
+    int handle_close(ACE_HANDLE /*Handle*/,
+                     ACE_Reactor_Mask /*Mask*/) override {
+      return 0;
+    }
+
+  private:
+    Impl &Owner;
+    curl_socket_t Socket;
+    bool IsRegistered = false;
+  };
+
+  explicit Impl(ACE_Reactor &Loop) : Loop{&Loop} {}
+
+  void act(curl_socket_t Socket, int Events) {
+    int Running = 0;
+    curl_multi_socket_action(Multi, Socket, Events, &Running);
+  }
+
+  static int onSocket(CURL * /*Handle*/, curl_socket_t Socket, int What,
+                      void *Self, void * /*SocketData*/) {
+    auto &Client = *static_cast<Impl *>(Self);
+    if (What == CURL_POLL_REMOVE) {
+      const auto Found = Client.Watchers.find(Socket);
+      if (Found != Client.Watchers.end()) {
+        Found->second->ignore();
+        Client.Ended.push_back(std::move(Found->second));
+        Client.Watchers.erase(Found);
+      }
+      return 0;
+    }
+    auto &Item = Client.Watchers[Socket];
+    if (!Item) {
+      Item = std::make_unique<Watcher>(Client, Socket);
+    }
+    ACE_Reactor_Mask Mask = ACE_Event_Handler::NULL_MASK;
+    if ((What & CURL_POLL_IN) != 0) {
+      ACE_SET_BITS(Mask, ACE_Event_Handler::READ_MASK);
+    }
+    if ((What & CURL_POLL_OUT) != 0) {
+      ACE_SET_BITS(Mask, ACE_Event_Handler::WRITE_MASK);
+    }
+    Item->watch(Mask);
+    return 0;
+  }
+
+  static int onTimer(CURLM * /*Multi*/, long Ms, void *Self) {
+    auto &Client = *static_cast<Impl *>(Self);
+    Client.HasTimer = Ms >= 0;
+    Client.TimerAt = SuspendAwareClock::now() + Millis{std::max(Ms, 0L)};
+    return 0;
+  }
+
+  CURL *takeHandle() {
+    if (Idle.empty()) {
+      return curl_easy_init();
+    }
+    CURL *Handle = Idle.back();
+    Idle.pop_back();
+    return Handle;
+  }
+
+  void finish(CURL *Handle, CURLcode Code) {
+    const auto Found = Open.find(Handle);
+    std::unique_ptr<Transfer> Item = std::move(Found->second);
+    Open.erase(Found);
+    OutboundResponse Response;
+    long Status = 0;
+    curl_off_t Begun = 0;
+    curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+    curl_easy_getinfo(Handle, CURLINFO_PRETRANSFER_TIME_T, &Begun);
+    if (Code == CURLE_OK) {
+      Response.Status = static_cast<int>(Status);
+      Response.Body = std::move(Item->Received);
+    } else {
+      Response.IsUnsent = Code == CURLE_COULDNT_CONNECT || Begun == 0;
+    }
+    curl_multi_remove_handle(Multi, Handle);
+    curl_slist_free_all(Item->Headers);
+    if (Idle.size() < MaxIdleHandles) {
+      curl_easy_reset(Handle);
+      Idle.push_back(Handle);
+    } else {
+      curl_easy_cleanup(Handle);
+    }
+    Item->OnDone(std::move(Response));
+  }
+
+  void takeFinished() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
+      if (Message->msg == CURLMSG_DONE) {
+        finish(Message->easy_handle, Message->data.result);
+      }
+    }
+    Ended.clear();
+  }
+
+  ACE_Reactor *Loop;
+  CURLM *Multi = nullptr;
+  bool HasTimer = false;
+  Instant TimerAt;
+  std::map<curl_socket_t, std::unique_ptr<Watcher>> Watchers;
+  std::vector<std::unique_ptr<Watcher>> Ended; ///< May still be on the stack.
+  std::map<CURL *, std::unique_ptr<Transfer>> Open;
+  std::vector<CURL *> Idle;
+};
+
+AsyncHttpClient::AsyncHttpClient(ACE_Reactor &Loop, long MaxPerHost)
+    : Parts{std::make_unique<Impl>(Loop)} {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  Parts->Multi = curl_multi_init();
+  curl_multi_setopt(Parts->Multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
+  curl_multi_setopt(Parts->Multi, CURLMOPT_SOCKETDATA, Parts.get());
+  curl_multi_setopt(Parts->Multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
+  curl_multi_setopt(Parts->Multi, CURLMOPT_TIMERDATA, Parts.get());
+  curl_multi_setopt(Parts->Multi, CURLMOPT_MAX_HOST_CONNECTIONS, MaxPerHost);
+  curl_multi_setopt(Parts->Multi, CURLMOPT_MAXCONNECTS, MaxKeptConnections);
+}
+
+AsyncHttpClient::~AsyncHttpClient() {
+  for (auto &[Handle, Item] : Parts->Open) {
+    curl_multi_remove_handle(Parts->Multi, Handle);
+    curl_slist_free_all(Item->Headers);
+    curl_easy_cleanup(Handle);
+  }
+  for (CURL *Handle : Parts->Idle) {
+    curl_easy_cleanup(Handle);
+  }
+  curl_multi_cleanup(Parts->Multi);
+}
+
+void AsyncHttpClient::send(const OutboundRequest &Request, Handler OnDone) {
+  auto Item = std::make_unique<Transfer>();
+  Item->Body = Request.Body;
+  Item->OnDone = std::move(OnDone);
+  Item->Handle = Parts->takeHandle();
+  for (const std::string &Header : Request.Headers) {
+    Item->Headers = curl_slist_append(Item->Headers, Header.c_str());
+  }
+  // Without this, bodies of 1 KiB and more wait for an interim answer.
+  Item->Headers = curl_slist_append(Item->Headers, "Expect:");
+  CURL *Handle = Item->Handle;
+  curl_easy_setopt(Handle, CURLOPT_URL, Request.Url.c_str());
+  curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, Request.Method.c_str());
+  curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE,
+                   static_cast<long>(Item->Body.size()));
+  curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Item->Body.c_str());
+  curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, Item->Headers);
+  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Request.Timeout.count()));
+  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &takeBody);
+  curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Item->Received);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+  Parts->Open[Handle] = std::move(Item);
+  curl_multi_add_handle(Parts->Multi, Handle);
+}
+
+void AsyncHttpClient::run() {
+  if (Parts->HasTimer && SuspendAwareClock::now() >= Parts->TimerAt) {
+    Parts->HasTimer = false;
+    Parts->act(CURL_SOCKET_TIMEOUT, 0);
+  }
+  Parts->takeFinished();
+}
+
+Millis AsyncHttpClient::waitTime(Millis Longest) const {
+  if (!Parts->HasTimer) {
+    return Longest;
+  }
+  const Millis Left = Parts->TimerAt - SuspendAwareClock::now();
+  return std::clamp(Left, Millis{0}, Longest);
+}
+
+} // namespace mulberryramp
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -31,6 +31,10 @@
       MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header(Response, MHD_HTTP_HEADER_CONTENT_TYPE,
                           Answer.ContentType.c_str());
+  if (Answer.RetryAfterSeconds != 0) {
+    MHD_add_response_header(Response, MHD_HTTP_HEADER_RETRY_AFTER,
+                            std::to_string(Answer.RetryAfterSeconds).c_str());
+  }
   const MHD_Result Queued = MHD_queue_response(
       Connection, static_cast<unsigned>(Answer.Status), Response);
   MHD_destroy_response(Response);
@@ -63,6 +67,9 @@
     Item->Connection = Connection;
     Item->Request.Method = Method;
     Item->Request.Path = Url;
+    const char *Host = MHD_lookup_connection_value(
+        Connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
+    Item->Request.Host = Host == nullptr ? "" : Host;
     MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND,
                               internal::takeQuery, &Item->Request.Query);
     Open[Item->Id] = Item;
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -17,6 +17,7 @@
   int Status = 200;
   std::string ContentType = "application/json";
   std::string Body;
+  unsigned RetryAfterSeconds = 0; ///< Sent as Retry-After unless 0.
 };
 
 /// @brief HTTP server that one event loop drives; requests wait for their
--- /dev/null
+++ b/src/mulberryramp/job/command.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "mulberryramp/job/job.hpp"
+#include "mulberryramp/job/worker.hpp"
+
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace mulberryramp {
+
+/// @brief Accepts a job; does nothing if its name is known.
+struct SubmitJobCommand {
+  std::string Name;
+  std::string Host;   ///< Of its queue.
+  std::string Prefix; ///< Of its queue.
+  JobSpec Spec;
+  WallTime At;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SubmitJobCommand::Name, &SubmitJobCommand::Host,
+                           &SubmitJobCommand::Prefix, &SubmitJobCommand::Spec,
+                           &SubmitJobCommand::At);
+  }
+};
+
+/// @brief Cancels a job unless it is over.
+struct CancelJobCommand {
+  std::string Name;
+  WallTime At;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&CancelJobCommand::Name, &CancelJobCommand::At);
+  }
+};
+
+/// @brief Puts a configuration in force unless a higher version is.
+struct ConfigureCommand {
+  CellConfiguration Rules;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfigureCommand::Rules);
+  }
+};
+
+/// @brief Adds a life of a worker, in place of earlier ones.
+///
+/// A worker that comes back under its name takes over the tasks of its former
+/// life, since an order may have reached either; its lists tell which are
+/// there. The former lives under other names at its address have ended.
+struct WorkerJoinCommand {
+  WorkerReport Report;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&WorkerJoinCommand::Report);
+  }
+};
+
+/// @brief Notes that a worker drains; this life never takes work again.
+struct WorkerDrainCommand {
+  LifeId Worker;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&WorkerDrainCommand::Worker);
+  }
+};
+
+/// @brief Ends a life of a worker with all that ran there.
+struct WorkerLeaveCommand {
+  LifeId Worker;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&WorkerLeaveCommand::Worker);
+  }
+};
+
+/// @brief Assigns a task to a worker; the start is sent once this is agreed.
+struct Grant {
+  TaskKey Key;
+  std::uint32_t Attempt = 0; ///< Number of the start.
+  LifeId Worker;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&Grant::Key, &Grant::Attempt, &Grant::Worker);
+  }
+};
+
+/// @brief Assigns tasks; a grant that no longer fits is passed over.
+struct StartCommand {
+  std::vector<Grant> Grants;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&StartCommand::Grants);
+  }
+};
+
+/// @brief How a start ended.
+enum class EndKind : std::uint8_t {
+  Done,
+  Failed,
+  Stopped, ///< By an order.
+  Lapsed,  ///< Its lease ran out.
+  Broken,  ///< Another member of its gang ended.
+  Alone,   ///< Its gang was not complete in time.
+  Lost,    ///< It is certain that it does not run and never will.
+  Refused  ///< The worker did not begin it.
+};
+
+/// @brief Names of the kinds.
+constexpr std::array<std::string_view, 8> nameTable(EndKind /*Kind*/) noexcept {
+  return {"done",   "failed", "stopped", "lapsed",
+          "broken", "alone",  "lost",    "refused"};
+}
+
+/// @brief The end of one start.
+struct TaskEnd {
+  TaskKey Key;
+  std::uint32_t Attempt = 0;
+  EndKind Kind = EndKind::Done;
+  std::string Saved; ///< Last checkpoint, or none.
+
+  static constexpr auto fields() {
+    return std::make_tuple(&TaskEnd::Key, &TaskEnd::Attempt, &TaskEnd::Kind,
+                           &TaskEnd::Saved);
+  }
+};
+
+/// @brief Notes the ends that a worker has listed, so that it may forget them.
+struct EndsCommand {
+  LifeId Worker;
+  std::uint64_t UpTo = 0; ///< Number of the last listed end.
+  std::vector<TaskEnd> Ends;
+  WallTime At;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&EndsCommand::Worker, &EndsCommand::UpTo,
+                           &EndsCommand::Ends, &EndsCommand::At);
+  }
+};
+
+/// @brief Opens the next run of a repeated job.
+struct OpenRunCommand {
+  JobId Job;
+  std::uint32_t Run = 0;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&OpenRunCommand::Job, &OpenRunCommand::Run);
+  }
+};
+
+/// @brief Forgets jobs that have been over for long.
+struct ForgetCommand {
+  std::vector<JobId> Jobs;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ForgetCommand::Jobs);
+  }
+};
+
+using CellCommand =
+    std::variant<SubmitJobCommand, CancelJobCommand, ConfigureCommand,
+                 WorkerJoinCommand, WorkerDrainCommand, WorkerLeaveCommand,
+                 StartCommand, EndsCommand, OpenRunCommand, ForgetCommand>;
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/job/configuration.cpp
@@ -0,0 +1,27 @@
+#include "mulberryramp/job/configuration.hpp"
+
+namespace mulberryramp {
+
+const JobQueue *findQueue(const CellConfiguration &Rules, std::string_view Host,
+                          std::string_view Path) {
+  const JobQueue *Best = nullptr;
+  for (const JobQueue &Queue : Rules.Queues) {
+    const bool Fits = Queue.Host == Host && Path.starts_with(Queue.Prefix);
+    if (Fits && (!Best || Queue.Prefix.size() > Best->Prefix.size())) {
+      Best = &Queue;
+    }
+  }
+  return Best;
+}
+
+const JobQueue *queueOf(const CellConfiguration &Rules, std::string_view Host,
+                        std::string_view Prefix) {
+  for (const JobQueue &Queue : Rules.Queues) {
+    if (Queue.Host == Host && Queue.Prefix == Prefix) {
+      return &Queue;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/job/state.cpp
@@ -0,0 +1,389 @@
+#include "mulberryramp/job/state.hpp"
+
+#include <algorithm>
+
+namespace mulberryramp {
+
+namespace {
+
+JobTask *taskAt(CellState &State, const TaskKey &Key) {
+  return const_cast<JobTask *>(findTask(State, Key)); // NOLINT: own state.
+}
+
+JobStep &stepAt(CellState &State, const TaskKey &Key) {
+  return findRun(State.Jobs[Key.Job], Key.Run)->Steps[Key.Step];
+}
+
+const StepSpec &specAt(const CellState &State, const TaskKey &Key) {
+  return State.Jobs[Key.Job].Spec.Steps[Key.Step];
+}
+
+void openRun(Job &Item) {
+  JobRun Run;
+  Run.Number = Item.NextRun;
+  Item.NextRun += 1;
+  for (const StepSpec &Step : Item.Spec.Steps) {
+    Run.Steps.emplace_back().Tasks.resize(Step.Tasks);
+  }
+  Item.Runs.push_back(std::move(Run));
+}
+
+void endJob(CellState &State, JobId Id, JobPhase Phase, WallTime At,
+            CellChange &Change) {
+  Job &Item = State.Jobs[Id];
+  Item.Phase = Phase;
+  Item.OverAt = At;
+  Change.Over.push_back(Id);
+}
+
+/// Takes a task off its worker.
+void release(CellState &State, const TaskKey &Key, JobTask &Task) {
+  JobStep &Step = stepAt(State, Key);
+  Task.State = JobTaskState::Waiting;
+  Step.Assigned -= 1;
+  State.Jobs[Key.Job].AssignedTasks -= 1;
+  if (WorkerLife *Worker = State.Workers.find(Task.Worker)) {
+    Worker->Used -= takenBy(specAt(State, Key));
+    Worker->Tasks -= 1;
+  }
+}
+
+void markDone(JobStep &Step, JobTask &Task) {
+  Task.State = JobTaskState::Done;
+  Task.Saved.clear();
+  Step.Done += 1;
+}
+
+void finishRunIfDone(CellState &State, const TaskKey &Key, WallTime At,
+                     CellChange &Change) {
+  Job &Item = State.Jobs[Key.Job];
+  JobRun *Run = findRun(Item, Key.Run);
+  const bool IsDone = std::all_of(
+      Run->Steps.begin(), Run->Steps.end(),
+      [](const JobStep &Step) { return Step.Done == Step.Tasks.size(); });
+  if (!IsDone) {
+    return;
+  }
+  std::erase_if(Item.Runs, [&Key](const JobRun &Each) {
+    return Each.Number == Key.Run;
+  });
+  if (Item.Runs.empty() && Item.NextRun >= runCount(Item.Spec) &&
+      !isOver(Item.Phase)) {
+    endJob(State, Key.Job, JobPhase::Completed, At, Change);
+  }
+}
+
+/// One done member of a gang stands for all of them.
+void finishGang(CellState &State, const TaskKey &Key) {
+  JobStep &Step = stepAt(State, Key);
+  TaskKey Each = Key;
+  for (Each.Task = 0; Each.Task < Step.Tasks.size(); ++Each.Task) {
+    JobTask &Task = Step.Tasks[Each.Task];
+    if (Task.State == JobTaskState::Assigned) {
+      release(State, Each, Task);
+    }
+    if (Task.State == JobTaskState::Waiting) {
+      markDone(Step, Task);
+    }
+  }
+}
+
+void noteFailure(CellState &State, const TaskKey &Key, JobTask &Task,
+                 WallTime At, CellChange &Change) {
+  const StepSpec &Spec = specAt(State, Key);
+  JobStep &Step = stepAt(State, Key);
+  if (Spec.IsLasting || (Spec.IsGang && Step.FailedRun == Task.Run)) {
+    return;
+  }
+  if (Spec.IsGang) {
+    Step.FailedRun = Task.Run;
+    for (JobTask &Each : Step.Tasks) {
+      Each.Failures += 1;
+    }
+  } else {
+    Task.Failures += 1;
+  }
+  const Job &Item = State.Jobs[Key.Job];
+  if (Task.Failures >= Item.Queue.MaxAttempts && !isOver(Item.Phase)) {
+    endJob(State, Key.Job, JobPhase::Failed, At, Change);
+  }
+}
+
+void noteEnd(CellState &State, const TaskEnd &End, WallTime At,
+             CellChange &Change) {
+  JobTask *Task = taskAt(State, End.Key);
+  if (Task == nullptr || Task->State != JobTaskState::Assigned ||
+      Task->Run != End.Attempt) {
+    return;
+  }
+  Change.Ended.push_back(End);
+  release(State, End.Key, *Task);
+  const StepSpec &Spec = specAt(State, End.Key);
+  if (!End.Saved.empty()) {
+    Task->Saved = End.Saved;
+  }
+  if (End.Kind == EndKind::Failed) {
+    noteFailure(State, End.Key, *Task, At, Change);
+  }
+  if (End.Kind != EndKind::Done || Spec.IsLasting) {
+    return;
+  }
+  if (Spec.IsGang) {
+    finishGang(State, End.Key);
+  } else {
+    markDone(stepAt(State, End.Key), *Task);
+  }
+  finishRunIfDone(State, End.Key, At, Change);
+}
+
+/// Calls a visitor for each task that is assigned to a worker.
+template <typename Visitor>
+void forEachTaskOn(CellState &State, LifeId Worker, Visitor Visit) {
+  for (std::size_t Row = 0; Row < State.Jobs.size(); ++Row) {
+    const JobId Id = State.Jobs.ids()[Row];
+    Job &Item = State.Jobs[Id];
+    if (Item.AssignedTasks == 0) {
+      continue;
+    }
+    for (JobRun &Run : Item.Runs) {
+      for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
+        auto &Tasks = Run.Steps[Step].Tasks;
+        for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+          const bool IsThere = Tasks[Index].State == JobTaskState::Assigned &&
+                               Tasks[Index].Worker == Worker;
+          if (IsThere) {
+            Visit(TaskKey{Id, Run.Number, Step, Index}, Tasks[Index]);
+          }
+        }
+      }
+    }
+  }
+}
+
+void removeWorker(CellState &State, LifeId Id, CellChange &Change) {
+  WorkerLife *Worker = State.Workers.find(Id);
+  if (Worker == nullptr) {
+    return;
+  }
+  forEachTaskOn(State, Id, [&](const TaskKey &Key, JobTask &Task) {
+    release(State, Key, Task);
+    Change.Ended.push_back({Key, Task.Run, EndKind::Lost, ""});
+  });
+  const auto Named = State.WorkerNames.find(Worker->Report.Name);
+  if (Named != State.WorkerNames.end() && Named->second == Id) {
+    State.WorkerNames.erase(Named);
+  }
+  State.Workers.erase(Id);
+}
+
+CellChange apply(CellState &State, const SubmitJobCommand &Item) {
+  CellChange Change;
+  Change.Job = findJob(State, Item.Name);
+  const JobQueue *Queue = queueOf(State.Rules, Item.Host, Item.Prefix);
+  if (Change.Job.isSet() || Queue == nullptr) {
+    return Change;
+  }
+  Job Fresh;
+  Fresh.Name = Item.Name;
+  Fresh.Spec = Item.Spec;
+  Fresh.Queue = *Queue;
+  Fresh.AcceptedAt = Item.At;
+  if (Fresh.Spec.Repeats == 0) {
+    openRun(Fresh);
+  }
+  Change.Job = State.Jobs.insert(std::move(Fresh));
+  State.JobNames[Item.Name] = Change.Job;
+  return Change;
+}
+
+CellChange apply(CellState &State, const CancelJobCommand &Item) {
+  CellChange Change;
+  Change.Job = findJob(State, Item.Name);
+  if (Change.Job.isSet() && !isOver(State.Jobs[Change.Job].Phase)) {
+    endJob(State, Change.Job, JobPhase::Cancelled, Item.At, Change);
+  }
+  return Change;
+}
+
+CellChange apply(CellState &State, const ConfigureCommand &Item) {
+  if (Item.Rules.Version <= State.Rules.Version) {
+    return {};
+  }
+  State.Rules = Item.Rules;
+  for (const JobId Id : State.Jobs.ids()) {
+    Job &Each = State.Jobs[Id];
+    const JobQueue *Queue =
+        queueOf(State.Rules, Each.Queue.Host, Each.Queue.Prefix);
+    if (Queue != nullptr) {
+      Each.Queue = *Queue;
+    }
+  }
+  return {};
+}
+
+CellChange apply(CellState &State, const WorkerJoinCommand &Item) {
+  CellChange Change;
+  const LifeId Known = findWorker(State, Item.Report.Name);
+  if (Known.isSet() &&
+      State.Workers[Known].Report.Born >= Item.Report.Born) {
+    return Change;
+  }
+  std::vector<LifeId> Ended;
+  for (const LifeId Id : State.Workers.ids()) {
+    const WorkerReport &Other = State.Workers[Id].Report;
+    if (Id != Known && Other.Address == Item.Report.Address &&
+        Other.Born < Item.Report.Born) {
+      Ended.push_back(Id);
+    }
+  }
+  for (const LifeId Id : Ended) {
+    removeWorker(State, Id, Change);
+  }
+  WorkerLife Fresh;
+  Fresh.Report = Item.Report;
+  const LifeId Id = State.Workers.insert(std::move(Fresh));
+  if (Known.isSet()) {
+    forEachTaskOn(State, Known,
+                  [Id](const TaskKey &, JobTask &Task) { Task.Worker = Id; });
+    State.Workers[Id].Used = State.Workers[Known].Used;
+    State.Workers[Id].Tasks = State.Workers[Known].Tasks;
+    State.Workers.erase(Known);
+  }
+  State.WorkerNames[Item.Report.Name] = Id;
+  Change.Worker = Id;
+  Change.Former = Known;
+  return Change;
+}
+
+CellChange apply(CellState &State, const WorkerDrainCommand &Item) {
+  if (WorkerLife *Worker = State.Workers.find(Item.Worker)) {
+    Worker->Report.IsDraining = true;
+  }
+  return {};
+}
+
+CellChange apply(CellState &State, const WorkerLeaveCommand &Item) {
+  CellChange Change;
+  removeWorker(State, Item.Worker, Change);
+  return Change;
+}
+
+bool mayStart(const CellState &State, const Grant &Item) {
+  const Job *Owner = State.Jobs.find(Item.Key.Job);
+  const WorkerLife *Worker = State.Workers.find(Item.Worker);
+  const JobTask *Task = findTask(State, Item.Key);
+  if (Owner == nullptr || Worker == nullptr || Task == nullptr ||
+      isOver(Owner->Phase) || Task->State != JobTaskState::Waiting ||
+      Item.Attempt <= Task->Run) {
+    return false;
+  }
+  const StepSpec &Step = Owner->Spec.Steps[Item.Key.Step];
+  return isStepReady(*Owner, *findRun(*Owner, Item.Key.Run), Item.Key.Step) &&
+         Worker->Report.Pool == Owner->Queue.Pool &&
+         fitsIn(takenBy(Step), freeOn(*Worker));
+}
+
+CellChange apply(CellState &State, const StartCommand &Item) {
+  CellChange Change;
+  for (const Grant &Each : Item.Grants) {
+    if (!mayStart(State, Each)) {
+      continue;
+    }
+    JobTask &Task = *taskAt(State, Each.Key);
+    Task.State = JobTaskState::Assigned;
+    Task.Run = Each.Attempt;
+    Task.Worker = Each.Worker;
+    stepAt(State, Each.Key).Assigned += 1;
+    Job &Owner = State.Jobs[Each.Key.Job];
+    Owner.AssignedTasks += 1;
+    Owner.Phase = JobPhase::Running;
+    WorkerLife &Worker = State.Workers[Each.Worker];
+    Worker.Used += takenBy(specAt(State, Each.Key));
+    Worker.Tasks += 1;
+    Change.Started.push_back(Each);
+  }
+  return Change;
+}
+
+CellChange apply(CellState &State, const EndsCommand &Item) {
+  CellChange Change;
+  for (const TaskEnd &End : Item.Ends) {
+    noteEnd(State, End, Item.At, Change);
+  }
+  if (WorkerLife *Worker = State.Workers.find(Item.Worker)) {
+    Worker->AckedEnds = std::max(Worker->AckedEnds, Item.UpTo);
+  }
+  return Change;
+}
+
+CellChange apply(CellState &State, const OpenRunCommand &Item) {
+  Job *Owner = State.Jobs.find(Item.Job);
+  if (Owner != nullptr && !isOver(Owner->Phase) &&
+      Owner->NextRun == Item.Run && Item.Run < runCount(Owner->Spec)) {
+    openRun(*Owner);
+  }
+  return {};
+}
+
+CellChange apply(CellState &State, const ForgetCommand &Item) {
+  for (const JobId Id : Item.Jobs) {
+    const Job *Old = State.Jobs.find(Id);
+    if (Old != nullptr && isOver(Old->Phase) && Old->AssignedTasks == 0) {
+      State.JobNames.erase(Old->Name);
+      State.Jobs.erase(Id);
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+CellChange applyCommand(CellState &State, const CellCommand &Item) {
+  return std::visit([&State](const auto &Each) { return apply(State, Each); },
+                    Item);
+}
+
+void rebuildIndex(CellState &State) {
+  State.JobNames.clear();
+  State.WorkerNames.clear();
+  for (const JobId Id : State.Jobs.ids()) {
+    State.JobNames[State.Jobs[Id].Name] = Id;
+  }
+  for (const LifeId Id : State.Workers.ids()) {
+    State.WorkerNames[State.Workers[Id].Report.Name] = Id;
+  }
+}
+
+JobId findJob(const CellState &State, std::string_view Name) {
+  const auto Found = State.JobNames.find(Name);
+  return Found == State.JobNames.end() ? JobId{} : Found->second;
+}
+
+LifeId findWorker(const CellState &State, std::string_view Name) {
+  const auto Found = State.WorkerNames.find(Name);
+  return Found == State.WorkerNames.end() ? LifeId{} : Found->second;
+}
+
+const JobTask *findTask(const CellState &State, const TaskKey &Key) noexcept {
+  const Job *Owner = State.Jobs.find(Key.Job);
+  const JobRun *Run = Owner == nullptr ? nullptr : findRun(*Owner, Key.Run);
+  if (Run == nullptr || Key.Step >= Run->Steps.size() ||
+      Key.Task >= Run->Steps[Key.Step].Tasks.size()) {
+    return nullptr;
+  }
+  return &Run->Steps[Key.Step].Tasks[Key.Task];
+}
+
+Resources takenBy(const StepSpec &Step) noexcept {
+  Resources Taken = Step.Need;
+  if (Step.UsesSpareCpu) {
+    Taken.MilliCpus = 0;
+  }
+  return Taken;
+}
+
+Resources freeOn(const WorkerLife &Worker) noexcept {
+  return Worker.Report.Capacity - Worker.Used;
+}
+
+} // namespace mulberryramp
--- a/src/mulberryramp/net/peer_links.cpp
+++ b/src/mulberryramp/net/peer_links.cpp
@@ -28,9 +28,9 @@
 /// Receives the frames of one peer that dialled.
 class InboundLink final : public ACE_Event_Handler {
 public:
-  InboundLink(ACE_Reactor &Loop, PeerLinks::MessageHandler &OnMessage,
+  InboundLink(ACE_Reactor &Loop, PeerLinks::PayloadHandler &OnPayload,
               LinkCounters &Counters)
-      : ACE_Event_Handler{&Loop}, OnMessage{OnMessage}, Counters{Counters} {}
+      : ACE_Event_Handler{&Loop}, OnPayload{OnPayload}, Counters{Counters} {}
 
   ~InboundLink() override {
     if (IsOpen) {
@@ -81,16 +81,14 @@
       if (!*Frame) {
         return true;
       }
-      auto Message = decodeMessage(**Frame);
-      if (!Message) {
+      if (!OnPayload(**Frame)) {
         Counters.Malformed += 1;
         return false;
       }
-      OnMessage(std::move(*Message));
     }
   }
 
-  PeerLinks::MessageHandler &OnMessage;
+  PeerLinks::PayloadHandler &OnPayload;
   LinkCounters &Counters;
   ACE_SOCK_Stream Stream;
   FrameReader Reader;
@@ -110,21 +108,31 @@
   ACE_HANDLE get_handle() const override { return Stream.get_handle(); }
 
   void send(const std::string &Frame) {
-    if (State != LinkState::Open ||
+    const Instant Now = SuspendAwareClock::now();
+    UsedAt = Now;
+    if (State == LinkState::Closed && Now >= RedialAt) {
+      dial(Now);
+    }
+    if (State == LinkState::Closed ||
         Queue.size() - Sent + Frame.size() > MaxQueuedBytes) {
       Counters.Dropped += 1;
       return;
     }
     const bool WasEmpty = Queue.size() == Sent;
-    Queue += Frame;
     if (WasEmpty) {
+      ProgressAt = Now;
+    }
+    Queue += Frame;
+    if (WasEmpty && State == LinkState::Open) {
       flush();
     }
   }
 
+  [[nodiscard]] const Endpoint &where() const noexcept { return Where; }
+
   void tick(Instant Now) {
-    if (State == LinkState::Closed && Now >= RedialAt) {
-      dial(Now);
+    if (State == LinkState::Open && Now - UsedAt > UnusedAfter) {
+      shut();
       return;
     }
     const bool Waits = State == LinkState::Dialling || Queue.size() != Sent;
@@ -243,13 +251,14 @@
   std::size_t Sent = 0;
   Instant RedialAt;
   Instant ProgressAt;
+  Instant UsedAt;
 };
 
 } // namespace internal
 
 struct PeerLinks::Impl final : public ACE_Event_Handler {
-  Impl(ACE_Reactor &Loop, MessageHandler OnMessage)
-      : ACE_Event_Handler{&Loop}, OnMessage{std::move(OnMessage)} {}
+  Impl(ACE_Reactor &Loop, PayloadHandler OnPayload)
+      : ACE_Event_Handler{&Loop}, OnPayload{std::move(OnPayload)} {}
 
   ~Impl() override {
     if (IsListening) {
@@ -261,7 +270,7 @@
   ACE_HANDLE get_handle() const override { return Acceptor.get_handle(); }
 
   int handle_input(ACE_HANDLE /*Handle*/) override {
-    auto Link = std::make_unique<internal::InboundLink>(*reactor(), OnMessage,
+    auto Link = std::make_unique<internal::InboundLink>(*reactor(), OnPayload,
                                                         Counters);
     if (Acceptor.accept(Link->stream()) == 0 && Link->start()) {
       Inbound.push_back(std::move(Link));
@@ -279,7 +288,7 @@
     return IsListening;
   }
 
-  MessageHandler OnMessage;
+  PayloadHandler OnPayload;
   LinkCounters Counters;
   ACE_SOCK_Acceptor Acceptor;
   bool IsListening = false;
@@ -291,28 +300,35 @@
 PeerLinks::~PeerLinks() = default;
 
 tl::expected<std::unique_ptr<PeerLinks>, std::string>
-PeerLinks::open(const Settings &Deployment, ACE_Reactor &Loop,
-                MessageHandler OnMessage) {
-  auto Parts = std::make_unique<Impl>(Loop, std::move(OnMessage));
-  const NodeSettings &Mine = *findNode(Deployment, Deployment.Self);
-  if (!Parts->listen(Mine.Peer)) {
-    return tl::make_unexpected("cannot listen for daemons on " +
-                               render(Mine.Peer));
-  }
-  for (const NodeSettings &Node : Deployment.Nodes) {
-    if (Node.Id != Mine.Id) {
-      Parts->Outbound[Node.Id] = std::make_unique<internal::OutboundLink>(
-          Loop, Node.Peer, Node.Region != Mine.Region, Parts->Counters);
-    }
+PeerLinks::open(const Endpoint &Where, ACE_Reactor &Loop,
+                PayloadHandler OnPayload) {
+  auto Parts = std::make_unique<Impl>(Loop, std::move(OnPayload));
+  if (!Parts->listen(Where)) {
+    return tl::make_unexpected("cannot listen for daemons on " + render(Where));
   }
   return std::unique_ptr<PeerLinks>{new PeerLinks{std::move(Parts)}};
 }
 
-void PeerLinks::send(const PeerMessage &Message) {
-  const auto Found = Parts->Outbound.find(Message.To);
-  if (Found != Parts->Outbound.end()) {
-    Found->second->send(makeFrame(encodeMessage(Message)));
+void PeerLinks::name(NodeId Peer, const Endpoint &Where, bool IsOtherRegion) {
+  const auto Found = Parts->Outbound.find(Peer);
+  if (Found != Parts->Outbound.end() && Found->second->where() == Where) {
+    return;
+  }
+  Parts->Outbound[Peer] = std::make_unique<internal::OutboundLink>(
+      *Parts->reactor(), Where, IsOtherRegion, Parts->Counters);
+}
+
+bool PeerLinks::knows(NodeId Peer) const {
+  return Parts->Outbound.contains(Peer);
+}
+
+void PeerLinks::send(NodeId Peer, std::string_view Payload) {
+  const auto Found = Parts->Outbound.find(Peer);
+  if (Found == Parts->Outbound.end()) {
+    Parts->Counters.Dropped += 1;
+    return;
   }
+  Found->second->send(makeFrame(Payload));
 }
 
 void PeerLinks::tick(Instant Now) {
--- a/src/mulberryramp/net/peer_links.hpp
+++ b/src/mulberryramp/net/peer_links.hpp
@@ -2,7 +2,6 @@
 
 #include "mulberryramp/config/settings.hpp"
 #include "mulberryramp/net/fwd.hpp"
-#include "mulberryramp/node/call.hpp"
 
 #include <tl/expected.hpp>
 
@@ -10,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 class ACE_Reactor;
 
@@ -25,28 +25,41 @@
   std::uint64_t Redials = 0;
 };
 
-/// @brief TCP links to all other daemons; messages may get lost, never
-/// damaged, and nothing waits for a slow or silent peer.
+/// @brief TCP links to other daemons; payloads may get lost, never damaged, and
+/// nothing waits for a slow or silent peer. A link is dialled when it is first
+/// used, and again when it is used after a loss.
 class PeerLinks {
 public:
-  using MessageHandler = std::function<void(PeerMessage)>;
+  /// @brief Called with each payload; a link that sent what is refused by
+  /// `false` is closed.
+  using PayloadHandler = std::function<bool(std::string_view)>;
 
-  /// @brief Listens and begins to dial.
-  /// @param Deployment The settings.
+  /// @brief Listens.
+  /// @param Where Address and port for other daemons.
   /// @param Loop The event loop.
-  /// @param OnMessage Called with each message.
+  /// @param OnPayload Called with each payload.
   /// @return The links, or why the port cannot be used.
   [[nodiscard]] static tl::expected<std::unique_ptr<PeerLinks>, std::string>
-  open(const Settings &Deployment, ACE_Reactor &Loop, MessageHandler OnMessage);
+  open(const Endpoint &Where, ACE_Reactor &Loop, PayloadHandler OnPayload);
 
   PeerLinks(const PeerLinks &) = delete;
   PeerLinks &operator=(const PeerLinks &) = delete;
   ~PeerLinks();
 
-  /// @brief Queues a message, or drops it if the link has no room.
-  void send(const PeerMessage &Message);
+  /// @brief Names the address of a peer; a changed one closes its link.
+  /// @param Peer The peer.
+  /// @param Where Its address and port for other daemons.
+  /// @param IsOtherRegion Bytes to it are counted as leaving the region.
+  void name(NodeId Peer, const Endpoint &Where, bool IsOtherRegion);
 
-  /// @brief Dials lost peers again and gives up stalled links.
+  /// @brief Tells whether a peer has an address.
+  [[nodiscard]] bool knows(NodeId Peer) const;
+
+  /// @brief Queues a payload, or drops it if the link has no room or the peer
+  /// no address.
+  void send(NodeId Peer, std::string_view Payload);
+
+  /// @brief Gives up stalled links and closes unused ones.
   void tick(Instant Now);
 
   /// @brief Reads the counters.
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -95,6 +95,7 @@
     State.Memberships.pop_back();
   }
   State.Saved = std::min(State.Saved, Index - 1);
+  State.Saving = std::min(State.Saving, Index - 1);
   std::erase_if(State.Unsaved.Entries,
                 [Index](const Entry &Item) { return Item.Index >= Index; });
   if (!State.Unsaved.Base) {
@@ -418,6 +419,8 @@
     dropUpTo(State, Request.Base.Index);
   } else {
     State.Entries.clear();
+    State.Saved = 0;
+    State.Saving = 0;
     State.Start = Request.Base.Index;
     State.StartTerm = Request.Base.InTerm;
   }
@@ -515,7 +518,9 @@
 
 bool isAdmissible(const Replica &State, const Member &Who, const Progress &Peer,
                   Instant Now) {
-  return State.Options.VoterNodes.contains(Who.Node) && !isVoter(State, Who) &&
+  const bool IsWanted =
+      State.Options.IsOpen || State.Options.VoterNodes.contains(Who.Node);
+  return IsWanted && !isVoter(State, Who) &&
          Now - Peer.HeardAt < State.Options.ElectionMin &&
          Peer.Match + AdmitLag >= lastIndex(State) && Peer.Match != 0;
 }
@@ -540,6 +545,27 @@
   }
 }
 
+/// A voter that was replaced by a new node would count for a majority for ever.
+void removeSilentVoter(Replica &State, Instant Now) {
+  const auto &Voters = membership(State).Voters;
+  if (!State.Options.IsOpen || Voters.size() <= State.Options.MinVoters ||
+      hasOpenMembershipChange(State) || State.Commit < State.TermStart ||
+      State.TransferTo) {
+    return;
+  }
+  for (const Member &Voter : Voters) {
+    const auto Found = State.Peers.find(Voter);
+    if (Voter == State.Self || Found == State.Peers.end() ||
+        Now - Found->second.HeardAt <= State.Options.RemoveSilentAfter) {
+      continue;
+    }
+    Membership Rest = membership(State);
+    std::erase(Rest.Voters, Voter);
+    changeVoters(State, std::move(Rest));
+    return;
+  }
+}
+
 void dropSilentLearners(Replica &State, Instant Now) {
   std::erase_if(State.Peers, [&](const auto &Item) {
     return !isVoter(State, Item.first) &&
@@ -619,6 +645,7 @@
     transferLeadership(State, Now);
   }
   admitLearners(State, Now);
+  removeSilentVoter(State, Now);
   dropSilentLearners(State, Now);
   if (Now >= State.HeartbeatAt) {
     broadcast(State, Now, true);
@@ -657,6 +684,11 @@
     askToJoin(State, Now);
     return;
   }
+  // A voter that was removed while it was silent learns of it by joining again.
+  if (State.Options.IsOpen &&
+      Now - State.LeaderHeardAt > State.Options.RemoveSilentAfter) {
+    askToJoin(State, Now);
+  }
   if (Now < State.ElectionAt) {
     return;
   }
@@ -824,6 +856,24 @@
   internal::advanceCommit(State);
 }
 
+std::optional<PersistBatch> beginSave(Replica &State) {
+  prepareSave(State);
+  if (!State.HasUnsaved) {
+    return std::nullopt;
+  }
+  PersistBatch Batch = std::move(State.Unsaved);
+  State.Unsaved = {};
+  State.HasUnsaved = false;
+  State.Saving = lastIndex(State);
+  return Batch;
+}
+
+void finishSave(Replica &State) {
+  State.Saved =
+      std::min(std::max(State.Saved, State.Saving), lastIndex(State));
+  internal::advanceCommit(State);
+}
+
 const Entry *nextCommitted(Replica &State) {
   const LogIndex Limit =
       State.Options.SavesCommit ? State.SavedCommit : State.Commit;
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -28,6 +28,9 @@
   bool SavesCommit = false;        ///< Apply only what is saved as committed.
   std::set<NodeId> VoterNodes;     ///< Nodes that are to become voters.
   std::set<NodeId> WitnessNodes;   ///< Voters that hand leadership on.
+  bool IsOpen = false; ///< Every node that asks to join becomes a voter.
+  std::size_t MinVoters = 3;     ///< An open group never has fewer by removal.
+  Millis RemoveSilentAfter{3000}; ///< Silence that costs a spare voter its vote.
 };
 
 /// @brief What a member of a group is at the moment.
@@ -88,6 +91,7 @@
   std::vector<MembershipAt> Memberships;
 
   LogIndex Saved = 0; ///< Last entry that is synced here.
+  LogIndex Saving = 0; ///< Last entry of the write that is under way.
   LogIndex Commit = 0;
   LogIndex SavedCommit = 0; ///< Commit that is synced here.
   LogIndex Applied = 0;
@@ -156,6 +160,16 @@
 /// @param State The member.
 void markSaved(Replica &State);
 
+/// @brief Takes `Unsaved` for a write that goes on beside further steps; there
+/// may be one at a time.
+/// @param State The member.
+/// @return The batch, or nothing if there is nothing to write.
+[[nodiscard]] std::optional<PersistBatch> beginSave(Replica &State);
+
+/// @brief Notes that the batch of `beginSave` is synced.
+/// @param State The member.
+void finishSave(Replica &State);
+
 /// @brief Takes the next committed entry that was not yet applied.
 /// @param State The member.
 /// @return The entry, or null; it stays valid until the next call.
--- a/src/mulberryramp/storage/group_store.cpp
+++ b/src/mulberryramp/storage/group_store.cpp
@@ -85,14 +85,15 @@
   PersistBatch Rest = Batch;
   Rest.Base.reset();
   Rest.TruncateFrom.reset();
+  const std::string Record = makeRecord(encodeBatch(Rest));
   auto Written =
       replaceFile(snapshotName(Next), makeRecord(encodeSnapshot(*Batch.Base)))
-          .and_then([&] {
-            return replaceFile(logName(Next), makeRecord(encodeBatch(Rest)));
-          });
+          .and_then([&] { return replaceFile(logName(Next), Record); });
   if (Written) {
     removeGeneration(Generation);
     Generation = Next;
+    LogBytes = Record.size();
+    HasFailed = false;
   }
   return Written;
 }
@@ -102,9 +103,22 @@
     return startGeneration(Batch);
   }
   const std::string Name = logName(Generation);
-  return Files->append(Name, makeRecord(encodeBatch(Batch))).and_then([&] {
-    return Files->sync(Name);
-  });
+  const std::string Record = makeRecord(encodeBatch(Batch));
+  auto Written = cutFailedWrite()
+                     .and_then([&] { return Files->append(Name, Record); })
+                     .and_then([&] { return Files->sync(Name); });
+  HasFailed = !Written;
+  if (Written) {
+    LogBytes += Record.size();
+  }
+  return Written;
+}
+
+StorageStatus GroupStore::cutFailedWrite() {
+  if (!HasFailed) {
+    return {};
+  }
+  return Files->truncate(logName(Generation), LogBytes);
 }
 
 tl::expected<GroupStore, StorageError>
@@ -175,6 +189,7 @@
       return tl::make_unexpected(Cut.error());
     }
   }
+  Store.LogBytes = Scan->ValidBytes;
   if (Store.Generation > 0) {
     for (const std::string &Other : *Names) {
       const bool Old =
--- a/src/mulberryramp/storage/group_store.hpp
+++ b/src/mulberryramp/storage/group_store.hpp
@@ -11,7 +11,8 @@
 ///
 /// A generation is a snapshot file and a log file; a new generation becomes
 /// valid when its log file gets its name. A record holds one whole batch.
-/// After an error the store must not be used again.
+/// After an error the same batch may be written again; what the failed write
+/// left behind is cut off first.
 class GroupStore {
 public:
   /// @brief Opens the folder of a group and reads what lasts.
@@ -37,10 +38,13 @@
   [[nodiscard]] StorageStatus replaceFile(const std::string &Name,
                                           const std::string &Bytes);
   void removeGeneration(std::uint64_t Number);
+  [[nodiscard]] StorageStatus cutFailedWrite();
 
   FileSystem *Files;
   std::string Folder;
   std::uint64_t Generation = 0;
+  std::size_t LogBytes = 0;  ///< Synced bytes of the log file.
+  bool HasFailed = false;    ///< Bytes behind `LogBytes` may be left over.
 };
 
 } // namespace mulberryramp
--- a/src/daemon/identity.cpp
+++ b/src/mulberryramp/storage/identity.cpp
@@ -1,4 +1,4 @@
-#include "daemon/identity.hpp"
+#include "mulberryramp/storage/identity.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -10,18 +10,17 @@
 namespace internal {
 
 constexpr const char *IdentityFile = "identity";
-constexpr std::uint64_t FounderIncarnation = 1;
+
+} // namespace internal
 
 StorageStatus writeIdentity(FileSystem &Files, std::uint64_t Incarnation) {
-  const std::string Draft = std::string{IdentityFile} + ".tmp";
+  const std::string Draft = std::string{internal::IdentityFile} + ".tmp";
   return Files.write(Draft, std::to_string(Incarnation) + "\n")
       .and_then([&] { return Files.sync(Draft); })
-      .and_then([&] { return Files.rename(Draft, IdentityFile); })
+      .and_then([&] { return Files.rename(Draft, internal::IdentityFile); })
       .and_then([&] { return Files.syncFolder("."); });
 }
 
-} // namespace internal
-
 std::uint64_t newIncarnation(WallTime Wall) noexcept {
   return static_cast<std::uint64_t>(Wall.time_since_epoch().count());
 }
@@ -36,7 +35,7 @@
                                internal::IdentityFile) != Names->end();
   if (!Known) {
     const std::uint64_t Fresh = newIncarnation(Wall);
-    auto Written = internal::writeIdentity(Files, Fresh);
+    auto Written = writeIdentity(Files, Fresh);
     if (!Written) {
       return tl::make_unexpected(Written.error());
     }
@@ -64,7 +63,7 @@
     return tl::make_unexpected(
         StorageError{"the data folder is not empty; a founder starts empty"});
   }
-  return internal::writeIdentity(Files, internal::FounderIncarnation);
+  return writeIdentity(Files, FounderIncarnation);
 }
 
 } // namespace mulberryramp
--- a/src/daemon/identity.hpp
+++ b/src/mulberryramp/storage/identity.hpp
@@ -7,6 +7,13 @@
 
 namespace mulberryramp {
 
+/// @brief Incarnation of the first voters of a group.
+inline constexpr std::uint64_t FounderIncarnation = 1;
+
+/// @brief Writes the incarnation of a data folder.
+[[nodiscard]] StorageStatus writeIdentity(FileSystem &Files,
+                                          std::uint64_t Incarnation);
+
 /// @brief Reads the incarnation of a data folder, or gives it a new one.
 /// @param Files The data folder.
 /// @param Wall Present time, for a new incarnation.
