Build the cell without what only a data centre's daemon needs

Cause: the platform builds the program on each machine; 94 s, most of it for modules that it does not use.

--- a/src/mulberryramp/admin/api.hpp
+++ b/src/mulberryramp/admin/api.hpp
@@ -2,27 +2,18 @@
 
 #include "mulberryramp/admin/fwd.hpp"
 #include "mulberryramp/core/finding.hpp"
+#include "mulberryramp/http/request.hpp"
 #include "mulberryramp/node/call.hpp"
 #include "mulberryramp/worker/message.hpp"
 
 #include <tl/expected.hpp>
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
 
 namespace mulberryramp {
 
-/// @brief HTTP request as the API sees it.
-struct ApiRequest {
-  std::string Method;
-  std::string Path;
-  std::map<std::string, std::string> Query;
-  std::string Body;
-  std::string Host{}; ///< Host header, as the caller sent it.
-};
-
 /// @brief Why a request is answered without being carried out.
 struct ApiError {
   int Status = 400; ///< HTTP status.
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "mulberryramp/admin/api.hpp"
 #include "mulberryramp/config/settings.hpp"
 #include "mulberryramp/http/fwd.hpp"
+#include "mulberryramp/http/request.hpp"
 
 #include <tl/expected.hpp>
 
