Poll the sockets of the HTTP client apart from the reactor

Cause: processes of the core ended with signal 11 inside the reactor's dispatch: it kept a handler whose socket had been closed before it was taken off.

--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -8,7 +8,10 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
+#include <sys/epoll.h>
+#include <unistd.h>
 #include <utility>
 
 namespace mulberryramp {
@@ -21,6 +24,8 @@
 constexpr long MaxKeptConnections = 1200;
 /// Finished handles that are kept for reuse.
 constexpr std::size_t MaxIdleHandles = 64;
+/// Sockets that are handled at a time.
+constexpr int MaxEvents = 64;
 
 struct Transfer {
   CURL *Handle = nullptr;
@@ -45,79 +50,58 @@
 
 } // namespace
 
-struct AsyncHttpClient::Impl {
-  /// Tells the transfers what happens on one socket.
-  class Watcher final : public ACE_Event_Handler {
-  public:
-    Watcher(Impl &Owner, curl_socket_t Socket)
-        : ACE_Event_Handler{Owner.Loop}, Owner{Owner}, Socket{Socket} {}
-    ~Watcher() override { ignore(); }
-    /// The number of a closed socket may already name another one.
-    void ignore() {
-      if (IsRegistered) {
-        reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
-        IsRegistered = false;
-      }
-    }
-    void watch(ACE_Reactor_Mask Mask) {
-      if (!IsRegistered) {
-        reactor()->register_handler(this, Mask);
-        IsRegistered = true;
-      } else {
-        reactor()->mask_ops(this, Mask, ACE_Reactor::SET_MASK);
-      }
-    }
-    ACE_HANDLE get_handle() const override { return Socket; }
-    int handle_input(ACE_HANDLE /*Handle*/) override {
-      Owner.act(Socket, CURL_CSELECT_IN);
-      return 0;
-    }
-    int handle_output(ACE_HANDLE /*Handle*/) override {
-      Owner.act(Socket, CURL_CSELECT_OUT);
-      return 0;
-    }
-    int handle_close(ACE_HANDLE /*Handle*/,
-                     ACE_Reactor_Mask /*Mask*/) override {
-      return 0;
-    }
+struct AsyncHttpClient::Impl final : public ACE_Event_Handler {
+  explicit Impl(ACE_Reactor &Loop)
+      : ACE_Event_Handler{&Loop}, Poll{::epoll_create1(EPOLL_CLOEXEC)} {
+    Loop.register_handler(this, READ_MASK);
+  }
 
-  private:
-    Impl &Owner;
-    curl_socket_t Socket;
-    bool IsRegistered = false;
-  };
+  ~Impl() override {
+    reactor()->remove_handler(this, READ_MASK | DONT_CALL);
+    ::close(Poll);
+  }
 
-  explicit Impl(ACE_Reactor &Loop) : Loop{&Loop} {}
+  ACE_HANDLE get_handle() const override { return Poll; }
+
+  int handle_input(ACE_HANDLE /*Handle*/) override {
+    std::array<epoll_event, MaxEvents> Events{};
+    const int Count = ::epoll_wait(Poll, Events.data(), MaxEvents, 0);
+    for (int Index = 0; Index < Count; ++Index) {
+      const epoll_event &Event = Events[static_cast<std::size_t>(Index)];
+      int Ready = 0;
+      Ready |= (Event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+      Ready |= (Event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+      Ready |=
+          (Event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+      act(Event.data.fd, Ready);
+    }
+    return 0;
+  }
 
   void act(curl_socket_t Socket, int Events) {
     int Running = 0;
     curl_multi_socket_action(Multi, Socket, Events, &Running);
   }
 
+  /// The sockets have a poll of their own, since they may be closed before
+  /// they are taken off it.
   static int onSocket(CURL * /*Handle*/, curl_socket_t Socket, int What,
-                      void *Self, void * /*SocketData*/) {
+                      void *Self, void *Watched) {
     auto &Client = *static_cast<Impl *>(Self);
+    epoll_event Event{};
+    Event.data.fd = Socket;
     if (What == CURL_POLL_REMOVE) {
-      const auto Found = Client.Watchers.find(Socket);
-      if (Found != Client.Watchers.end()) {
-        Found->second->ignore();
-        Client.Ended.push_back(std::move(Found->second));
-        Client.Watchers.erase(Found);
-      }
+      ::epoll_ctl(Client.Poll, EPOLL_CTL_DEL, Socket, &Event);
       return 0;
     }
-    auto &Item = Client.Watchers[Socket];
-    if (!Item) {
-      Item = std::make_unique<Watcher>(Client, Socket);
-    }
-    ACE_Reactor_Mask Mask = ACE_Event_Handler::NULL_MASK;
-    if ((What & CURL_POLL_IN) != 0) {
-      ACE_SET_BITS(Mask, ACE_Event_Handler::READ_MASK);
-    }
-    if ((What & CURL_POLL_OUT) != 0) {
-      ACE_SET_BITS(Mask, ACE_Event_Handler::WRITE_MASK);
+    Event.events |= (What & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
+    Event.events |= (What & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
+    const int First = Watched == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    const int Other = Watched == nullptr ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+    if (::epoll_ctl(Client.Poll, First, Socket, &Event) != 0) {
+      ::epoll_ctl(Client.Poll, Other, Socket, &Event);
     }
-    Item->watch(Mask);
+    curl_multi_assign(Client.Multi, Socket, &Client);
     return 0;
   }
 
@@ -170,15 +154,12 @@
         finish(Message->easy_handle, Message->data.result);
       }
     }
-    Ended.clear();
   }
 
-  ACE_Reactor *Loop;
+  int Poll; ///< Descriptor that becomes readable when a socket is ready.
   CURLM *Multi = nullptr;
   bool HasTimer = false;
   Instant TimerAt;
-  std::map<curl_socket_t, std::unique_ptr<Watcher>> Watchers;
-  std::vector<std::unique_ptr<Watcher>> Ended; ///< May still be on the stack.
   std::map<CURL *, std::unique_ptr<Transfer>> Open;
   std::vector<CURL *> Idle;
 };
