Send a silent member no entries, and one resend for old refusals

Cause: leaders ended at the memory limit when a frozen voter woke: it refused each of the hundreds of appends that had piled up, and each refusal caused a resend of up to 256 KiB. Two tests failed first.

--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -149,7 +149,9 @@
     Request.PrevIndex = State.Start;
   } else {
     Request.PrevIndex = Peer.Next - 1;
-    std::size_t Bytes = 0;
+    // What a silent member does not take in would pile up on its way.
+    const bool IsHeard = Now - Peer.HeardAt <= State.Options.ElectionMin;
+    std::size_t Bytes = IsHeard ? 0 : MaxAppendBytes;
     while (Peer.Next <= lastIndex(State) && Bytes < MaxAppendBytes) {
       const Entry &Item = entryAt(State, Peer.Next);
       Bytes += Item.Data.size();
@@ -448,6 +450,12 @@
   Peer.AckedSend = std::max(Peer.AckedSend, Reply.SentAt);
   Peer.Applied = Reply.Applied;
   if (!Reply.IsAccepted) {
+    // A member that was suspended refuses all that piled up meanwhile; only a
+    // refusal of what was sent since tells more.
+    if (Reply.SentAt < Peer.RewoundAt) {
+      return;
+    }
+    Peer.RewoundAt = Now;
     Peer.Next =
         std::max(Peer.Match, std::min(Reply.Match, lastIndex(State))) + 1;
     sendAppend(State, From, Peer, Now, false);
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -57,6 +57,7 @@
   Instant SnapshotSentAt;  ///< When a snapshot was last sent.
   Instant SentAt;          ///< When anything was last sent.
   LogIndex SentCommit = 0; ///< Commit in the last request.
+  Instant RewoundAt;       ///< When a refusal last moved `Next` back.
 };
 
 /// @brief Term and index of an entry that changes the voters.
--- a/test/replica/replica_test.cpp
+++ b/test/replica/replica_test.cpp
@@ -221,3 +221,114 @@
   Two.pass(5000);
   CHECK(Two.leader() == &Longer);
 }
+
+namespace {
+
+/// Bytes of entries that a member is about to send to another.
+std::size_t entryBytesTo(const Replica &State, NodeId To) {
+  std::size_t Bytes = 0;
+  for (const ReplicaMessage &Message : State.Out) {
+    const auto *Append = std::get_if<AppendRequest>(&Message.Body);
+    if (Message.To.Node != To || Append == nullptr) {
+      continue;
+    }
+    for (const Entry &Item : Append->Entries) {
+      Bytes += Item.Data.size();
+    }
+  }
+  return Bytes;
+}
+
+constexpr std::size_t EntryBytes = 1000;
+
+} // namespace
+
+TEST(ReplicaGroup, ASilentMemberIsSentNoEntries) {
+  Group Three{3};
+  Three.pass(1500);
+  Replica &Leader = *Three.leader();
+  const NodeId Silent = Leader.Self.Node == 1 ? 2 : 1;
+  Three.isolate(Silent);
+  Three.pass(1500);
+  Leader.Out.clear();
+  for (int Round = 0; Round < 20; ++Round) {
+    CHECK(propose(Leader, std::string(EntryBytes, 'x')).has_value());
+    Three.Now += Millis{20};
+    tick(Leader, Three.Now);
+  }
+  CHECK_EQUAL(0, entryBytesTo(Leader, Silent));
+}
+
+TEST(ReplicaGroup, RefusalsOfOldAppendsCauseOneResend) {
+  Group Three{3};
+  Three.pass(1500);
+  Replica &Leader = *Three.leader();
+  const NodeId Frozen = Leader.Self.Node == 1 ? 2 : 1;
+  const Member Other{Frozen, 1};
+  const LogIndex Known = lastIndex(Leader);
+  const Instant SentAt = Three.Now;
+  for (int Round = 0; Round < 40; ++Round) {
+    CHECK(propose(Leader, std::string(EntryBytes, 'x')).has_value());
+  }
+  Three.Now += Millis{100};
+  tick(Leader, Three.Now);
+  Leader.Out.clear();
+  for (int Round = 0; Round < 40; ++Round) {
+    receive(Leader, Three.Now,
+            {"g", Other, Leader.Self,
+             AppendReply{Leader.Hard.Current, false, Known, Known, SentAt}});
+  }
+  CHECK(entryBytesTo(Leader, Frozen) <= 40 * EntryBytes);
+}
+
+TEST(ReplicaGroup, ASaveUnderWayCoversNoEntryThatReplacesItsOwn) {
+  Group Three{3};
+  Replica &State = Three.Members.at(1);
+  const Member First{2, 1};
+  receive(State, Three.Now,
+          {"g", First, State.Self,
+           AppendRequest{1, 0, 0, {{1, 1, EntryKind::Noop, ""},
+                                   {1, 2, EntryKind::Command, "a"}},
+                         0, Three.Now}});
+  CHECK(beginSave(State).has_value());
+  const Member Second{3, 1};
+  receive(State, Three.Now,
+          {"g", Second, State.Self,
+           AppendRequest{2, 1, 1, {{2, 2, EntryKind::Command, "b"}}, 0,
+                         Three.Now}});
+  finishSave(State);
+  CHECK_EQUAL(1, State.Saved);
+  CHECK(beginSave(State).has_value());
+  finishSave(State);
+  CHECK_EQUAL(2, State.Saved);
+}
+
+namespace {
+
+ReplicaOptions openOptions() {
+  ReplicaOptions Options;
+  Options.IsOpen = true;
+  Options.MayRecoverAlone = false;
+  return Options;
+}
+
+} // namespace
+
+TEST(ReplicaGroup, AnOpenGroupTakesANewNodeAndDropsTheOneItReplaces) {
+  Group Three{3};
+  for (auto &[Id, State] : Three.Members) {
+    State.Options = openOptions();
+  }
+  Three.pass(1500);
+  Three.isolate(3);
+  Three.Members.erase(3);
+  Three.pass(1000);
+  Three.Members[4] = startReplica("g", {4, 7}, openOptions(), {}, 4, Three.Now);
+  Three.Members[4].Options.VoterNodes = {1, 2};
+  Three.pass(6000);
+  const Replica *Leader = Three.leader();
+  CHECK(Leader != nullptr);
+  CHECK(isVoter(*Leader, {4, 7}));
+  CHECK(!isVoter(*Leader, {3, 1}));
+  CHECK_EQUAL(3, membership(*Leader).Voters.size());
+}
