--- a/src/mulberryramp/cell/advice.cpp
+++ b/src/mulberryramp/cell/advice.cpp
@@ -16,6 +16,9 @@
 constexpr Millis NodeLostAfter{1600};
 /// Taken off the life of a ticket for agreement and the way to the worker.
 constexpr Millis TicketMargin{200};
+/// Longer questions leave some nodes free for short ones.
+constexpr Millis LongAnswer{150};
+constexpr std::size_t FreeShare = 4; ///< One node in so many stays free.
 
 AdviceNode *findFreeNode(Dispatcher &Lead, Instant Now, NodeId &Chosen) {
   AdviceNode *Best = nullptr;
@@ -31,6 +34,12 @@
   return Best;
 }
 
+std::size_t countFreeNodes(const Dispatcher &Lead) {
+  return static_cast<std::size_t>(std::count_if(
+      Lead.Nodes.begin(), Lead.Nodes.end(),
+      [](const auto &Item) { return Item.second.Question == 0; }));
+}
+
 void closeQuestion(Dispatcher &Lead, std::uint64_t Id,
                    const OpenQuestion &Question) {
   const auto Node = Lead.Nodes.find(Question.Node);
@@ -62,6 +71,10 @@
   if (Known.Question != 0 || Now < Known.RetryAt || Workers.empty()) {
     return false;
   }
+  const bool IsLong = answerTime(Rules, Workers.size()) > LongAnswer;
+  if (IsLong && countFreeNodes(Lead) <= Lead.Nodes.size() / FreeShare) {
+    return false;
+  }
   NodeId Chosen = 0;
   AdviceNode *Node = findFreeNode(Lead, Now, Chosen);
   if (Node == nullptr) {
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -27,7 +27,7 @@
 
 CellNode::CellNode(const CellNodeOptions &Options, StoredGroup Stored,
                    Instant Now)
-    : Options{Options}, Relay{Options.Self, Options.Seeds}, Clock{Now} {
+    : Options{Options}, Relay{Options.Self, Options.Seeds, Now}, Clock{Now} {
   Lead.Options = Options.Dispatch;
   Lead.Self = Options.Self;
   if (Options.IsVoter) {
@@ -85,9 +85,13 @@
 }
 
 void CellNode::onHello(NodeId From, Instant Now) {
-  if (!Group) {
-    return;
+  if (Group) {
+    Guests[From] = Now;
+    welcome(From, Now);
   }
+}
+
+void CellNode::welcome(NodeId From, Instant Now) {
   NodeWelcome Welcome;
   Welcome.Leader = leader();
   Welcome.IsConfigured = State.Rules.Version != 0;
@@ -102,6 +106,15 @@
   send(From, std::move(Welcome));
 }
 
+void CellNode::welcomeGuests(Instant Now) {
+  std::erase_if(Guests, [Now](const auto &Guest) {
+    return Now - Guest.second > GuestLostAfter;
+  });
+  for (const auto &[Guest, HeardAt] : Guests) {
+    welcome(Guest, Now);
+  }
+}
+
 void CellNode::onQuestion(NodeId From, const AdviceQuestion &Question) {
   AdviceQuestion Own = Question;
   Own.Id = NextQuestion;
@@ -419,6 +432,7 @@
                      " jobs=" + std::to_string(State.Jobs.size()) +
                      " workers=" + std::to_string(State.Workers.size()));
     beginDispatch(Lead, State, Member.Hard.Current, Now);
+    welcomeGuests(Now);
   }
   if (MayLead && Lead.IsActive) {
     stepDispatch(Lead, State, Now, Wall);
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -201,6 +201,10 @@
     Lead.Events.push_back("event=worker-joined worker=" +
                           State.Workers[Change.Worker].Report.Name);
   }
+  for (const LifeId Id : Change.Unsettled) {
+    Lead.Sessions[Id].IsSettled = false;
+    Lead.Sessions[Id].WantsLook = true;
+  }
   forgetSessions(Lead, State);
   for (const JobId Id : Change.Over) {
     const Job &Item = State.Jobs[Id];
@@ -220,6 +224,7 @@
     return;
   }
   Session.Sequence = Report.Sequence;
+  Session.Remaining = Report.Remaining;
   Session.ReportedAt = Now;
   if (!Session.Clock) {
     Lead.IsDirty = true;
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -72,6 +72,8 @@
   std::uint64_t HoldOrder = 0;
   Instant HoldSentAt;
   Millis HoldTimeout{0};
+  std::uint64_t LookOrder = 0; ///< Hold without a wait, beside an open one.
+  bool WantsLook = false;      ///< A start waits to be settled.
   Instant NextHoldAt;
   Instant ReportedAt;
   Instant AnsweredAt;
@@ -81,7 +83,10 @@
   std::uint64_t AckSent = 0;      ///< Acknowledged in an answered hold.
   std::uint64_t Sequence = 0;     ///< Of its last report.
   std::uint32_t FailureStreak = 0;
+  double Slowness = 1; ///< Run times against estimates, averaged.
+  Millis Remaining{0}; ///< Time left when it was told, of a draining worker.
   Instant AvoidUntil;
+  bool IsDisturbed = false; ///< A serving task there is over its limit.
   std::set<TaskKey> Tasks;
 };
 
--- a/src/mulberryramp/cell/fwd.hpp
+++ b/src/mulberryramp/cell/fwd.hpp
@@ -13,10 +13,16 @@
 inline constexpr Millis RelayRetryEvery{700};
 /// @brief How long a relayed call may take; callers wait for 3 s.
 inline constexpr Millis RelayPatience{2500};
-/// @brief How long a call waits for a leader before it is refused.
-inline constexpr Millis LeaderPatience{1500};
+/// @brief How long after the loss of a leader calls wait for the next one; an
+/// election takes less. Later ones are refused at once.
+inline constexpr Millis LeaderPatience{1200};
 /// @brief Between greetings to a leader that answers.
 inline constexpr Millis GreetEvery{500};
+/// @brief Between greetings to voters that do not lead, so that the next leader
+/// knows whom to tell.
+inline constexpr Millis GreetOthersEvery{2000};
+/// @brief A node that was not heard for this long is not told of a new leader.
+inline constexpr Millis GuestLostAfter{5000};
 /// @brief Between greetings while no leader is known.
 inline constexpr Millis SeekEvery{200};
 /// @brief Silence after which a leader is looked for again.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/// Answers of a worker that is well come within this time.
-constexpr Millis OrderTimeout{1000};
+/// Answers of a worker that is well come within this time; links take 20 ms.
+constexpr Millis OrderTimeout{500};
 constexpr Millis HoldGrace{700};
+/// Wait of a hold while a serving task is over its limit.
+constexpr Millis DisturbedWait{400};
 /// Between holds of a worker that does not answer.
 constexpr Millis HoldRetryEvery{300};
 /// A hold goes out this late even if its acknowledgement is not yet agreed.
@@ -22,6 +24,13 @@
 constexpr Millis FailingFor{6000};
 /// Failed starts in a row that make a worker suspect.
 constexpr std::uint32_t FailureStreakLimit = 3;
+/// Run times of shorter tasks are mostly the way there and back.
+constexpr Millis LeastTellingEstimate{300};
+/// Weight of the last run time in the average.
+constexpr double SlownessGain = 0.3;
+/// A run this many times as long as estimated makes a worker suspect.
+constexpr double SlowRatio = 3.5;
+constexpr Millis SlowFor{2500};
 
 std::string describe(const TaskName &Task, std::uint32_t Attempt) {
   return "job=" + Task.Job + " run=" + std::to_string(Task.Run) +
@@ -84,7 +93,7 @@
   const bool IsWell = Session.IsSettled && Session.Misses == 0;
   Order.AckedEnds = Worker.AckedEnds;
   if (IsWell && Worker.Tasks != 0) {
-    Order.Wait = Lead.Options.HoldWait;
+    Order.Wait = Session.IsDisturbed ? DisturbedWait : Lead.Options.HoldWait;
   }
   OpenOrder Open;
   // A worker that does not answer must not be given more time unseen.
@@ -103,12 +112,46 @@
   send(Lead, std::move(Order), Open);
 }
 
+/// Looks at once, since an open hold may wait for long.
+void sendLook(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
+              WorkerSession &Session, Instant Now) {
+  WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
+  Order.AckedEnds = Worker.AckedEnds;
+  OpenOrder Open;
+  Open.Worker = Id;
+  Open.SentAt = Now;
+  Open.AckedEnds = Worker.AckedEnds;
+  Session.LookOrder = Order.Id;
+  Session.WantsLook = false;
+  Lead.Counters.Holds += 1;
+  send(Lead, std::move(Order), Open);
+}
+
+/// A step that may run copies does not wait for the end of a doubtful start.
+/// The worker is not used until its lists show that nothing is left of it.
+void giveUpCopy(Dispatcher &Lead, const CellState &State, Launch &Item,
+                WallTime Wall) {
+  const Job *Owner = State.Jobs.find(Item.Item.Key.Job);
+  if (Owner != nullptr &&
+      Owner->Spec.Steps[Item.Item.Key.Step].MayRunCopies) {
+    Lead.Sessions[Item.Item.Worker].IsSettled = false;
+    proposeEnd(Lead, Item, EndKind::Lost, Wall);
+  }
+}
+
 void noteMiss(Dispatcher &Lead, const CellState &State, LifeId Worker,
-              WorkerSession &Session, OrderVerdict Verdict, Instant Now) {
+              WorkerSession &Session, OrderVerdict Verdict, Instant Now,
+              WallTime Wall) {
   if (Session.Misses == 0) {
     Lead.Events.push_back("event=worker-silent worker=" +
                           workerName(State, Worker) +
                           " cause=" + std::string{nameOf(Verdict)});
+    for (const TaskKey &Key : Session.Tasks) {
+      Launch &Item = Lead.Launches.at(Key);
+      if (Item.Phase != LaunchPhase::Sending) {
+        giveUpCopy(Lead, State, Item, Wall);
+      }
+    }
   }
   Session.Misses += 1;
   Session.NextHoldAt = Now + HoldRetryEvery;
@@ -160,6 +203,8 @@
   if (IsOpen) {
     Item.Phase = LaunchPhase::Doubtful;
     Item.Since = Now;
+    sendStop(Lead, State, Item, "doubtful", Now);
+    giveUpCopy(Lead, State, Item, Wall);
     return;
   }
   if (Result.Reason == RefusalReason::Ticket) {
@@ -176,7 +221,8 @@
 }
 
 void noteStopResult(Dispatcher &Lead, const OpenOrder &Order,
-                    const OrderResult &Result, Instant Now) {
+                    const OrderResult &Result, WorkerSession *Session,
+                    Instant Now) {
   const auto Found = Lead.Launches.find(Order.Key);
   if (Found == Lead.Launches.end() ||
       Found->second.Item.Attempt != Order.Attempt) {
@@ -185,6 +231,9 @@
   Found->second.StopOrder = 0;
   if (Result.Verdict == OrderVerdict::Done) {
     Found->second.StopAckedAt = Now;
+    if (Session != nullptr && Found->second.Phase == LaunchPhase::Doubtful) {
+      Session->WantsLook = true;
+    }
   }
 }
 
@@ -223,6 +272,26 @@
   return TaskKey{Job, Name.Run, Name.Step, Name.Task};
 }
 
+/// Learns how fast a worker is from a task that it has done.
+void noteRunTime(const CellState &State, WorkerSession &Session,
+                 const Launch &Item, Instant Now) {
+  const StepSpec &Spec = State.Jobs[Item.Item.Key.Job]
+                             .Spec.Steps[Item.Item.Key.Step];
+  const bool IsTelling = Spec.Estimate >= LeastTellingEstimate &&
+                         !Spec.IsGang && !Spec.IsLasting &&
+                         Item.Phase == LaunchPhase::Confirmed &&
+                         findTask(State, Item.Item.Key)->Saved.empty();
+  if (!IsTelling) {
+    return;
+  }
+  const double Ratio = static_cast<double>((Now - Item.StartedAt).count()) /
+                       static_cast<double>(Spec.Estimate.count());
+  Session.Slowness += (Ratio - Session.Slowness) * SlownessGain;
+  if (Ratio > SlowRatio) {
+    Session.AvoidUntil = Now + SlowFor;
+  }
+}
+
 void noteWorkerEnd(WorkerSession &Session, EndKind Kind, Instant Now) {
   if (Kind == EndKind::Done) {
     Session.FailureStreak = 0;
@@ -254,6 +323,9 @@
     if (Found != Lead.Launches.end() &&
         Found->second.Item.Attempt == End.Attempt) {
       Found->second.IsEndProposed = true;
+      if (End.Kind == EndKind::Done) {
+        noteRunTime(State, Session, Found->second, Now);
+      }
     }
     Command.Ends.push_back({*Key, End.Attempt, End.Kind, End.Saved});
   }
@@ -446,6 +518,9 @@
   for (const LifeId Id : State.Workers.ids()) {
     WorkerSession &Session = Lead.Sessions[Id];
     const WorkerLife &Worker = State.Workers[Id];
+    if (Session.WantsLook && Session.LookOrder == 0 && Session.Misses == 0) {
+      sendLook(Lead, Worker, Id, Session, Now);
+    }
     if (Session.HoldOrder != 0 || Now < Session.NextHoldAt ||
         !wantsHold(Worker, Session)) {
       continue;
@@ -507,11 +582,14 @@
     if (Session->HoldOrder == Result.Id) {
       Session->HoldOrder = 0;
     }
+    if (Session->LookOrder == Result.Id) {
+      Session->LookOrder = 0;
+    }
     if (Result.Verdict == OrderVerdict::Done ||
         Result.Verdict == OrderVerdict::Refused) {
       noteAnswer(Lead, State, Order.Worker, *Session, Result, Now);
     } else {
-      noteMiss(Lead, State, Order.Worker, *Session, Result.Verdict, Now);
+      noteMiss(Lead, State, Order.Worker, *Session, Result.Verdict, Now, Wall);
     }
   }
   switch (Order.Kind) {
@@ -519,7 +597,7 @@
     noteStartResult(Lead, State, Order, Result, Session, Now, Wall);
     break;
   case WorkerOrderKind::Stop:
-    noteStopResult(Lead, Order, Result, Now);
+    noteStopResult(Lead, Order, Result, Session, Now);
     break;
   case WorkerOrderKind::Hold:
     if (Session == nullptr || State.Workers.find(Order.Worker) == nullptr) {
--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -4,8 +4,9 @@
 
 namespace mulberryramp {
 
-CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds)
-    : Self{Self} {
+CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds,
+                     Instant Now)
+    : Self{Self}, LeaderLostAt{Now} {
   learn(Seeds);
 }
 
@@ -84,37 +85,46 @@
   Found->second.IsSent = false;
   Found->second.IsDoubtful = Found->second.IsDoubtful || Reply.IsDoubtful;
   if (From == Leader) {
-    loseLeader();
-    GreetAt = Now;
+    loseLeader(Now);
   }
 }
 
-void CallRelay::loseLeader() { Leader = 0; }
+void CallRelay::loseLeader(Instant Now) {
+  Leader = 0;
+  LeaderLostAt = Now;
+  GreetAt = Now;
+}
+
+bool CallRelay::isHopeless(const OpenCall &Item, Instant Now) const {
+  return Now - Item.Since >= RelayPatience ||
+         (Leader == 0 && Now - LeaderLostAt >= LeaderPatience);
+}
 
 void CallRelay::greet(Instant Now) {
   if (Now < GreetAt) {
     return;
   }
   GreetAt = Now + (Leader == 0 ? SeekEvery : GreetEvery);
-  if (Leader != 0) {
-    send(Leader, NodeHello{});
-    return;
+  const bool IncludesOthers = Leader == 0 || Now >= GreetOthersAt;
+  if (IncludesOthers) {
+    GreetOthersAt = Now + GreetOthersEvery;
   }
   for (const NodeId Node : Known) {
-    send(Node, NodeHello{});
+    if (Node == Leader || IncludesOthers) {
+      send(Node, NodeHello{});
+    }
   }
 }
 
 void CallRelay::tick(Instant Now) {
   if (Leader != 0 && Now - LeaderHeardAt > LeaderLostAfter) {
-    loseLeader();
-    GreetAt = Now;
+    loseLeader(Now);
   }
   greet(Now);
   std::vector<std::uint64_t> Ended;
   for (auto &[Id, Item] : Open) {
     const bool IsDoubtful = Item.IsSent || Item.IsDoubtful;
-    if (Now - Item.Since >= (IsDoubtful ? RelayPatience : LeaderPatience)) {
+    if (isHopeless(Item, Now)) {
       Ended.push_back(Id);
     } else if (!Item.IsSent || Now - Item.SentAt >= RelayRetryEvery) {
       Item.IsDoubtful = IsDoubtful;
--- a/src/mulberryramp/cell/relay.hpp
+++ b/src/mulberryramp/cell/relay.hpp
@@ -23,7 +23,8 @@
   /// @brief Makes a relay.
   /// @param Self This node.
   /// @param Seeds Voters to ask first.
-  CallRelay(NodeId Self, const std::vector<NodeId> &Seeds);
+  /// @param Now The present moment.
+  CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now);
 
   /// @brief Adds nodes that may know the leader.
   void learn(const std::vector<NodeId> &Nodes);
@@ -75,7 +76,8 @@
   void submit(std::uint64_t Id, OpenCall &Item, Instant Now);
   void finish(std::uint64_t Id, CellReply Reply);
   void greet(Instant Now);
-  void loseLeader();
+  void loseLeader(Instant Now);
+  [[nodiscard]] bool isHopeless(const OpenCall &Item, Instant Now) const;
 
   NodeId Self;
   std::set<NodeId> Known;
@@ -83,6 +85,8 @@
   Instant LeaderHeardAt;
   bool IsConfigured = false;
   Instant GreetAt;
+  Instant GreetOthersAt;
+  Instant LeaderLostAt; ///< Since when there is no leader.
   std::uint64_t NextId = 1;
   std::map<std::uint64_t, OpenCall> Open;
   std::vector<CellMessage> Out;
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -12,10 +12,14 @@
 
 /// Most workers that one question names; answers take longer for more.
 constexpr std::size_t MaxQuestionWorkers = 30;
-/// Workers asked about for each task that waits.
-constexpr std::size_t QuestionWorkersPerTask = 3;
-/// Fewest workers that a question names, if there are as many.
-constexpr std::size_t MinQuestionWorkers = 12;
+/// Share of the workers that an advisor is expected to admit.
+constexpr double AdmittedShare = 0.4;
+/// Room that is asked about, against the tasks that wait for it.
+constexpr double QuestionMargin = 1.5;
+/// Fewest unknown workers that a question names, if there are as many.
+constexpr std::size_t MinUnknownWorkers = 8;
+/// Weight of the run times on a worker against the estimates.
+constexpr double SlownessWeight = 0.8;
 /// A step that follows is asked about so long before it is ready.
 constexpr Millis AskAhead{150};
 /// Weights of a place, in units of a worker that is left empty.
@@ -31,6 +35,8 @@
   const WorkerLife *Life = nullptr;
   Resources Free;
   std::uint32_t Lasting = 0; ///< Serving tasks there.
+  double Slowness = 1;       ///< Run times against estimates.
+  bool IsDisturbed = false;  ///< Serving tasks there are over their limit.
 };
 
 /// A step with tasks that wait.
@@ -74,7 +80,10 @@
       Item.Worker = Id;
       Item.Life = &State.Workers[Id];
       Item.Free = freeOn(*Item.Life);
-      for (const TaskKey &Key : Lead.Sessions.at(Id).Tasks) {
+      const WorkerSession &Session = Lead.Sessions.at(Id);
+      Item.Slowness = Session.Slowness;
+      Item.IsDisturbed = Session.IsDisturbed;
+      for (const TaskKey &Key : Session.Tasks) {
         const Job *Owner = State.Jobs.find(Key.Job);
         Item.Lasting +=
             Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLasting ? 1 : 0;
@@ -144,6 +153,7 @@
   bool mayUse(const Place &Item, const Job &Owner, const StepSpec &Step) const {
     const auto &Labels = Item.Life->Report.Labels;
     return Item.Life->Report.Pool == Owner.Queue.Pool &&
+           (Step.IsLasting || !Item.IsDisturbed) &&
            (Step.Label.empty() ||
             std::find(Labels.begin(), Labels.end(), Step.Label) !=
                 Labels.end());
@@ -178,6 +188,7 @@
     if (Task != nullptr && Task->Failures != 0 && Task->Worker == Item.Worker) {
       Rating += FailedThere;
     }
+    Rating += Item.Slowness * SlownessWeight;
     if (!Step.IsLasting && Item.Lasting != 0) {
       Rating += BesideLasting;
     }
@@ -320,7 +331,18 @@
               const JobStep &Step, std::size_t Missing) {
     const StepAdvice &Known = Lead.Advice[Key];
     const Resources Need = takenBy(Spec);
-    std::vector<std::pair<double, LifeId>> Candidates;
+    struct Candidate {
+      bool IsUnknown = false;
+      double Rating = 0;
+      LifeId Worker;
+      double Room = 0; ///< Tasks that it is expected to take.
+
+      bool operator<(const Candidate &Other) const {
+        return std::tie(IsUnknown, Rating, Worker) <
+               std::tie(Other.IsUnknown, Other.Rating, Other.Worker);
+      }
+    };
+    std::vector<Candidate> Candidates;
     for (const Place &Item : Places) {
       if (!fitsIn(Need, Item.Free) || !mayUse(Item, Owner, Spec) ||
           Known.Denied.contains(Item.Worker) ||
@@ -329,24 +351,45 @@
            countOn(Step, Item) >= Spec.MaxPerWorker)) {
         continue;
       }
-      const bool IsKnown = Known.Admitted.contains(Item.Worker);
-      Candidates.emplace_back(
-          (IsKnown ? -8.0 : 0.0) + rate(Item, Spec, Need, nullptr),
-          Item.Worker);
+      const bool IsUnknown = !Known.Admitted.contains(Item.Worker);
+      Candidates.push_back(
+          {IsUnknown, rate(Item, Spec, Need, nullptr), Item.Worker,
+           (IsUnknown ? AdmittedShare : 1.0) * roomFor(Item, Spec)});
     }
     std::sort(Candidates.begin(), Candidates.end());
-    const std::size_t Most =
-        std::clamp(Missing * QuestionWorkersPerTask, MinQuestionWorkers,
-                   MaxQuestionWorkers);
     std::vector<LifeId> Workers;
-    for (const auto &[Rating, Worker] : Candidates) {
-      if (Workers.size() < Most) {
-        Workers.push_back(Worker);
+    std::size_t Unknown = 0;
+    double Room = 0;
+    for (const Candidate &Item : Candidates) {
+      const bool IsEnough =
+          Room >= QuestionMargin * static_cast<double>(Missing) &&
+          (!Item.IsUnknown || Unknown == 0 || Unknown >= MinUnknownWorkers);
+      if (IsEnough || Workers.size() >= MaxQuestionWorkers) {
+        break;
       }
+      Workers.push_back(Item.Worker);
+      Room += Item.Room;
+      Unknown += Item.IsUnknown ? 1 : 0;
     }
     askAdvice(Lead, State, Key, *Owner.Queue.Advice, Workers, Now);
   }
 
+  /// Counts the tasks of a step that a place has room for.
+  static double roomFor(const Place &Item, const StepSpec &Spec) {
+    const Resources Need = takenBy(Spec);
+    std::int64_t Count = Spec.Tasks;
+    const auto Limit = [&Count](std::int64_t Free, std::int64_t Each) {
+      Count = Each == 0 ? Count : std::min(Count, Free / Each);
+    };
+    Limit(Item.Free.MilliCpus, Need.MilliCpus);
+    Limit(Item.Free.MemoryMb, Need.MemoryMb);
+    Limit(Item.Free.Accelerators, Need.Accelerators);
+    if (Spec.MaxPerWorker != 0) {
+      Count = std::min<std::int64_t>(Count, Spec.MaxPerWorker);
+    }
+    return static_cast<double>(Count);
+  }
+
   void askAhead(const StepKey &Key) {
     const Job &Owner = State.Jobs[Key.Job];
     const StepSpec &Spec = Owner.Spec.Steps[Key.Step];
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -109,11 +109,32 @@
   }
 }
 
+/// A start that was given up for lost did its work all the same: the task is
+/// done, and what was started in its place is left for the leader to stop.
+void noteLateDone(CellState &State, const TaskEnd &End, JobTask &Task,
+                  WallTime At, CellChange &Change) {
+  const StepSpec &Spec = specAt(State, End.Key);
+  if (End.Kind != EndKind::Done || Spec.IsLasting || Spec.IsGang ||
+      Task.State == JobTaskState::Done) {
+    return;
+  }
+  if (Task.State == JobTaskState::Assigned) {
+    Change.Ended.push_back({End.Key, Task.Run, EndKind::Lost, ""});
+    Change.Unsettled.push_back(Task.Worker);
+    release(State, End.Key, Task);
+  }
+  markDone(stepAt(State, End.Key), Task);
+  finishRunIfDone(State, End.Key, At, Change);
+}
+
 void noteEnd(CellState &State, const TaskEnd &End, WallTime At,
              CellChange &Change) {
   JobTask *Task = taskAt(State, End.Key);
-  if (Task == nullptr || Task->State != JobTaskState::Assigned ||
-      Task->Run != End.Attempt) {
+  if (Task == nullptr || End.Attempt > Task->Run) {
+    return;
+  }
+  if (Task->State != JobTaskState::Assigned || Task->Run != End.Attempt) {
+    noteLateDone(State, End, *Task, At, Change);
     return;
   }
   Change.Ended.push_back(End);
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -30,6 +30,7 @@
   std::vector<JobId> Over;     ///< Jobs that it ended.
   JobId Job;                   ///< Job that it names, if known.
   LifeId Worker;               ///< Worker that it added.
+  std::vector<LifeId> Unsettled; ///< Workers that may run more than is noted.
   LifeId Former;               ///< Life that the added one takes over from.
 };
 
--- a/src/mulberryramp/job/worker.hpp
+++ b/src/mulberryramp/job/worker.hpp
@@ -19,6 +19,7 @@
   std::vector<std::string> Labels;
   Resources Capacity;
   bool IsDraining = false;
+  Millis Remaining{0}; ///< Least time that a draining worker has left.
   std::uint64_t Sequence = 0; ///< Rises with each report of a life.
   std::int64_t Clock = 0;     ///< Steady clock of the worker, in ms.
 
@@ -29,7 +30,8 @@
         &WorkerReport::Name, &WorkerReport::Born, &WorkerReport::Pool,
         &WorkerReport::Address, &WorkerReport::Centre, &WorkerReport::Rack,
         &WorkerReport::Labels, &WorkerReport::Capacity,
-        &WorkerReport::IsDraining, &WorkerReport::Sequence,
+        &WorkerReport::IsDraining, &WorkerReport::Remaining,
+        &WorkerReport::Sequence,
         &WorkerReport::Clock);
   }
 };
--- /dev/null
+++ b/test/cell/fake_worker.cpp
@@ -0,0 +1,217 @@
+#include "cell/fake_worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp::test {
+
+FakeWorker::FakeWorker(std::string Name, Resources Capacity, std::uint64_t Seed,
+                       Instant Now)
+    : Name{std::move(Name)}, Capacity{Capacity}, Draw{Seed} {
+  ClockPercent = Draw.percent(50) ? 100 : 98;
+  restart(Now);
+}
+
+void FakeWorker::restart(Instant Now) {
+  BornAt = Now;
+  Born = Now.time_since_epoch().count();
+  Sequence = 0;
+  Fence = 0;
+  Expires = 0;
+  Runs.clear();
+  Past.clear();
+  Ends.clear();
+  LastEnd = 0;
+  Holds.clear();
+}
+
+std::int64_t FakeWorker::clock(Instant Now) const {
+  return 1000 + (Now - BornAt).count() * ClockPercent / 100;
+}
+
+OrderResult FakeWorker::answerTo(std::uint64_t Order, Instant Now) const {
+  OrderResult Result;
+  Result.Id = Order;
+  Result.Verdict = OrderVerdict::Done;
+  Result.Clock = clock(Now);
+  return Result;
+}
+
+void FakeWorker::lists(OrderResult &Into) const {
+  Into.Born = Born;
+  for (const auto &[Task, Item] : Runs) {
+    Into.Running.push_back({Task, Item.Attempt, "", 50, 0});
+  }
+  Into.Ended = Ends;
+}
+
+void FakeWorker::extend(std::int64_t Until, Instant Now) {
+  Expires = std::max(Expires, std::min(Until, clock(Now) + MaxLease.count()));
+}
+
+void FakeWorker::acknowledge(std::uint64_t UpTo) {
+  for (const ListedEnd &Item : Ends) {
+    if (Item.Number <= UpTo && Item.Kind == EndKind::Done) {
+      Deeds.push_back({WorkerDeed::Kind::AckedDone, Item.Task, Item.Attempt,
+                       Item.Kind});
+    } else if (Item.Number <= UpTo && Item.Kind == EndKind::Failed) {
+      Deeds.push_back({WorkerDeed::Kind::AckedFailed, Item.Task, Item.Attempt,
+                       Item.Kind});
+    }
+  }
+  std::erase_if(Ends, [UpTo](const ListedEnd &Item) {
+    return Item.Number <= UpTo;
+  });
+}
+
+OrderResult FakeWorker::start(const WorkerOrder &Order, Instant Now) {
+  OrderResult Result = answerTo(Order.Id, Now);
+  const auto Refuse = [&Result](RefusalReason Reason) {
+    Result.Verdict = OrderVerdict::Refused;
+    Result.Reason = Reason;
+    return Result;
+  };
+  const auto Found = Runs.find(Order.Task);
+  if (Found != Runs.end()) {
+    return Found->second.Attempt == Order.Attempt ? Result
+                                                  : Refuse(RefusalReason::Old);
+  }
+  const auto Before = Past.find(Order.Task);
+  if (Before != Past.end() && Order.Attempt <= Before->second) {
+    extend(Order.Expires, Now);
+    return Refuse(RefusalReason::Old);
+  }
+  if (Order.Expires <= clock(Now)) {
+    return Refuse(RefusalReason::Late);
+  }
+  extend(Order.Expires, Now);
+  const bool IsLasting = Order.Payload == "lasting";
+  const auto Extra = static_cast<std::int64_t>(Draw.below(400));
+  Runs[Order.Task] = {Order.Attempt, Now + WorkTime + Millis{Extra}, false,
+                      IsLasting};
+  Deeds.push_back(
+      {WorkerDeed::Kind::Started, Order.Task, Order.Attempt, EndKind::Done});
+  return Result;
+}
+
+OrderResult FakeWorker::stop(const WorkerOrder &Order, Instant Now) {
+  const auto Found = Runs.find(Order.Task);
+  if (Found != Runs.end() && Found->second.Attempt == Order.Attempt) {
+    Found->second.IsStopping = true;
+    Found->second.EndsAt = std::min(Found->second.EndsAt, Now + StopTime);
+  } else if (Found == Runs.end()) {
+    std::uint32_t &Highest = Past[Order.Task];
+    Highest = std::max(Highest, Order.Attempt);
+  }
+  return answerTo(Order.Id, Now);
+}
+
+std::optional<OrderResult> FakeWorker::take(const WorkerOrder &Order,
+                                            Instant Now) {
+  if (Order.Worker != Name) {
+    OrderResult Other = answerTo(Order.Id, Now);
+    Other.Verdict = OrderVerdict::OtherLife;
+    return Other;
+  }
+  if (Order.Fence < Fence) {
+    OrderResult Refused = answerTo(Order.Id, Now);
+    Refused.Verdict = OrderVerdict::Refused;
+    Refused.Reason = RefusalReason::Fence;
+    return Refused;
+  }
+  Fence = Order.Fence;
+  switch (Order.Kind) {
+  case WorkerOrderKind::Start:
+    return start(Order, Now);
+  case WorkerOrderKind::Stop:
+    return stop(Order, Now);
+  case WorkerOrderKind::Pace:
+    return answerTo(Order.Id, Now);
+  case WorkerOrderKind::Hold:
+    break;
+  }
+  if (Order.Expires != 0) {
+    extend(Order.Expires, Now);
+  }
+  acknowledge(Order.AckedEnds);
+  if (Ends.empty() && Order.Wait.count() != 0) {
+    Holds.push_back({Order.Id, Now + Order.Wait});
+    return std::nullopt;
+  }
+  OrderResult Result = answerTo(Order.Id, Now);
+  lists(Result);
+  return Result;
+}
+
+void FakeWorker::end(const TaskName &Task, EndKind How) {
+  const auto Found = Runs.find(Task);
+  LastEnd += 1;
+  Ends.push_back({LastEnd, Task, Found->second.Attempt, How, ""});
+  Past[Task] = std::max(Past[Task], Found->second.Attempt);
+  Deeds.push_back(
+      {WorkerDeed::Kind::Ended, Task, Found->second.Attempt, How});
+  Runs.erase(Found);
+}
+
+std::vector<OrderResult> FakeWorker::pass(Instant Now) {
+  std::vector<TaskName> Ended;
+  std::vector<EndKind> Hows;
+  for (const auto &[Task, Item] : Runs) {
+    const bool HasLapsed = clock(Now) >= Expires;
+    const bool IsOver = Now >= Item.EndsAt &&
+                        (!Item.IsLasting || Item.IsStopping);
+    if (!HasLapsed && !IsOver) {
+      continue;
+    }
+    Ended.push_back(Task);
+    EndKind How = Item.IsStopping ? EndKind::Stopped : EndKind::Done;
+    if (!Item.IsStopping && (FailsAll || Draw.percent(5))) {
+      How = EndKind::Failed;
+    }
+    Hows.push_back(HasLapsed ? EndKind::Lapsed : How);
+  }
+  for (std::size_t Index = 0; Index < Ended.size(); ++Index) {
+    end(Ended[Index], Hows[Index]);
+  }
+  std::vector<OrderResult> Answers;
+  std::erase_if(Holds, [&](const WaitingHold &Hold) {
+    if (Ends.empty() && Now < Hold.Until) {
+      return false;
+    }
+    OrderResult Result = answerTo(Hold.Order, Now);
+    lists(Result);
+    Answers.push_back(std::move(Result));
+    return true;
+  });
+  return Answers;
+}
+
+WorkerReport FakeWorker::report(Instant Now) {
+  Sequence += 1;
+  WorkerReport Report;
+  Report.Name = Name;
+  Report.Born = Born;
+  Report.Pool = "pool";
+  Report.Address = Name + ":1";
+  Report.Centre = "centre";
+  Report.Rack = "rack";
+  Report.Labels = {"kind", "rack"};
+  Report.Capacity = Capacity;
+  Report.Sequence = Sequence;
+  Report.Clock = clock(Now);
+  return Report;
+}
+
+std::vector<WorkerDeed> FakeWorker::takeDeeds() {
+  return std::exchange(Deeds, {});
+}
+
+std::vector<std::pair<TaskName, std::uint32_t>> FakeWorker::running() const {
+  std::vector<std::pair<TaskName, std::uint32_t>> Listed;
+  for (const auto &[Task, Item] : Runs) {
+    Listed.emplace_back(Task, Item.Attempt);
+  }
+  return Listed;
+}
+
+} // namespace mulberryramp::test
--- /dev/null
+++ b/test/cell/fake_worker.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "mulberryramp/cell/order.hpp"
+#include "mulberryramp/core/random.hpp"
+#include "mulberryramp/job/worker.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mulberryramp::test {
+
+/// @brief What a worker in memory did, for invariants.
+struct WorkerDeed {
+  enum class Kind { Started, Ended, AckedDone, AckedFailed };
+  Kind What = Kind::Started;
+  TaskName Task;
+  std::uint32_t Attempt = 0;
+  EndKind How = EndKind::Done;
+};
+
+/// @brief An answer that a worker gives.
+struct WorkerAnswer {
+  OrderResult Result;
+};
+
+/// @brief A worker in memory: fences, leases on its own clock, lists of runs
+/// and of ends, long holds. It starts whatever it is told to.
+class FakeWorker {
+public:
+  FakeWorker(std::string Name, Resources Capacity, std::uint64_t Seed,
+             Instant Now);
+
+  /// @brief Carries an order out.
+  /// @return The answer, or nothing if a hold waits.
+  std::optional<OrderResult> take(const WorkerOrder &Order, Instant Now);
+
+  /// @brief Lets time pass.
+  /// @return Answers of holds that waited.
+  std::vector<OrderResult> pass(Instant Now);
+
+  /// @brief Ends this life and begins the next one under the same name.
+  void restart(Instant Now);
+
+  /// @brief Renders the next report.
+  [[nodiscard]] WorkerReport report(Instant Now);
+
+  /// @brief Takes what happened since the last call.
+  [[nodiscard]] std::vector<WorkerDeed> takeDeeds();
+
+  /// @brief Lists what runs.
+  [[nodiscard]] std::vector<std::pair<TaskName, std::uint32_t>> running() const;
+
+  /// @brief Lets the tasks that start from now on fail.
+  void failAll(bool IsFailing) { FailsAll = IsFailing; }
+
+  static constexpr Millis WorkTime{600};
+  static constexpr Millis StopTime{150};
+  static constexpr Millis MaxLease{6000};
+
+private:
+  struct Run {
+    std::uint32_t Attempt = 0;
+    Instant EndsAt;
+    bool IsStopping = false;
+    bool IsLasting = false;
+  };
+  struct WaitingHold {
+    std::uint64_t Order = 0;
+    Instant Until;
+  };
+
+  [[nodiscard]] std::int64_t clock(Instant Now) const;
+  [[nodiscard]] OrderResult answerTo(std::uint64_t Order, Instant Now) const;
+  OrderResult start(const WorkerOrder &Order, Instant Now);
+  OrderResult stop(const WorkerOrder &Order, Instant Now);
+  void extend(std::int64_t Expires, Instant Now);
+  void acknowledge(std::uint64_t UpTo);
+  void end(const TaskName &Task, EndKind How);
+  void lists(OrderResult &Into) const;
+
+  std::string Name;
+  Resources Capacity;
+  Random Draw;
+  Instant BornAt;
+  std::int64_t Born = 0;
+  int ClockPercent = 100; ///< Speed of the clock.
+  std::uint64_t Sequence = 0;
+  Term Fence = 0;
+  std::int64_t Expires = 0;
+  bool FailsAll = false;
+  std::map<TaskName, Run> Runs;
+  std::map<TaskName, std::uint32_t> Past; ///< Highest run ended or stopped.
+  std::vector<ListedEnd> Ends;
+  std::uint64_t LastEnd = 0;
+  std::vector<WaitingHold> Holds;
+  std::vector<WorkerDeed> Deeds;
+};
+
+} // namespace mulberryramp::test
