Explore seeded schedules of faults over a cell; keep track of what was given up

Now such a start stays with its worker, which takes no work, until its stop is confirmed and a later list does not show it.

--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -59,14 +59,27 @@
   }
 }
 
-void forgetLaunch(Dispatcher &Lead, const TaskEnd &End) {
+void forgetLaunch(Dispatcher &Lead, const CellState &State, const TaskEnd &End,
+                  const CellChange &Change) {
   const auto Found = Lead.Launches.find(End.Key);
   if (Found == Lead.Launches.end() ||
       Found->second.Item.Attempt != End.Attempt) {
     return;
   }
-  const auto Session = Lead.Sessions.find(Found->second.Item.Worker);
+  const LifeId Worker = Found->second.Item.Worker;
+  const auto Session = Lead.Sessions.find(Worker);
   if (Session != Lead.Sessions.end()) {
+    const bool MayRun = Found->second.IsGivenUp ||
+                        std::find(Change.Unsettled.begin(),
+                                  Change.Unsettled.end(),
+                                  Worker) != Change.Unsettled.end();
+    if (MayRun && End.Kind == EndKind::Lost) {
+      Ghost Left;
+      Left.Key = End.Key;
+      Left.Name = nameTask(State, End.Key);
+      Left.Attempt = End.Attempt;
+      Session->second.Ghosts.push_back(std::move(Left));
+    }
     Session->second.Tasks.erase(End.Key);
   }
   Lead.Launches.erase(Found);
@@ -179,7 +192,7 @@
   Lead.IsDirty = true;
   for (const TaskEnd &End : Change.Ended) {
     Lead.Counters.Ends += 1;
-    forgetLaunch(Lead, End);
+    forgetLaunch(Lead, State, End, Change);
     const TaskName Name = nameTask(State, End.Key);
     Lead.Events.push_back(
         "event=end job=" + Name.Job + " run=" + std::to_string(Name.Run) +
@@ -201,10 +214,6 @@
     Lead.Events.push_back("event=worker-joined worker=" +
                           State.Workers[Change.Worker].Report.Name);
   }
-  for (const LifeId Id : Change.Unsettled) {
-    Lead.Sessions[Id].IsSettled = false;
-    Lead.Sessions[Id].WantsLook = true;
-  }
   forgetSessions(Lead, State);
   for (const JobId Id : Change.Over) {
     const Job &Item = State.Jobs[Id];
@@ -254,6 +263,7 @@
       Lead.Commands.emplace_back(StartCommand{std::move(Grants)});
     }
   }
+  stopGhosts(Lead, State, Now);
   sendHolds(Lead, State, Now);
 }
 
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -49,6 +49,7 @@
   std::optional<Instant> StopAckedAt;
   std::uint64_t StopOrder = 0; ///< Open stop.
   bool IsEndProposed = false;
+  bool IsGivenUp = false; ///< Its proposed end is not known for certain.
   std::uint32_t Percent = 0; ///< Last progress that was listed.
   Instant ProgressAt;        ///< When it last rose.
   std::uint32_t ListedPercent = 0; ///< Progress when it was first listed.
@@ -59,6 +60,16 @@
   Instant PaceAt;                  ///< When the pace was last changed.
 };
 
+/// @brief A start that was given up though it may still run, or begin to.
+struct Ghost {
+  TaskKey Key;
+  TaskName Name;
+  std::uint32_t Attempt = 0;
+  std::uint64_t StopOrder = 0; ///< Open stop, or 0.
+  Instant StopSentAt;
+  std::optional<Instant> StopAckedAt;
+};
+
 /// @brief Worker clock at a moment; it cannot have read less.
 struct ClockSample {
   std::int64_t Clock = 0;
@@ -88,6 +99,7 @@
   Instant AvoidUntil;
   bool IsDisturbed = false; ///< A serving task there is over its limit.
   std::set<TaskKey> Tasks;
+  std::vector<Ghost> Ghosts; ///< None may be left when a start is sent.
 };
 
 /// @brief Names one step of one run of a job.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -83,7 +83,7 @@
 }
 
 bool wantsHold(const WorkerLife &Worker, const WorkerSession &Session) {
-  return Worker.Tasks != 0 || !Session.IsSettled || Session.Misses != 0 ||
+  return Worker.Tasks != 0 || !Session.IsSettled || !Session.Ghosts.empty() || Session.Misses != 0 ||
          Session.AckSent < Worker.AckedEnds;
 }
 
@@ -134,7 +134,7 @@
   const Job *Owner = State.Jobs.find(Item.Item.Key.Job);
   if (Owner != nullptr &&
       Owner->Spec.Steps[Item.Item.Key.Step].MayRunCopies) {
-    Lead.Sessions[Item.Item.Worker].IsSettled = false;
+    Item.IsGivenUp = true;
     proposeEnd(Lead, Item, EndKind::Lost, Wall);
   }
 }
@@ -203,8 +203,8 @@
   if (IsOpen) {
     Item.Phase = LaunchPhase::Doubtful;
     Item.Since = Now;
-    sendStop(Lead, State, Item, "doubtful", Now);
     giveUpCopy(Lead, State, Item, Wall);
+    sendStop(Lead, State, Item, "doubtful", Now);
     return;
   }
   if (Result.Reason == RefusalReason::Ticket) {
@@ -220,9 +220,41 @@
   proposeEnd(Lead, Item, EndKind::Refused, Wall);
 }
 
+void noteGhostStopped(WorkerSession &Session, const OpenOrder &Order,
+                      const OrderResult &Result, Instant Now) {
+  for (Ghost &Left : Session.Ghosts) {
+    if (Left.Key != Order.Key || Left.Attempt != Order.Attempt) {
+      continue;
+    }
+    Left.StopOrder = 0;
+    if (Result.Verdict == OrderVerdict::Done) {
+      Left.StopAckedAt = Now;
+      Session.WantsLook = true;
+    }
+  }
+}
+
+/// Forgets what a list that was made after its stop does not show.
+void layGhosts(WorkerSession &Session, const OrderResult &Result,
+               Instant HoldSentAt) {
+  std::erase_if(Session.Ghosts, [&](const Ghost &Left) {
+    if (!Left.StopAckedAt || *Left.StopAckedAt >= HoldSentAt) {
+      return false;
+    }
+    return std::none_of(Result.Running.begin(), Result.Running.end(),
+                        [&Left](const RunningTask &Running) {
+                          return Running.Task == Left.Name &&
+                                 Running.Attempt == Left.Attempt;
+                        });
+  });
+}
+
 void noteStopResult(Dispatcher &Lead, const OpenOrder &Order,
                     const OrderResult &Result, WorkerSession *Session,
                     Instant Now) {
+  if (Session != nullptr) {
+    noteGhostStopped(*Session, Order, Result, Now);
+  }
   const auto Found = Lead.Launches.find(Order.Key);
   if (Found == Lead.Launches.end() ||
       Found->second.Item.Attempt != Order.Attempt) {
@@ -396,6 +428,7 @@
     }
     noteProgress(Item, Running, Now);
   }
+  layGhosts(Session, Result, Order.SentAt);
   proposeListedEnds(Lead, State, Order.Worker, Session, Result, Now, Wall);
   if (!Result.HasMoreEnds) {
     for (const TaskKey &Key : std::set<TaskKey>{Session.Tasks}) {
@@ -533,6 +566,34 @@
   }
 }
 
+void stopGhosts(Dispatcher &Lead, const CellState &State, Instant Now) {
+  for (auto &[Id, Session] : Lead.Sessions) {
+    const WorkerLife *Worker = State.Workers.find(Id);
+    if (Worker == nullptr || Session.Misses != 0) {
+      continue;
+    }
+    for (Ghost &Left : Session.Ghosts) {
+      const bool IsRecent = Left.StopSentAt != Instant{} &&
+                            Now - Left.StopSentAt < StopRetryEvery;
+      if (Left.StopOrder != 0 || IsRecent) {
+        continue;
+      }
+      WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Stop);
+      Order.Task = Left.Name;
+      Order.Attempt = Left.Attempt;
+      Left.StopOrder = Order.Id;
+      Left.StopSentAt = Now;
+      OpenOrder Open;
+      Open.Worker = Id;
+      Open.Key = Left.Key;
+      Open.Attempt = Left.Attempt;
+      Open.SentAt = Now;
+      Lead.Counters.Stops += 1;
+      send(Lead, std::move(Order), Open);
+    }
+  }
+}
+
 void expireLeases(Dispatcher &Lead, const CellState &State, Instant Now,
                   WallTime Wall) {
   for (auto &[Id, Session] : Lead.Sessions) {
@@ -543,6 +604,7 @@
     for (const TaskKey &Key : Session.Tasks) {
       Launch &Item = Lead.Launches.at(Key);
       if (!Item.IsEndProposed && Item.Phase != LaunchPhase::Sending) {
+        Item.IsGivenUp = true;
         proposeEnd(Lead, Item, EndKind::Lost, Wall);
         IsNew = true;
       }
@@ -627,7 +689,7 @@
   }
   const WorkerSession &Session = Found->second;
   const Millis Silence = Lead.Options.ReportEvery * 5 / 2;
-  return Session.IsSettled && Session.Misses == 0 && Session.Clock &&
+  return Session.IsSettled && Session.Ghosts.empty() && Session.Misses == 0 && Session.Clock &&
          !State.Workers[Worker].Report.IsDraining &&
          Now >= Session.AvoidUntil && !isOverdue(Session, Now) &&
          Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -27,6 +27,9 @@
 /// and wait for the next one.
 void sendHolds(Dispatcher &Lead, const CellState &State, Instant Now);
 
+/// @brief Stops what was given up, until workers confirm it.
+void stopGhosts(Dispatcher &Lead, const CellState &State, Instant Now);
+
 /// @brief Gives up what ran on workers whose lease has run out.
 void expireLeases(Dispatcher &Lead, const CellState &State, Instant Now,
                   WallTime Wall);
--- /dev/null
+++ b/test/cell/cell_world.cpp
@@ -0,0 +1,759 @@
+#include "cell/cell_world.hpp"
+
+#include "cell/fake_worker.hpp"
+#include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/core/random.hpp"
+#include "mulberryramp/storage/group_store.hpp"
+#include "support/memory_files.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace mulberryramp::test {
+
+namespace {
+
+constexpr Millis StepTime{5};
+constexpr Millis SyncTime{9};
+constexpr Millis FaultTime{16000}; ///< Faults begin within this time.
+constexpr Millis WholeTime{45000}; ///< All is healed and has to be done by now.
+constexpr Millis ReportEvery{500};
+constexpr Millis CancelBound{3000};
+constexpr NodeId Voters = 3;
+constexpr NodeId RelayNode = 100;
+constexpr int WorkerCount = 4;
+constexpr std::uint32_t MaxAttempts = 3;
+constexpr std::int64_t TaskCpus = 1000;
+constexpr int MaxLastingJobs = 2;
+
+struct Voter {
+  MemoryFiles Files;
+  std::optional<GroupStore> Store;
+  std::unique_ptr<CellNode> Node;
+  std::uint64_t Incarnation = 1;
+  std::optional<PersistBatch> Writing;
+  Instant WriteEndsAt;
+  Instant PausedUntil;
+  Instant DownUntil;
+  Instant CutUntil;
+  Instant StalledUntil;
+  bool IsGone = false;
+};
+
+struct InFlight {
+  Instant At;
+  CellMessage Message;
+};
+
+struct OrderInFlight {
+  Instant At;
+  NodeId From = 0;
+  std::uint64_t Life = 0; ///< Of the node that sent it.
+  std::string Worker;
+  WorkerOrder Order;
+  bool IsAnswered = true;
+  std::uint64_t WorkerLife = 0; ///< Life of the worker when it was sent.
+};
+
+struct AnswerInFlight {
+  Instant At;
+  NodeId To = 0;
+  std::uint64_t Life = 0;
+  OrderResult Result;
+};
+
+struct WorkerState {
+  std::unique_ptr<FakeWorker> Worker;
+  Instant CutUntil;
+  Instant ReportAt;
+  std::uint64_t Life = 0;
+  std::map<std::uint64_t, std::pair<NodeId, std::uint64_t>> Holds;
+};
+
+struct JobSeen {
+  JobSpec Spec;
+  bool IsAccepted = false;
+  bool IsCancelSent = false;
+  std::optional<Instant> CancelledAt;
+  std::optional<JobPhase> Phase;
+};
+
+class CellWorld {
+public:
+  explicit CellWorld(const CellSchedule &Options)
+      : Options{Options}, Draw{Options.Seed} {
+    for (NodeId Id = 1; Id <= Voters; ++Id) {
+      startVoter(Id, true);
+    }
+    CellNodeOptions Relay;
+    Relay.Self = RelayNode;
+    Relay.Seeds = {1, 2, 3};
+    Front = std::make_unique<CellNode>(Relay, StoredGroup{}, Now);
+    for (int Index = 0; Index < WorkerCount; ++Index) {
+      const std::string Name = "w" + std::to_string(Index);
+      Resources Capacity;
+      Capacity.MilliCpus = 4 * TaskCpus;
+      Capacity.MemoryMb = 100;
+      Workers[Name].Worker = std::make_unique<FakeWorker>(
+          Name, Capacity, Options.Seed * 31 + Index, Now);
+    }
+    LeaderSeen = 0;
+  }
+
+  CellScheduleResult play() {
+    configure();
+    while (Now < End) {
+      Now += StepTime;
+      if (Now < FaultsEnd) {
+        drawFaults();
+      }
+      drawCalls();
+      deliver();
+      for (auto &[Id, Item] : VotersById) {
+        stepVoter(Id, Item);
+      }
+      collect(RelayNode, 0, Front->step(Now, wall()));
+      stepWorkers();
+      check();
+    }
+    checkEnd();
+    return Result;
+  }
+
+private:
+  [[nodiscard]] WallTime wall() const { return WallTime{Now.time_since_epoch()}; }
+
+  void violate(const std::string &Text) {
+    Result.Violations.push_back(
+        std::to_string((Now - Instant{Millis{100000}}).count()) + " ms: " +
+        Text);
+  }
+
+  static CellNodeOptions voterOptions(NodeId Id, std::uint64_t Incarnation,
+                                      std::uint64_t Seed) {
+    CellNodeOptions Node;
+    Node.Self = Id;
+    Node.Seeds = {1, 2, 3};
+    Node.IsVoter = true;
+    Node.Incarnation = Incarnation;
+    Node.Agreement.IsOpen = true;
+    Node.Agreement.MayRecoverAlone = false;
+    Node.Agreement.SnapshotEvery = 60;
+    Node.Agreement.KeepEntries = 10;
+    Node.Dispatch.ReportEvery = ReportEvery;
+    Node.Seed = Seed;
+    return Node;
+  }
+
+  void startVoter(NodeId Id, bool IsFounder) {
+    Voter &Item = VotersById[Id];
+    StoredGroup Stored;
+    Item.Store.emplace(*GroupStore::open(Item.Files, "cell", Stored));
+    if (IsFounder && Stored.Base.Voters.Voters.empty()) {
+      Stored = foundGroup({{1, 1}, {2, 1}, {3, 1}});
+      PersistBatch First;
+      First.Base = Stored.Base;
+      (void)Item.Store->write(First);
+    }
+    Item.Node = std::make_unique<CellNode>(
+        voterOptions(Id, Item.Incarnation, Draw.next()), std::move(Stored),
+        Now);
+    Item.Writing.reset();
+    Item.DownUntil = Instant{};
+    Lives[Id] += 1;
+  }
+
+  void configure() {
+    CellConfiguration Rules;
+    Rules.Version = 1;
+    JobQueue Queue;
+    Queue.Host = "host";
+    Queue.Prefix = "/q/";
+    Queue.Pool = "pool";
+    Queue.MaxAttempts = MaxAttempts;
+    Queue.Target = Millis{500};
+    Rules.Queues.push_back(Queue);
+    Front->call(NextCall, ConfigureCall{Rules}, Now);
+    ConfigureId = NextCall;
+    NextCall += 1;
+  }
+
+  // Faults.
+
+  bool wants(CellFault Kind, std::uint64_t OneIn) {
+    return Options.Faults.contains(Kind) && Draw.below(OneIn) == 0;
+  }
+
+  /// One voter is harmed at a time, as the group tolerates.
+  bool mayHarm() {
+    return std::all_of(VotersById.begin(), VotersById.end(),
+                       [this](const auto &Item) {
+                         const Voter &Each = Item.second;
+                         return Each.IsGone ||
+                                (Each.Node && Now >= Each.PausedUntil &&
+                                 Now >= Each.CutUntil);
+                       }) &&
+           Now >= HarmAt;
+  }
+
+  Voter &pick(NodeId &Id) {
+    std::vector<NodeId> Present;
+    for (const auto &[Each, Item] : VotersById) {
+      if (!Item.IsGone) {
+        Present.push_back(Each);
+      }
+    }
+    Id = Present[Draw.below(Present.size())];
+    return VotersById.at(Id);
+  }
+
+  Millis span(std::int64_t Least, std::int64_t Most) {
+    return Millis{Least + static_cast<std::int64_t>(Draw.below(
+                              static_cast<std::uint64_t>(Most - Least)))};
+  }
+
+  void stop(Voter &Item, Millis For) {
+    Item.Node.reset();
+    Item.Store.reset();
+    Item.Writing.reset();
+    Item.Files.crash(Draw.below(40));
+    Item.DownUntil = Now + For;
+  }
+
+  void drawFaults() {
+    drawNodeFaults();
+    const std::string Name = "w" + std::to_string(Draw.below(WorkerCount));
+    WorkerState &Item = Workers.at(Name);
+    if (wants(CellFault::CutWorker, 1200)) {
+      Item.CutUntil = Now + span(300, 7000);
+    }
+    if (wants(CellFault::RestartWorker, 1500)) {
+      Item.Worker->restart(Now);
+      Item.Life += 1;
+      Item.Holds.clear();
+      Item.ReportAt = Now + span(0, 300);
+    }
+    if (wants(CellFault::LateOrders, 600)) {
+      LateUntil = Now + span(200, 1500);
+    }
+    if (wants(CellFault::LoseMessages, 600)) {
+      LossUntil = Now + span(200, 1500);
+    }
+  }
+
+  void drawNodeFaults() {
+    if (!mayHarm()) {
+      return;
+    }
+    NodeId Id = 0;
+    Voter &Item = pick(Id);
+    if (wants(CellFault::KillNode, 500)) {
+      stop(Item, span(50, 3000));
+    } else if (wants(CellFault::WipeNode, 1200)) {
+      stop(Item, span(50, 2000));
+      Item.Files.wipe();
+      Item.Incarnation += 1000;
+      HarmAt = Now + Millis{6000};
+    } else if (wants(CellFault::ReplaceNode, 1500)) {
+      stop(Item, Millis{1});
+      Item.IsGone = true;
+      const NodeId Fresh = NextVoter;
+      NextVoter += 1;
+      VotersById[Fresh].Incarnation = 5000 + Fresh;
+      VotersById[Fresh].DownUntil = Now + span(50, 1500);
+      HarmAt = Now + Millis{8000};
+    } else if (wants(CellFault::PauseNode, 600)) {
+      Item.PausedUntil = Now + span(200, 4000);
+    } else if (wants(CellFault::CutNode, 600)) {
+      Item.CutUntil = Now + span(200, 4000);
+    } else if (wants(CellFault::StallDisk, 600)) {
+      Item.StalledUntil = Now + span(200, 3000);
+    } else if (wants(CellFault::PowerOff, 1500)) {
+      for (auto &[Each, Other] : VotersById) {
+        if (!Other.IsGone) {
+          stop(Other, span(50, 1500));
+        }
+      }
+    }
+  }
+
+  // Callers.
+
+  void drawCalls() {
+    if (Front->isReadyForCallers(Now) && Now < FaultsEnd &&
+        Draw.below(90) == 0) {
+      submit();
+    }
+    if (wants(CellFault::Cancel, 150) && !Jobs.empty() && Now < FaultsEnd) {
+      auto Item = Jobs.begin();
+      std::advance(Item, static_cast<std::int64_t>(Draw.below(Jobs.size())));
+      if (Item->second.IsAccepted) {
+        cancel(Item->first, Item->second);
+      }
+    }
+    if (Now >= ReadAt) {
+      ReadAt = Now + Millis{400};
+      for (auto &[Name, Item] : Jobs) {
+        const bool IsOpen = !Item.Phase || !isOver(*Item.Phase);
+        if (Item.IsAccepted && IsOpen) {
+          call(JobVerb::Read, Name, {});
+        } else if (!Item.IsAccepted && Now > FaultsEnd) {
+          call(JobVerb::Submit, Name, Item.Spec);
+        }
+      }
+      retryCancels();
+    }
+  }
+
+  void retryCancels() {
+    for (auto &[Name, Item] : Jobs) {
+      if (Item.IsCancelSent && !Item.CancelledAt) {
+        call(JobVerb::Cancel, Name, {});
+      }
+    }
+  }
+
+  void call(JobVerb Verb, const std::string &Name, const JobSpec &Spec) {
+    Calls[NextCall] = {Verb, Name};
+    Front->call(NextCall, JobCall{Verb, "host", "/q/" + Name, Spec}, Now);
+    NextCall += 1;
+  }
+
+  void submit() {
+    const std::string Name = "j" + std::to_string(Jobs.size());
+    JobSpec Spec;
+    // More lasting tasks would leave no room for others to end.
+    std::uint64_t Form = Draw.below(12);
+    Form = Form == 0 && LastingJobs == MaxLastingJobs ? 1 : Form;
+    LastingJobs += Form == 0 ? 1 : 0;
+    Spec.Payload = Form == 0 ? "lasting" : "work";
+    const std::uint64_t Steps = Form == 0 ? 1 : 1 + Draw.below(3);
+    for (std::uint64_t Index = 0; Index < Steps; ++Index) {
+      StepSpec Step;
+      Step.Tasks = static_cast<std::uint32_t>(1 + Draw.below(4));
+      Step.Need.MilliCpus = TaskCpus;
+      Step.Estimate = FakeWorker::WorkTime;
+      Step.IsLasting = Form == 0;
+      Step.MayRunCopies = Form == 1;
+      if (Form == 2) {
+        Step.MaxPerWorker = 1;
+      }
+      if (Index > 0) {
+        Step.After.push_back(static_cast<std::uint32_t>(Index - 1));
+      }
+      Spec.Steps.push_back(Step);
+    }
+    Jobs[Name].Spec = Spec;
+    Result.Submitted += 1;
+    call(JobVerb::Submit, Name, Spec);
+  }
+
+  void cancel(const std::string &Name, JobSeen &Item) {
+    Item.IsCancelSent = true;
+    call(JobVerb::Cancel, Name, {});
+  }
+
+  void takeReplies(const std::vector<LocalReply> &Replies) {
+    for (const LocalReply &Done : Replies) {
+      if (Done.CallId == ConfigureId &&
+          Done.Reply.Verdict != CellVerdict::Done) {
+        configure();
+        continue;
+      }
+      const auto Found = Calls.find(Done.CallId);
+      if (Found != Calls.end()) {
+        takeReply(Found->second.first, Found->second.second, Done.Reply);
+        Calls.erase(Found);
+      }
+    }
+  }
+
+  void takeReply(JobVerb Verb, const std::string &Name,
+                 const CellReply &Reply) {
+    JobSeen &Item = Jobs.at(Name);
+    if (Verb == JobVerb::Submit) {
+      Item.IsAccepted = Item.IsAccepted || Reply.Verdict == CellVerdict::Done;
+      return;
+    }
+    if (Verb == JobVerb::Cancel) {
+      if (Reply.Verdict == CellVerdict::Done && !Item.CancelledAt) {
+        Item.CancelledAt = Now;
+      }
+      return;
+    }
+    if (Reply.Verdict == CellVerdict::Gone) {
+      violate("accepted job " + Name + " is not known");
+    }
+    if (Reply.Verdict != CellVerdict::Done) {
+      return;
+    }
+    if (Item.Phase && isOver(*Item.Phase) && *Item.Phase != Reply.Phase) {
+      violate("job " + Name + " was over and is " +
+              std::string{nameOf(Reply.Phase)});
+    }
+    Item.Phase = Reply.Phase;
+    if (Reply.Phase == JobPhase::Completed) {
+      checkCompleted(Name, Item);
+    }
+  }
+
+  void checkCompleted(const std::string &Name, const JobSeen &Item) {
+    for (std::uint32_t Step = 0; Step < Item.Spec.Steps.size(); ++Step) {
+      for (std::uint32_t Task = 0; Task < Item.Spec.Steps[Step].Tasks; ++Task) {
+        if (!DoneTasks.contains({Name, 0, Step, Task})) {
+          violate("job " + Name + " is completed without task " +
+                  std::to_string(Step) + "." + std::to_string(Task));
+        }
+      }
+    }
+  }
+
+  // Messages.
+
+  bool isCut(NodeId Id) const {
+    const auto Found = VotersById.find(Id);
+    return Found != VotersById.end() && Now < Found->second.CutUntil;
+  }
+
+  bool isLost() { return Now < LossUntil && Draw.percent(20); }
+
+  void collect(NodeId From, std::uint64_t Life, CellOutput Output) {
+    for (CellMessage &Message : Output.Messages) {
+      if (!isCut(From) && !isCut(Message.To) && !isLost()) {
+        Network.push_back({Now + span(1, 12), std::move(Message)});
+      }
+    }
+    for (WorkerOrder &Order : Output.Orders) {
+      OrderInFlight Item;
+      Item.At = Now + span(1, 12);
+      Item.From = From;
+      Item.Life = Life;
+      Item.Worker = Order.Address.substr(0, Order.Address.find(':'));
+      if (Now < LateUntil && Draw.percent(50)) {
+        Item.At = Now + span(2000, 12000);
+        Item.IsAnswered = false;
+      }
+      Item.WorkerLife = Workers.at(Item.Worker).Life;
+      Deadlines[{From, Life, Order.Id}] = Now + Order.Timeout;
+      Item.Order = std::move(Order);
+      Orders.push_back(std::move(Item));
+    }
+    if (Options.IsTraced) {
+      for (const std::string &Line : Output.Events) {
+        std::cout << (Now - Instant{Millis{100000}}).count() << " node=" << From
+                  << ' ' << Line << '\n';
+      }
+    }
+    takeReplies(Output.Replies);
+  }
+
+  void deliver() {
+    std::vector<InFlight> Due;
+    std::erase_if(Network, [&](InFlight &Item) {
+      if (Item.At > Now) {
+        return false;
+      }
+      Due.push_back(std::move(Item));
+      return true;
+    });
+    for (const InFlight &Item : Due) {
+      if (Item.Message.To == RelayNode) {
+        Front->receive(Item.Message, Now, wall());
+        continue;
+      }
+      const auto To = VotersById.find(Item.Message.To);
+      const bool IsUp = To != VotersById.end() && To->second.Node &&
+                        Now >= To->second.PausedUntil && !isCut(To->first);
+      if (IsUp) {
+        To->second.Node->receive(Item.Message, Now, wall());
+      }
+    }
+    deliverOrders();
+    deliverAnswers();
+  }
+
+  void deliverOrders() {
+    std::vector<OrderInFlight> Due;
+    std::erase_if(Orders, [&](OrderInFlight &Item) {
+      if (Item.At > Now) {
+        return false;
+      }
+      Due.push_back(std::move(Item));
+      return true;
+    });
+    for (const OrderInFlight &Item : Due) {
+      WorkerState &To = Workers.at(Item.Worker);
+      // An order that a process holds back ends with the process.
+      const bool IsForgotten = !Item.IsAnswered && Item.WorkerLife != To.Life;
+      if (Now < To.CutUntil || IsForgotten) {
+        continue;
+      }
+      auto Answer = To.Worker->take(Item.Order, Now);
+      if (!Item.IsAnswered) {
+        continue;
+      }
+      if (Answer) {
+        answer(Item.From, Item.Life, std::move(*Answer));
+      } else {
+        To.Holds[Item.Order.Id] = {Item.From, Item.Life};
+      }
+    }
+  }
+
+  void answer(NodeId To, std::uint64_t Life, OrderResult Answer) {
+    Answers.push_back({Now + span(1, 12), To, Life, std::move(Answer)});
+  }
+
+  void deliverAnswers() {
+    for (const auto &[Key, Until] : std::map{Deadlines}) {
+      if (Now >= Until) {
+        OrderResult Late;
+        Late.Id = std::get<2>(Key);
+        giveAnswer(std::get<0>(Key), std::get<1>(Key), Late);
+      }
+    }
+    std::vector<AnswerInFlight> Due;
+    std::erase_if(Answers, [&](AnswerInFlight &Item) {
+      if (Item.At > Now) {
+        return false;
+      }
+      Due.push_back(std::move(Item));
+      return true;
+    });
+    for (const AnswerInFlight &Item : Due) {
+      giveAnswer(Item.To, Item.Life, Item.Result);
+    }
+  }
+
+  void giveAnswer(NodeId To, std::uint64_t Life, const OrderResult &Answer) {
+    if (Deadlines.erase({To, Life, Answer.Id}) == 0) {
+      return;
+    }
+    const auto Found = VotersById.find(To);
+    if (Found != VotersById.end() && Found->second.Node &&
+        Lives.at(To) == Life) {
+      if (Now < Found->second.PausedUntil) {
+        Deadlines[{To, Life, Answer.Id}] = Found->second.PausedUntil;
+        return;
+      }
+      Found->second.Node->orderDone(Answer, Now, wall());
+    }
+  }
+
+  // Nodes and workers.
+
+  void stepVoter(NodeId Id, Voter &Item) {
+    if (Item.IsGone || Now < Item.PausedUntil) {
+      return;
+    }
+    if (!Item.Node) {
+      if (Now >= Item.DownUntil) {
+        startVoter(Id, false);
+      }
+      return;
+    }
+    if (Item.Writing && Now >= Item.WriteEndsAt && Now >= Item.StalledUntil) {
+      (void)Item.Store->write(*Item.Writing);
+      Item.Writing.reset();
+      Item.Node->writeDone();
+    }
+    CellOutput Output = Item.Node->step(Now, wall());
+    if (Output.Write) {
+      Item.Writing = std::move(Output.Write);
+      Output.Write.reset();
+      Item.WriteEndsAt = Now + SyncTime;
+    }
+    if (Item.Node->isLeading(Now) && LeaderSeen != Id) {
+      LeaderSeen = Id;
+      Result.LeaderChanges += 1;
+    }
+    collect(Id, Lives.at(Id), std::move(Output));
+  }
+
+  void stepWorkers() {
+    for (auto &[Name, Item] : Workers) {
+      if (Now >= Item.ReportAt && Now >= Item.CutUntil) {
+        Item.ReportAt = Now + ReportEvery;
+        Front->call(NextCall, WorkerReportCall{Item.Worker->report(Now)}, Now);
+        NextCall += 1;
+      }
+      for (OrderResult &Answer : Item.Worker->pass(Now)) {
+        const auto Hold = Item.Holds.find(Answer.Id);
+        if (Hold != Item.Holds.end() && Now >= Item.CutUntil) {
+          answer(Hold->second.first, Hold->second.second, std::move(Answer));
+        }
+        if (Hold != Item.Holds.end()) {
+          Item.Holds.erase(Hold);
+        }
+      }
+      for (const WorkerDeed &Deed : Item.Worker->takeDeeds()) {
+        note(Name, Deed);
+      }
+    }
+  }
+
+  // Invariants.
+
+  const StepSpec &stepOf(const TaskName &Task) const {
+    return Jobs.at(Task.Job).Spec.Steps[Task.Step];
+  }
+
+  void note(const std::string &Worker, const WorkerDeed &Deed) {
+    const StepSpec &Step = stepOf(Deed.Task);
+    const std::string Text = Deed.Task.Job + "." +
+                             std::to_string(Deed.Task.Step) + "." +
+                             std::to_string(Deed.Task.Task) + " attempt " +
+                             std::to_string(Deed.Attempt) + " on " + Worker;
+    switch (Deed.What) {
+    case WorkerDeed::Kind::Started:
+      Result.Starts += 1;
+      noteStart(Deed, Step, Text);
+      break;
+    case WorkerDeed::Kind::Ended:
+      if (Deed.How == EndKind::Done) {
+        DoneTasks.insert(Deed.Task);
+      }
+      break;
+    case WorkerDeed::Kind::AckedDone:
+      AckedDone[Deed.Task] = Now;
+      break;
+    case WorkerDeed::Kind::AckedFailed:
+      AckedFailures[Deed.Task] += 1;
+      break;
+    }
+  }
+
+  void noteStart(const WorkerDeed &Deed, const StepSpec &Step,
+                 const std::string &Text) {
+    const auto Acked = AckedDone.find(Deed.Task);
+    const Millis Allowed = Step.MayRunCopies ? Millis{1000} : Millis{0};
+    if (Acked != AckedDone.end() && Now - Acked->second > Allowed &&
+        !Step.IsLasting) {
+      violate("start after its end was acknowledged: " + Text);
+    }
+    if (AckedFailures[Deed.Task] >= MaxAttempts && !Step.IsLasting) {
+      violate("start beyond the attempts: " + Text);
+    }
+    for (const std::uint32_t Earlier : Step.After) {
+      const auto &Before = Jobs.at(Deed.Task.Job).Spec.Steps[Earlier];
+      for (std::uint32_t Task = 0; Task < Before.Tasks; ++Task) {
+        if (!DoneTasks.contains({Deed.Task.Job, 0, Earlier, Task})) {
+          violate("start out of order: " + Text);
+        }
+      }
+    }
+    const auto &Cancelled = Jobs.at(Deed.Task.Job).CancelledAt;
+    if (Cancelled && Now - *Cancelled > CancelBound && Now >= LateUntil + Millis{12000}) {
+      violate("start after the job was cancelled: " + Text);
+    }
+  }
+
+  void check() {
+    std::map<TaskName, std::string> Running;
+    for (const auto &[Name, Item] : Workers) {
+      std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> OnStep;
+      std::int64_t Used = 0;
+      for (const auto &[Task, Attempt] : Item.Worker->running()) {
+        const StepSpec &Step = stepOf(Task);
+        Used += Step.Need.MilliCpus;
+        const auto Other = Running.emplace(Task, Name);
+        if (!Other.second && !Step.MayRunCopies) {
+          violate("runs twice: " + Task.Job + "." + std::to_string(Task.Step) +
+                  "." + std::to_string(Task.Task) + " on " + Name + " and " +
+                  Other.first->second);
+        }
+        OnStep[{Task.Job, Task.Step}] += 1;
+        if (Step.MaxPerWorker != 0 &&
+            OnStep[{Task.Job, Task.Step}] > Step.MaxPerWorker) {
+          violate("too many tasks of a step on " + Name);
+        }
+      }
+      if (Used > 4 * TaskCpus) {
+        violate("overcommitted: " + Name);
+      }
+    }
+  }
+
+  void checkEnd() {
+    for (const auto &[Name, Item] : Jobs) {
+      if (!Item.IsAccepted) {
+        violate("job " + Name + " was never accepted");
+        continue;
+      }
+      const bool IsLasting = Item.Spec.Steps.front().IsLasting;
+      const bool IsOver = Item.Phase && isOver(*Item.Phase);
+      Result.Completed +=
+          Item.Phase && *Item.Phase == JobPhase::Completed ? 1 : 0;
+      if (!IsOver && !IsLasting && !Item.CancelledAt) {
+        violate("job " + Name + " is not done");
+      }
+      if (IsLasting && !Item.CancelledAt) {
+        checkLasting(Name, Item);
+      }
+    }
+  }
+
+  /// With few workers not all lasting tasks have room.
+  void checkLasting(const std::string &Name, const JobSeen &Item) {
+    std::size_t Here = 0;
+    std::size_t All = 0;
+    for (const auto &[Worker, State] : Workers) {
+      for (const auto &[Task, Attempt] : State.Worker->running()) {
+        All += 1;
+        Here += Task.Job == Name ? 1 : 0;
+      }
+    }
+    const bool HasRoom = All < 4 * WorkerCount;
+    if (HasRoom && Here < Item.Spec.Steps.front().Tasks) {
+      violate("lasting job " + Name + " does not run");
+    }
+  }
+
+  CellSchedule Options;
+  Random Draw;
+  Instant Now{Millis{100000}};
+  Instant FaultsEnd{Now + FaultTime};
+  Instant End{Now + WholeTime};
+  std::map<NodeId, Voter> VotersById;
+  std::map<NodeId, std::uint64_t> Lives;
+  NodeId NextVoter = Voters + 1;
+  std::unique_ptr<CellNode> Front;
+  std::map<std::string, WorkerState> Workers;
+  std::vector<InFlight> Network;
+  std::vector<OrderInFlight> Orders;
+  std::vector<AnswerInFlight> Answers;
+  std::map<std::tuple<NodeId, std::uint64_t, std::uint64_t>, Instant> Deadlines;
+  Instant LateUntil;
+  Instant LossUntil;
+  Instant HarmAt{Now + Millis{2000}};
+  Instant ReadAt;
+  std::map<std::string, JobSeen> Jobs;
+  std::map<std::uint64_t, std::pair<JobVerb, std::string>> Calls;
+  std::uint64_t NextCall = 1;
+  int LastingJobs = 0;
+  std::uint64_t ConfigureId = 0;
+  NodeId LeaderSeen = 0;
+  std::set<TaskName> DoneTasks;
+  std::map<TaskName, Instant> AckedDone;
+  std::map<TaskName, std::uint32_t> AckedFailures;
+  CellScheduleResult Result;
+};
+
+} // namespace
+
+std::set<CellFault> allCellFaults() {
+  std::set<CellFault> All;
+  for (std::size_t Index = 0; Index < nameTable(CellFault{}).size(); ++Index) {
+    All.insert(static_cast<CellFault>(Index));
+  }
+  return All;
+}
+
+CellScheduleResult runCellSchedule(const CellSchedule &Options) {
+  return CellWorld{Options}.play();
+}
+
+} // namespace mulberryramp::test
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -41,9 +41,7 @@
 struct CellSchedule {
   std::uint64_t Seed = 1;
   std::set<CellFault> Faults;
-  /// Checks that an invariant catches: ends are taken for done when a worker
-  /// is merely silent.
-  bool IsBroken = false;
+  bool IsTraced = false; ///< Prints what the nodes log.
 };
 
 /// @brief What a schedule showed.
--- /dev/null
+++ b/test/cell/explore_main.cpp
@@ -0,0 +1,109 @@
+#include "cell/cell_world.hpp"
+#include "mulberryramp/core/names.hpp"
+
+#include <cxxopts.hpp>
+
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+namespace {
+
+using namespace mulberryramp;
+using namespace mulberryramp::test;
+
+struct Sum {
+  std::uint64_t Violations = 0;
+  std::uint64_t Submitted = 0;
+  std::uint64_t Completed = 0;
+  std::uint64_t Starts = 0;
+  std::uint64_t LeaderChanges = 0;
+};
+
+std::set<CellFault> readFaults(const std::string &Text) {
+  if (Text.empty()) {
+    return allCellFaults();
+  }
+  std::set<CellFault> Chosen;
+  std::istringstream Source{Text};
+  for (std::string Name; std::getline(Source, Name, ',');) {
+    const auto Value = parseName<CellFault>(Name);
+    if (!Value) {
+      throw std::invalid_argument("unknown fault " + Name);
+    }
+    Chosen.insert(*Value);
+  }
+  return Chosen;
+}
+
+void add(Sum &Total, const CellSchedule &Options,
+         const CellScheduleResult &Result) {
+  Total.Violations += Result.Violations.empty() ? 0 : 1;
+  Total.Submitted += Result.Submitted;
+  Total.Completed += Result.Completed;
+  Total.Starts += Result.Starts;
+  Total.LeaderChanges += Result.LeaderChanges;
+  if (Result.Violations.empty()) {
+    return;
+  }
+  std::cout << "seed " << Options.Seed << '\n';
+  constexpr std::size_t MaxShown = 6;
+  for (std::size_t Index = 0;
+       Index < std::min(MaxShown, Result.Violations.size()); ++Index) {
+    std::cout << "  " << Result.Violations[Index] << '\n';
+  }
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  cxxopts::Options Options{"mulberryramp_cell_explore",
+                           "Seeded schedules of faults over a cell"};
+  Options.add_options()("first-seed", "first seed",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "count", "schedules",
+      cxxopts::value<std::uint64_t>()->default_value("100"))(
+      "faults", "kinds of faults, by commas; all if empty",
+      cxxopts::value<std::string>()->default_value(""))(
+      "trace", "print what the nodes log")("h,help", "this help");
+  try {
+    const auto Parsed = Options.parse(Count, Values);
+    if (Parsed.count("help") != 0) {
+      std::cout << Options.help();
+      return 0;
+    }
+    const auto First = Parsed["first-seed"].as<std::uint64_t>();
+    const auto Last = First + Parsed["count"].as<std::uint64_t>();
+    const auto Faults = readFaults(Parsed["faults"].as<std::string>());
+    const bool IsTraced = Parsed.count("trace") != 0;
+    Sum Total;
+    std::mutex Guard;
+    std::atomic<std::uint64_t> Next{First};
+    std::vector<std::thread> Threads;
+    for (unsigned Index = 0;
+         Index < std::max(1U, std::thread::hardware_concurrency()); ++Index) {
+      Threads.emplace_back([&] {
+        for (std::uint64_t Seed = Next++; Seed < Last; Seed = Next++) {
+          const CellSchedule Schedule{Seed, Faults, IsTraced};
+          const CellScheduleResult Result = runCellSchedule(Schedule);
+          const std::lock_guard Lock{Guard};
+          add(Total, Schedule, Result);
+        }
+      });
+    }
+    for (std::thread &Each : Threads) {
+      Each.join();
+    }
+    std::cout << "submitted " << Total.Submitted << ", completed "
+              << Total.Completed << ", starts " << Total.Starts
+              << ", leader changes " << Total.LeaderChanges << '\n'
+              << "schedules " << (Last - First) << ", violations "
+              << Total.Violations << '\n';
+    return Total.Violations == 0 ? 0 : 1;
+  } catch (const std::exception &Error) {
+    std::cerr << "mulberryramp_cell_explore: " << Error.what() << '\n';
+    return 2;
+  }
+}
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -22,6 +22,7 @@
   Past.clear();
   Ends.clear();
   LastEnd = 0;
+  LapsedUpTo = 0;
   Holds.clear();
 }
 
@@ -37,10 +38,16 @@
   return Result;
 }
 
-void FakeWorker::lists(OrderResult &Into) const {
+void FakeWorker::lists(OrderResult &Into, Instant Now) const {
   Into.Born = Born;
   for (const auto &[Task, Item] : Runs) {
-    Into.Running.push_back({Task, Item.Attempt, "", 50, 0});
+    const auto Worked = (Now - Item.BeganAt).count();
+    const auto Whole = std::max<std::int64_t>(
+        (Item.EndsAt - Item.BeganAt).count(), 1);
+    const auto Percent = static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(Worked * 100 / Whole, 0, 100));
+    Into.Running.push_back(
+        {Task, Item.Attempt, "", Item.IsLasting ? 100 : Percent, 0});
   }
   Into.Ended = Ends;
 }
@@ -51,6 +58,9 @@
 
 void FakeWorker::acknowledge(std::uint64_t UpTo) {
   for (const ListedEnd &Item : Ends) {
+    if (Item.Number <= LapsedUpTo) {
+      continue;
+    }
     if (Item.Number <= UpTo && Item.Kind == EndKind::Done) {
       Deeds.push_back({WorkerDeed::Kind::AckedDone, Item.Task, Item.Attempt,
                        Item.Kind});
@@ -87,8 +97,8 @@
   extend(Order.Expires, Now);
   const bool IsLasting = Order.Payload == "lasting";
   const auto Extra = static_cast<std::int64_t>(Draw.below(400));
-  Runs[Order.Task] = {Order.Attempt, Now + WorkTime + Millis{Extra}, false,
-                      IsLasting};
+  Runs[Order.Task] = {Order.Attempt, Now, Now + WorkTime + Millis{Extra},
+                      false, IsLasting};
   Deeds.push_back(
       {WorkerDeed::Kind::Started, Order.Task, Order.Attempt, EndKind::Done});
   return Result;
@@ -139,7 +149,7 @@
     return std::nullopt;
   }
   OrderResult Result = answerTo(Order.Id, Now);
-  lists(Result);
+  lists(Result, Now);
   return Result;
 }
 
@@ -154,6 +164,9 @@
 }
 
 std::vector<OrderResult> FakeWorker::pass(Instant Now) {
+  if (clock(Now) >= Expires) {
+    LapsedUpTo = LastEnd;
+  }
   std::vector<TaskName> Ended;
   std::vector<EndKind> Hows;
   for (const auto &[Task, Item] : Runs) {
@@ -179,7 +192,7 @@
       return false;
     }
     OrderResult Result = answerTo(Hold.Order, Now);
-    lists(Result);
+    lists(Result, Now);
     Answers.push_back(std::move(Result));
     return true;
   });
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -61,6 +61,7 @@
 private:
   struct Run {
     std::uint32_t Attempt = 0;
+    Instant BeganAt;
     Instant EndsAt;
     bool IsStopping = false;
     bool IsLasting = false;
@@ -77,7 +78,7 @@
   void extend(std::int64_t Expires, Instant Now);
   void acknowledge(std::uint64_t UpTo);
   void end(const TaskName &Task, EndKind How);
-  void lists(OrderResult &Into) const;
+  void lists(OrderResult &Into, Instant Now) const;
 
   std::string Name;
   Resources Capacity;
@@ -93,6 +94,9 @@
   std::map<TaskName, std::uint32_t> Past; ///< Highest run ended or stopped.
   std::vector<ListedEnd> Ends;
   std::uint64_t LastEnd = 0;
+  /// Ends before the lease last ran out; who gave up the worker need not have
+  /// known of them.
+  std::uint64_t LapsedUpTo = 0;
   std::vector<WaitingHold> Holds;
   std::vector<WorkerDeed> Deeds;
 };
