--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -115,6 +115,7 @@
   Options.Agreement.SnapshotEvery = SnapshotEvery;
   Options.Agreement.KeepEntries = KeepEntries;
   Options.Dispatch.Lease = Settings.Lease;
+  Options.Dispatch.MaxLease = Settings.MaxLease;
   Options.Dispatch.ReportEvery = Settings.ReportEvery;
   Options.Dispatch.Retention = Settings.Retention;
   Options.Seed = drawSeed();
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -26,10 +26,7 @@
   Session.EndsProposed = Life.AckedEnds;
   Session.ReportedAt = Now;
   Session.NextHoldAt = Now;
-  const Millis Longest = Lead.Options.Lease *
-                             (100 + Lead.Options.DriftPercent) / 100 +
-                         Lead.Options.LeaseSlack;
-  Session.LeaseEnd = Now + Longest;
+  Session.LeaseEnd = Now + leaseBound(Lead.Options, Lead.Options.Lease);
   return Session;
 }
 
@@ -102,14 +99,17 @@
   }
 }
 
-void moveLaunches(Dispatcher &Lead, LifeId From, LifeId To) {
+void moveLaunches(Dispatcher &Lead, LifeId From, LifeId To, Instant Now) {
   const auto Former = Lead.Sessions.find(From);
   if (Former == Lead.Sessions.end()) {
     return;
   }
   WorkerSession &Session = Lead.Sessions[To];
   Session.Tasks = std::move(Former->second.Tasks);
-  Session.LeaseEnd = std::max(Session.LeaseEnd, Former->second.LeaseEnd);
+  // Orders for the former life may have reached this one, whose clock starts
+  // anew: they then last as long as the worker grants.
+  Session.LeaseEnd =
+      Now + leaseBound(Lead.Options, Lead.Options.MaxLease) + OrderTimeout;
   for (const TaskKey &Key : Session.Tasks) {
     Lead.Launches.at(Key).Item.Worker = To;
   }
@@ -164,6 +164,10 @@
 
 } // namespace
 
+Millis leaseBound(const DispatchOptions &Options, Millis Lease) {
+  return Lease * (100 + Options.DriftPercent) / 100 + Options.LeaseSlack;
+}
+
 void beginDispatch(Dispatcher &Lead, const CellState &State, Term Fence,
                    Instant Now) {
   endDispatch(Lead);
@@ -209,7 +213,7 @@
                                          State.Workers[Change.Worker], Now);
     Session.IsSettled = !Change.Former.isSet();
     if (Change.Former.isSet()) {
-      moveLaunches(Lead, Change.Former, Change.Worker);
+      moveLaunches(Lead, Change.Former, Change.Worker, Now);
     }
     Lead.Events.push_back("event=worker-joined worker=" +
                           State.Workers[Change.Worker].Report.Name);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -16,6 +16,7 @@
 /// @brief Times that a leader works by.
 struct DispatchOptions {
   Millis Lease{4000};       ///< Given to what runs with each order.
+  Millis MaxLease{6000};    ///< Longest that a worker grants.
   int DriftPercent = 2;     ///< By which a worker's clock may be slow.
   Millis LeaseSlack{200};   ///< Added to the end of a lease that ran out.
   Millis HoldWait{1500};    ///< How long a hold waits for an end.
@@ -80,6 +81,10 @@
 struct WorkerSession {
   std::optional<ClockSample> Clock;
   bool IsSettled = false; ///< Its lists agree with the state.
+  /// It answered as this life since it last was silent. Numbers of ends start
+  /// anew with each life, so the next life must not get acknowledgements of
+  /// this one.
+  bool IsVerified = false;
   std::uint64_t HoldOrder = 0;
   Instant HoldSentAt;
   Millis HoldTimeout{0};
@@ -225,6 +230,10 @@
 void stepDispatch(Dispatcher &Lead, const CellState &State, Instant Now,
                   WallTime Wall);
 
+/// @brief Computes how long after an order its lease may last at most.
+/// @param Lease Length of the lease.
+[[nodiscard]] Millis leaseBound(const DispatchOptions &Options, Millis Lease);
+
 /// @brief Tells whether a worker can be given a start now.
 [[nodiscard]] bool isPlaceable(const Dispatcher &Lead, const CellState &State,
                                LifeId Worker, Instant Now);
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Answers of a worker that is well come within this time; links take 20 ms.
-constexpr Millis OrderTimeout{500};
 constexpr Millis HoldGrace{700};
 /// Wait of a hold while a serving task is over its limit.
 constexpr Millis DisturbedWait{400};
@@ -16,6 +14,8 @@
 constexpr Millis HoldRetryEvery{300};
 /// A hold goes out this late even if its acknowledgement is not yet agreed.
 constexpr Millis AckPatience{400};
+/// Answers overtake each other by less than this.
+constexpr std::int64_t ClockSetBack = 1000;
 /// Between stops of a start that goes on.
 constexpr Millis StopRetryEvery{1500};
 /// How long a worker that refused as unhealthy is left alone.
@@ -65,9 +65,8 @@
   const auto Since = (Now - Session.Clock->At).count();
   const auto Least =
       Session.Clock->Clock + Since * (100 - Lead.Options.DriftPercent) / 100;
-  const Millis Longest = Lead.Options.Lease * (100 + Lead.Options.DriftPercent) /
-                             100 + Lead.Options.LeaseSlack;
-  Session.LeaseEnd = std::max(Session.LeaseEnd, Now + Longest);
+  Session.LeaseEnd = std::max(
+      Session.LeaseEnd, Now + leaseBound(Lead.Options, Lead.Options.Lease));
   return Least + Lead.Options.Lease.count();
 }
 
@@ -91,8 +90,8 @@
               WorkerSession &Session, Instant Now) {
   WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
   const bool IsWell = Session.IsSettled && Session.Misses == 0;
-  Order.AckedEnds = Worker.AckedEnds;
-  if (IsWell && Worker.Tasks != 0) {
+  Order.AckedEnds = Session.IsVerified ? Worker.AckedEnds : 0;
+  if (IsWell && Session.IsVerified && Worker.Tasks != 0) {
     Order.Wait = Session.IsDisturbed ? DisturbedWait : Lead.Options.HoldWait;
   }
   OpenOrder Open;
@@ -104,7 +103,7 @@
   Order.Timeout = Order.Wait + HoldGrace;
   Open.Worker = Id;
   Open.SentAt = Now;
-  Open.AckedEnds = Worker.AckedEnds;
+  Open.AckedEnds = Order.AckedEnds;
   Session.HoldOrder = Order.Id;
   Session.HoldSentAt = Now;
   Session.HoldTimeout = Order.Timeout;
@@ -112,15 +111,14 @@
   send(Lead, std::move(Order), Open);
 }
 
-/// Looks at once, since an open hold may wait for long.
+/// Looks at once, since an open hold may wait for long. It acknowledges nothing:
+/// while the hold is open it is not known whether the worker still lives.
 void sendLook(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
               WorkerSession &Session, Instant Now) {
   WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
-  Order.AckedEnds = Worker.AckedEnds;
   OpenOrder Open;
   Open.Worker = Id;
   Open.SentAt = Now;
-  Open.AckedEnds = Worker.AckedEnds;
   Session.LookOrder = Order.Id;
   Session.WantsLook = false;
   Lead.Counters.Holds += 1;
@@ -154,6 +152,7 @@
     }
   }
   Session.Misses += 1;
+  Session.IsVerified = false;
   Session.NextHoldAt = Now + HoldRetryEvery;
   Lead.Counters.Unanswered += 1;
 }
@@ -168,9 +167,17 @@
     Session.Misses = 0;
     Lead.IsDirty = true;
   }
-  if (Result.Clock) {
-    Session.Clock = ClockSample{*Result.Clock, Now};
+  if (!Result.Clock) {
+    return;
+  }
+  if (Session.Clock && *Result.Clock < Session.Clock->Clock - ClockSetBack) {
+    // The next life of the worker answered an order that was meant for this
+    // one, and may have granted it all that it grants.
+    Session.LeaseEnd =
+        std::max(Session.LeaseEnd,
+                 Now + leaseBound(Lead.Options, Lead.Options.MaxLease));
   }
+  Session.Clock = ClockSample{*Result.Clock, Now};
 }
 
 void noteStartResult(Dispatcher &Lead, const CellState &State,
@@ -402,9 +409,11 @@
       Join.Report.Born = Result.Born;
       Lead.Commands.emplace_back(std::move(Join));
     }
+    Session.IsVerified = false;
     Session.NextHoldAt = Now + HoldRetryEvery;
     return;
   }
+  Session.IsVerified = true;
   Session.AckSent = std::max(Session.AckSent, Order.AckedEnds);
   std::set<TaskKey> Listed;
   bool HasStrangers = false;
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -7,6 +7,10 @@
 
 namespace mulberryramp {
 
+/// @brief Answers of a worker that is well come within this time; links take
+/// 20 ms.
+inline constexpr Millis OrderTimeout{500};
+
 /// @brief Names a task as workers know it.
 [[nodiscard]] TaskName nameTask(const CellState &State, const TaskKey &Key);
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -109,11 +109,16 @@
   }
 }
 
-/// A start that was given up for lost did its work all the same: the task is
-/// done, and what was started in its place is left for the leader to stop.
-void noteLateDone(CellState &State, const TaskEnd &End, JobTask &Task,
-                  WallTime At, CellChange &Change) {
+/// A start that was given up for lost ended all the same. If it did its work
+/// the task is done, and what was started in its place is left for the leader
+/// to stop.
+void noteLateEnd(CellState &State, const TaskEnd &End, JobTask &Task,
+                 WallTime At, CellChange &Change) {
   const StepSpec &Spec = specAt(State, End.Key);
+  if (End.Kind == EndKind::Failed && Task.State != JobTaskState::Done) {
+    noteFailure(State, End.Key, Task, At, Change);
+    return;
+  }
   if (End.Kind != EndKind::Done || Spec.IsLasting || Spec.IsGang ||
       Task.State == JobTaskState::Done) {
     return;
@@ -134,7 +139,7 @@
     return;
   }
   if (Task->State != JobTaskState::Assigned || Task->Run != End.Attempt) {
-    noteLateDone(State, End, *Task, At, Change);
+    noteLateEnd(State, End, *Task, At, Change);
     return;
   }
   Change.Ended.push_back(End);
