Keep an odd number of voters, others stand by

One half of five voters goes on. A spare takes the place of a voter that is silent for 3 s. The test failed first: four voters.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -111,7 +111,7 @@
   Options.Incarnation = Incarnation;
   Options.Agreement.IsOpen = true;
   Options.Agreement.MayRecoverAlone = false;
-  Options.Agreement.MinVoters = 2 * Settings.MayLose + 1;
+  Options.Agreement.WantedVoters = 2 * Settings.MayLose + 1;
   Options.Agreement.SnapshotEvery = SnapshotEvery;
   Options.Agreement.KeepEntries = KeepEntries;
   Options.Dispatch.Lease = Settings.Lease;
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -524,11 +524,30 @@
   return std::nullopt;
 }
 
+bool isSilentVoter(const Replica &State, const Member &Who, Instant Now) {
+  const auto Found = State.Peers.find(Who);
+  return Who != State.Self && Found != State.Peers.end() &&
+         Now - Found->second.HeardAt > State.Options.RemoveSilentAfter;
+}
+
+/// An open group takes a node for a missing voter, for its own former life, or
+/// to take the place of a silent voter.
+bool isWanted(const Replica &State, const Member &Who, Instant Now) {
+  if (!State.Options.IsOpen) {
+    return State.Options.VoterNodes.contains(Who.Node);
+  }
+  const auto &Voters = membership(State).Voters;
+  return Voters.size() < State.Options.WantedVoters ||
+         formerSelf(State, Who).has_value() ||
+         (Voters.size() == State.Options.WantedVoters &&
+          std::any_of(Voters.begin(), Voters.end(), [&](const Member &Voter) {
+            return isSilentVoter(State, Voter, Now);
+          }));
+}
+
 bool isAdmissible(const Replica &State, const Member &Who, const Progress &Peer,
                   Instant Now) {
-  const bool IsWanted =
-      State.Options.IsOpen || State.Options.VoterNodes.contains(Who.Node);
-  return IsWanted && !isVoter(State, Who) &&
+  return !isVoter(State, Who) && isWanted(State, Who, Now) &&
          Now - Peer.HeardAt < State.Options.ElectionMin &&
          Peer.Match + AdmitLag >= lastIndex(State) && Peer.Match != 0;
 }
@@ -556,15 +575,13 @@
 /// A voter that was replaced by a new node would count for a majority for ever.
 void removeSilentVoter(Replica &State, Instant Now) {
   const auto &Voters = membership(State).Voters;
-  if (!State.Options.IsOpen || Voters.size() <= State.Options.MinVoters ||
+  if (!State.Options.IsOpen || Voters.size() <= State.Options.WantedVoters ||
       hasOpenMembershipChange(State) || State.Commit < State.TermStart ||
       State.TransferTo) {
     return;
   }
   for (const Member &Voter : Voters) {
-    const auto Found = State.Peers.find(Voter);
-    if (Voter == State.Self || Found == State.Peers.end() ||
-        Now - Found->second.HeardAt <= State.Options.RemoveSilentAfter) {
+    if (!isSilentVoter(State, Voter, Now)) {
       continue;
     }
     Membership Rest = membership(State);
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -28,9 +28,11 @@
   bool SavesCommit = false;        ///< Apply only what is saved as committed.
   std::set<NodeId> VoterNodes;     ///< Nodes that are to become voters.
   std::set<NodeId> WitnessNodes;   ///< Voters that hand leadership on.
-  bool IsOpen = false; ///< Every node that asks to join becomes a voter.
-  std::size_t MinVoters = 3;     ///< An open group never has fewer by removal.
-  Millis RemoveSilentAfter{3000}; ///< Silence that costs a spare voter its vote.
+  bool IsOpen = false; ///< Any node that asks to join may become a voter.
+  /// Voters that an open group wants. An odd number goes on in one of two
+  /// halves; further nodes stand by as learners.
+  std::size_t WantedVoters = 3;
+  Millis RemoveSilentAfter{3000}; ///< Silence that lets another take the vote.
 };
 
 /// @brief What a member of a group is at the moment.
--- a/test/replica/replica_test.cpp
+++ b/test/replica/replica_test.cpp
@@ -314,6 +314,22 @@
 
 } // namespace
 
+TEST(ReplicaGroup, AnOpenGroupKeepsAnOddNumberOfVoters) {
+  Group Three{3};
+  for (auto &[Id, State] : Three.Members) {
+    State.Options = openOptions();
+  }
+  Three.pass(1500);
+  Three.Members[4] = startReplica("g", {4, 7}, openOptions(), {}, 4, Three.Now);
+  Three.Members[4].Options.VoterNodes = {1, 2, 3};
+  Three.pass(4000);
+  const Replica *Leader = Three.leader();
+  CHECK(Leader != nullptr);
+  CHECK(!isVoter(*Leader, {4, 7}));
+  CHECK_EQUAL(3, membership(*Leader).Voters.size());
+  CHECK_EQUAL(lastIndex(*Leader), lastIndex(Three.Members[4]));
+}
+
 TEST(ReplicaGroup, AnOpenGroupTakesANewNodeAndDropsTheOneItReplaces) {
   Group Three{3};
   for (auto &[Id, State] : Three.Members) {
