--- /dev/null
+++ b/test/job/state_test.cpp
@@ -0,0 +1,287 @@
+#include "mulberryramp/job/state.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+
+namespace {
+
+constexpr std::int64_t TaskCpus = 1000;
+const WallTime Noon{Millis{1000000}};
+
+StepSpec step(std::uint32_t Tasks, std::vector<std::uint32_t> After = {}) {
+  StepSpec Step;
+  Step.Tasks = Tasks;
+  Step.Need.MilliCpus = TaskCpus;
+  Step.Estimate = Millis{500};
+  Step.After = std::move(After);
+  return Step;
+}
+
+/// A cell with one queue and workers of four tasks each.
+struct Cell {
+  CellState State;
+
+  Cell() {
+    CellConfiguration Rules;
+    Rules.Version = 3;
+    JobQueue Queue;
+    Queue.Host = "host";
+    Queue.Prefix = "/q/";
+    Queue.Pool = "pool";
+    Queue.MaxAttempts = 2;
+    Rules.Queues.push_back(Queue);
+    applyCommand(State, ConfigureCommand{Rules});
+  }
+
+  LifeId join(const std::string &Name, std::int64_t Born,
+              const std::string &Address = "") {
+    WorkerReport Report;
+    Report.Name = Name;
+    Report.Born = Born;
+    Report.Pool = "pool";
+    Report.Address = Address.empty() ? Name : Address;
+    Report.Capacity.MilliCpus = 4 * TaskCpus;
+    applyCommand(State, WorkerJoinCommand{Report});
+    return findWorker(State, Name);
+  }
+
+  JobId submit(const std::string &Name, std::vector<StepSpec> Steps,
+               std::uint32_t Repeats = 0) {
+    JobSpec Spec;
+    Spec.Steps = std::move(Steps);
+    Spec.Repeats = Repeats;
+    Spec.FirstDue = Noon;
+    Spec.RepeatEvery = Millis{1000};
+    applyCommand(State, SubmitJobCommand{Name, "host", "/q/", Spec, Noon});
+    return findJob(State, Name);
+  }
+
+  CellChange start(const TaskKey &Key, std::uint32_t Attempt, LifeId Worker) {
+    return applyCommand(State, StartCommand{{{Key, Attempt, Worker}}});
+  }
+
+  CellChange end(const TaskKey &Key, std::uint32_t Attempt, EndKind Kind,
+                 const std::string &Saved = "") {
+    EndsCommand Command;
+    Command.Ends.push_back({Key, Attempt, Kind, Saved});
+    Command.At = Noon;
+    return applyCommand(State, Command);
+  }
+
+  const Job &job(JobId Id) { return State.Jobs[Id]; }
+};
+
+} // namespace
+
+TEST_GROUP(JobState){};
+
+TEST(JobState, AJobIsDoneOnceAllTasksOfAllStepsAre) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(2), step(1, {0})});
+  CHECK(JobPhase::Queued == On.job(Id).Phase);
+  On.start({Id, 0, 0, 0}, 1, Worker);
+  On.start({Id, 0, 0, 1}, 1, Worker);
+  CHECK(JobPhase::Running == On.job(Id).Phase);
+  On.end({Id, 0, 0, 0}, 1, EndKind::Done);
+  On.end({Id, 0, 0, 1}, 1, EndKind::Done);
+  CHECK(JobPhase::Running == On.job(Id).Phase);
+  CHECK_EQUAL(1, On.start({Id, 0, 1, 0}, 1, Worker).Started.size());
+  On.end({Id, 0, 1, 0}, 1, EndKind::Done);
+  CHECK(JobPhase::Completed == On.job(Id).Phase);
+  CHECK_EQUAL(0, On.State.Workers[Worker].Tasks);
+  CHECK(On.State.Workers[Worker].Used == Resources{});
+}
+
+TEST(JobState, AStepDoesNotStartBeforeThoseThatItFollows) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(2), step(1, {0})});
+  On.start({Id, 0, 0, 0}, 1, Worker);
+  On.end({Id, 0, 0, 0}, 1, EndKind::Done);
+  CHECK(On.start({Id, 0, 1, 0}, 1, Worker).Started.empty());
+}
+
+TEST(JobState, AGrantThatNoLongerFitsIsPassedOver) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(5)});
+  for (std::uint32_t Task = 0; Task < 4; ++Task) {
+    CHECK_EQUAL(1, On.start({Id, 0, 0, Task}, 1, Worker).Started.size());
+  }
+  CHECK(On.start({Id, 0, 0, 4}, 1, Worker).Started.empty());
+  CHECK(On.start({Id, 0, 0, 0}, 2, Worker).Started.empty());
+}
+
+TEST(JobState, NothingStartsOnceAJobIsCancelled) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(2)});
+  On.start({Id, 0, 0, 0}, 1, Worker);
+  const CellChange Change =
+      applyCommand(On.State, CancelJobCommand{"j", Noon});
+  CHECK_EQUAL(1, Change.Over.size());
+  CHECK(On.start({Id, 0, 0, 1}, 1, Worker).Started.empty());
+  CHECK_EQUAL(1, On.State.Workers[Worker].Tasks);
+  On.end({Id, 0, 0, 0}, 1, EndKind::Done);
+  CHECK(JobPhase::Cancelled == On.job(Id).Phase);
+  CHECK_EQUAL(0, On.State.Workers[Worker].Tasks);
+}
+
+TEST(JobState, OnlyOwnFailuresCountAsAttempts) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(1)});
+  const TaskKey Key{Id, 0, 0, 0};
+  std::uint32_t Attempt = 1;
+  for (const EndKind Kind : {EndKind::Lost, EndKind::Stopped, EndKind::Lapsed,
+                             EndKind::Refused, EndKind::Failed}) {
+    On.start(Key, Attempt, Worker);
+    On.end(Key, Attempt, Kind);
+    CHECK(JobPhase::Running == On.job(Id).Phase);
+    Attempt += 1;
+  }
+  On.start(Key, Attempt, Worker);
+  On.end(Key, Attempt, EndKind::Failed);
+  CHECK(JobPhase::Failed == On.job(Id).Phase);
+}
+
+TEST(JobState, ALateFailureOfAStartThatWasGivenUpCounts) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(1)});
+  const TaskKey Key{Id, 0, 0, 0};
+  On.start(Key, 1, Worker);
+  On.end(Key, 1, EndKind::Lost);
+  On.start(Key, 2, Worker);
+  On.end(Key, 1, EndKind::Failed);
+  CHECK(JobPhase::Running == On.job(Id).Phase);
+  On.end(Key, 2, EndKind::Failed);
+  CHECK(JobPhase::Failed == On.job(Id).Phase);
+}
+
+TEST(JobState, ALateDoneEndsTheTaskAndLeavesItsSuccessorToBeStopped) {
+  Cell On;
+  const LifeId First = On.join("w1", 1);
+  const LifeId Second = On.join("w2", 1);
+  const JobId Id = On.submit("j", {step(1)});
+  const TaskKey Key{Id, 0, 0, 0};
+  On.start(Key, 1, First);
+  On.end(Key, 1, EndKind::Lost);
+  On.start(Key, 2, Second);
+  const CellChange Change = On.end(Key, 1, EndKind::Done);
+  CHECK(JobPhase::Completed == On.job(Id).Phase);
+  CHECK_EQUAL(1, Change.Unsettled.size());
+  CHECK(Second == Change.Unsettled.front());
+  CHECK_EQUAL(0, On.State.Workers[Second].Tasks);
+}
+
+TEST(JobState, AGangFailsAsOneAndIsDoneAsOne) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  StepSpec Gang = step(3);
+  Gang.IsGang = true;
+  const JobId Id = On.submit("j", {Gang});
+  const auto StartAll = [&](std::uint32_t Attempt) {
+    for (std::uint32_t Task = 0; Task < 3; ++Task) {
+      On.start({Id, 0, 0, Task}, Attempt, Worker);
+    }
+  };
+  StartAll(1);
+  On.end({Id, 0, 0, 0}, 1, EndKind::Failed);
+  On.end({Id, 0, 0, 1}, 1, EndKind::Failed);
+  On.end({Id, 0, 0, 2}, 1, EndKind::Broken);
+  CHECK(JobPhase::Running == On.job(Id).Phase);
+  StartAll(2);
+  On.end({Id, 0, 0, 1}, 2, EndKind::Done);
+  CHECK(JobPhase::Completed == On.job(Id).Phase);
+  CHECK_EQUAL(0, On.State.Workers[Worker].Tasks);
+}
+
+TEST(JobState, ACheckpointIsKeptForTheNextStart) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(1)});
+  const TaskKey Key{Id, 0, 0, 0};
+  On.start(Key, 1, Worker);
+  On.end(Key, 1, EndKind::Stopped, "half");
+  STRCMP_EQUAL("half", findTask(On.State, Key)->Saved.c_str());
+}
+
+TEST(JobState, ARebornWorkerTakesOverTheTasksOfItsFormerLife) {
+  Cell On;
+  const LifeId Former = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(1)});
+  On.start({Id, 0, 0, 0}, 1, Former);
+  const LifeId Present = On.join("w", 2);
+  CHECK(Former != Present);
+  CHECK(Present == findTask(On.State, {Id, 0, 0, 0})->Worker);
+  CHECK_EQUAL(1, On.State.Workers[Present].Tasks);
+  CHECK(Present == On.join("w", 1));
+}
+
+TEST(JobState, AnotherWorkerAtAnAddressEndsTheOneBefore) {
+  Cell On;
+  const LifeId Former = On.join("w1", 1, "a:1");
+  const JobId Id = On.submit("j", {step(1)});
+  On.start({Id, 0, 0, 0}, 1, Former);
+  On.join("w2", 2, "a:1");
+  CHECK(!On.State.Workers.contains(Former));
+  CHECK(JobTaskState::Waiting == findTask(On.State, {Id, 0, 0, 0})->State);
+}
+
+TEST(JobState, RepeatedRunsOverlapAndAllHaveToBeDone) {
+  Cell On;
+  const LifeId Worker = On.join("w", 1);
+  const JobId Id = On.submit("j", {step(1)}, 2);
+  CHECK(On.job(Id).Runs.empty());
+  applyCommand(On.State, OpenRunCommand{Id, 0});
+  applyCommand(On.State, OpenRunCommand{Id, 0});
+  applyCommand(On.State, OpenRunCommand{Id, 1});
+  CHECK_EQUAL(2, On.job(Id).Runs.size());
+  CHECK(Noon + Millis{1000} == dueTime(On.job(Id), 1));
+  On.start({Id, 1, 0, 0}, 1, Worker);
+  On.end({Id, 1, 0, 0}, 1, EndKind::Done);
+  CHECK(JobPhase::Running == On.job(Id).Phase);
+  On.start({Id, 0, 0, 0}, 1, Worker);
+  On.end({Id, 0, 0, 0}, 1, EndKind::Done);
+  CHECK(JobPhase::Completed == On.job(Id).Phase);
+}
+
+TEST(JobState, AnOlderOrEqualConfigurationChangesNothing) {
+  Cell On;
+  CellConfiguration Other = On.State.Rules;
+  Other.Queues.clear();
+  applyCommand(On.State, ConfigureCommand{Other});
+  CHECK_EQUAL(1, On.State.Rules.Queues.size());
+  Other.Version = 4;
+  applyCommand(On.State, ConfigureCommand{Other});
+  CHECK(On.State.Rules.Queues.empty());
+}
+
+TEST(JobState, ThePathLeadsToTheQueueWithTheLongestPrefix) {
+  Cell On;
+  CellConfiguration Rules = On.State.Rules;
+  JobQueue Inner = Rules.Queues.front();
+  Inner.Prefix = "/q/inner/";
+  Rules.Queues.push_back(Inner);
+  STRCMP_EQUAL("/q/inner/", findQueue(Rules, "host", "/q/inner/x")->Prefix.c_str());
+  STRCMP_EQUAL("/q/", findQueue(Rules, "host", "/q/x")->Prefix.c_str());
+  CHECK(findQueue(Rules, "other", "/q/x") == nullptr);
+}
+
+TEST(JobState, AJobThatMakesNoSenseIsFound) {
+  JobSpec Spec;
+  CHECK(!findJobFault(Spec).empty());
+  Spec.Steps = {step(1, {0})};
+  CHECK(!findJobFault(Spec).empty());
+  Spec.Steps = {step(0)};
+  CHECK(!findJobFault(Spec).empty());
+  Spec.Steps = {step(1), step(2, {0})};
+  CHECK(findJobFault(Spec).empty());
+  Spec.Repeats = 3;
+  CHECK(!findJobFault(Spec).empty());
+}
--- /dev/null
+++ b/test/platform/gateway_test.cpp
@@ -0,0 +1,265 @@
+#include "platform/gateway.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+using namespace mulberryramp::platform;
+
+namespace {
+
+const PlatformGateway Gate;
+
+ApiRequest request(const std::string &Method, const std::string &Path,
+                   const std::string &Body = "") {
+  ApiRequest Item;
+  Item.Method = Method;
+  Item.Path = Path;
+  Item.Body = Body;
+  Item.Host = "host.example:80";
+  return Item;
+}
+
+constexpr const char *Route =
+    R"({"name":"r","host":"h","path_prefix":"/p/","timeout_ms":3000,)"
+    R"("target_latency_ms":400,"priority":1,"service":"s","max_attempts":3,)"
+    R"("slack_factor":1.5,"advisor":{"decision_ms":21.0,"per_worker_ms":0.3,)"
+    R"("valid_ms":2500}})";
+constexpr const char *Service = R"({"name":"s"})";
+
+std::string configuration(const std::string &Routes,
+                          const std::string &Services = Service) {
+  return R"({"version":7,"routes":[)" + Routes + R"(],"services":[)" +
+         Services + "]}";
+}
+
+int statusOfConfiguration(const std::string &Body) {
+  const auto Call =
+      Gate.decodeCall(Listener::Control, request("PUT", "/api/config", Body));
+  return Call ? 200 : Call.error().Status;
+}
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  Text.replace(Text.find(From), From.size(), To);
+  return Text;
+}
+
+constexpr const char *Report =
+    R"({"service":"s","address":"10.1.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","capacity":{"cpu":16000,"mem_mb":32768,)"
+    R"("gpu":1},"labels":["a","r1-3"],"clock_ms":4821,"seq":4,"born":99})";
+
+tl::expected<CellCall, HttpResponse> report(const std::string &Body) {
+  return Gate.decodeCall(Listener::Control,
+                         request("PUT", "/api/instances/i-1", Body));
+}
+
+WorkerOrder order(WorkerOrderKind Kind) {
+  WorkerOrder Order;
+  Order.Id = 5;
+  Order.Kind = Kind;
+  Order.Address = "10.1.0.9:80";
+  Order.Worker = "i-1";
+  Order.Fence = 7;
+  Order.Task = {"5c0e", 2, 1, 17};
+  Order.Attempt = 3;
+  return Order;
+}
+
+OrderResult answer(WorkerOrderKind Kind, int Status, const std::string &Body) {
+  return Gate.decodeOrderAnswer(order(Kind), {Status, false, Body});
+}
+
+} // namespace
+
+TEST_GROUP(PlatformGateway){};
+
+TEST(PlatformGateway, ReadsAJobWithItsSteps) {
+  const auto Call = Gate.decodeCall(
+      Listener::Callers,
+      request("POST", "/p/5c0e",
+              R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,)"
+              R"("estimate_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
+              R"("after":[0],"checkpointed":true,"gang":true,"same_rack":true,)"
+              R"("anti_affinity":2,"constraints":"b","speculative":true,)"
+              R"("utilization":true}]})"));
+  CHECK(Call.has_value());
+  const auto &Job = std::get<JobCall>(*Call);
+  STRCMP_EQUAL("host.example", Job.Host.c_str());
+  CHECK(JobVerb::Submit == Job.Verb);
+  CHECK_EQUAL(2, Job.Spec.Steps.size());
+  CHECK_EQUAL(500, Job.Spec.Steps[0].Need.MilliCpus);
+  STRCMP_EQUAL("r1-3", Job.Spec.Steps[0].DataRack.c_str());
+  const StepSpec &Second = Job.Spec.Steps[1];
+  CHECK_EQUAL(0, Second.After.front());
+  CHECK(Second.SavesProgress && Second.IsGang && Second.IsSameRack);
+  CHECK(Second.MayRunCopies && Second.UsesSpareCpu);
+  CHECK_EQUAL(2, Second.MaxPerWorker);
+  STRCMP_EQUAL("b", Second.Label.c_str());
+}
+
+TEST(PlatformGateway, RefusesAJobThatCannotBeReadWithAllFindings) {
+  for (const char *Body :
+       {"", "{", "[]", R"({"spec":"x"})", R"({"spec":"x","phases":[]})",
+        R"({"spec":"x","phases":[{"count":0}]})",
+        R"({"spec":"x","phases":[{"count":1,"after":[0]}]})",
+        R"({"spec":1,"phases":[{"count":"a"}]})"}) {
+    const auto Call =
+        Gate.decodeCall(Listener::Callers, request("POST", "/p/1", Body));
+    CHECK(!Call.has_value());
+    CHECK_EQUAL(400, Call.error().Status);
+  }
+}
+
+TEST(PlatformGateway, ReadsAConfigurationAndKeepsItsText) {
+  const std::string Body = configuration(Route);
+  const auto Call =
+      Gate.decodeCall(Listener::Control, request("PUT", "/api/config", Body));
+  CHECK(Call.has_value());
+  const CellConfiguration &Rules = std::get<ConfigureCall>(*Call).Rules;
+  CHECK_EQUAL(7, Rules.Version);
+  STRCMP_EQUAL(Body.c_str(), Rules.Document.c_str());
+  const JobQueue &Queue = Rules.Queues.front();
+  STRCMP_EQUAL("s", Queue.Pool.c_str());
+  CHECK_EQUAL(3, Queue.MaxAttempts);
+  CHECK(Queue.Advice.has_value());
+  CHECK_EQUAL(2500, Queue.Advice->TicketLife.count());
+}
+
+TEST(PlatformGateway, RefusesEachInvalidConfiguration) {
+  const std::string Good = configuration(Route);
+  CHECK_EQUAL(200, statusOfConfiguration(Good));
+  CHECK_EQUAL(400, statusOfConfiguration(Good.substr(0, Good.size() / 2)));
+  CHECK_EQUAL(400, statusOfConfiguration(
+                       configuration(std::string{Route} + "," + Route)));
+  CHECK_EQUAL(400, statusOfConfiguration(
+                       configuration(Route, R"({"name":"other"})")));
+  CHECK_EQUAL(400, statusOfConfiguration(replaced(
+                       Good, R"("timeout_ms":3000)", R"("timeout_ms":0)")));
+  CHECK_EQUAL(400, statusOfConfiguration(
+                       replaced(Good, R"("version":7)", R"("version":"7")")));
+  CHECK_EQUAL(400, statusOfConfiguration(
+                       replaced(Good, R"("host":"h",)", "")));
+}
+
+TEST(PlatformGateway, ReadsAReportOfAWorker) {
+  const auto Call = report(Report);
+  CHECK(Call.has_value());
+  const WorkerReport &Worker = std::get<WorkerReportCall>(*Call).Report;
+  STRCMP_EQUAL("i-1", Worker.Name.c_str());
+  STRCMP_EQUAL("r1-3", Worker.Rack.c_str());
+  CHECK_EQUAL(99, Worker.Born);
+  CHECK_EQUAL(16000, Worker.Capacity.MilliCpus);
+  CHECK(!Worker.IsDraining);
+}
+
+TEST(PlatformGateway, RefusesAReportThatNamesNoWorkerToUse) {
+  for (const auto &[From, To] :
+       {std::pair{R"("state":"ready")", R"("state":"asleep")"},
+        std::pair{R"("born":99)", R"("born":"99")"},
+        std::pair{R"("seq":4,)", ""}, std::pair{R"("clock_ms":4821,)", ""},
+        std::pair{R"("address":"10.1.0.9:80",)", R"("address":5,)"}}) {
+    const auto Call = report(replaced(Report, From, To));
+    CHECK(!Call.has_value());
+    CHECK_EQUAL(400, Call.error().Status);
+  }
+}
+
+TEST(PlatformGateway, WritesAStartWithWhatItNeeds) {
+  WorkerOrder Order = order(WorkerOrderKind::Start);
+  Order.Payload = "text";
+  Order.Saved = "half";
+  Order.Ticket = "t";
+  Order.Expires = 4860;
+  const OutboundRequest Request = Gate.encodeOrder(Order);
+  STRCMP_EQUAL("http://10.1.0.9:80/api/run-start", Request.Url.c_str());
+  const auto Body = nlohmann::json::parse(Request.Body);
+  STRCMP_EQUAL("5c0e.2.1.17", Body["task"].get<std::string>().c_str());
+  CHECK_EQUAL(3, Body["attempt"].get<int>());
+  CHECK_EQUAL(7, Body["fencing_token"].get<int>());
+  CHECK_EQUAL(4860, Body["expires_ms"].get<int>());
+  STRCMP_EQUAL("half", Body["checkpoint"].get<std::string>().c_str());
+  STRCMP_EQUAL("t", Body["ticket"].get<std::string>().c_str());
+  CHECK_EQUAL(2, Request.Headers.size());
+}
+
+TEST(PlatformGateway, AHoldWithoutALeaseDoesNotRenewIt) {
+  const auto Body = nlohmann::json::parse(
+      Gate.encodeOrder(order(WorkerOrderKind::Hold)).Body);
+  CHECK(!Body.contains("expires_ms"));
+  CHECK(!Body.contains("wait_ms"));
+}
+
+TEST(PlatformGateway, ReadsTheListsOfAHold) {
+  const OrderResult Result = answer(
+      WorkerOrderKind::Hold, 200,
+      R"({"clock_ms":4821,"born":99,"running":[["5c0e.0.1.17",2,"ab",41,7]],)"
+      R"("finished":[[58,"5c0e.0.1.9",1,"done",""],[59,"5c0e.0.1.8",1,)"
+      R"("lapsed","x"]]})");
+  CHECK(OrderVerdict::Done == Result.Verdict);
+  CHECK_EQUAL(99, Result.Born);
+  CHECK_EQUAL(17, Result.Running.front().Task.Task);
+  CHECK_EQUAL(41, Result.Running.front().Percent);
+  CHECK_EQUAL(7, Result.Running.front().Gauge);
+  CHECK_EQUAL(58, Result.Ended[0].Number);
+  CHECK(EndKind::Lapsed == Result.Ended[1].Kind);
+}
+
+TEST(PlatformGateway, AnAnswerThatCannotBeReadIsNoAnswer) {
+  for (const char *Body :
+       {"", "[]", R"({"clock_ms":"x"})", R"({"clock_ms":1})",
+        R"({"clock_ms":1,"running":[["a.b",1,"",0]],"finished":[]})",
+        R"({"clock_ms":1,"running":[],"finished":[[1,"a.0.0.0",1]]})"}) {
+    CHECK(OrderVerdict::Unanswered ==
+          answer(WorkerOrderKind::Hold, 200, Body).Verdict);
+  }
+}
+
+TEST(PlatformGateway, TellsRefusalsFromDoubt) {
+  const auto Start = WorkerOrderKind::Start;
+  CHECK(RefusalReason::Room ==
+        answer(Start, 409, R"({"clock_ms":1,"reason":"room"})").Reason);
+  CHECK(RefusalReason::Ticket ==
+        answer(Start, 409, R"({"clock_ms":1,"reason":"ticket"})").Reason);
+  CHECK(RefusalReason::Unhealthy == answer(Start, 503, "").Reason);
+  CHECK(OrderVerdict::OtherLife == answer(Start, 421, "{}").Verdict);
+  CHECK(OrderVerdict::Unanswered == answer(Start, 500, "").Verdict);
+  CHECK(OrderVerdict::Unanswered == answer(Start, 0, "").Verdict);
+}
+
+TEST(PlatformGateway, NeverCallsDoubtARefusal) {
+  CellReply Reply;
+  const CallShape Submit{0, JobVerb::Submit};
+  Reply.Verdict = CellVerdict::Unknown;
+  CHECK_EQUAL(504, Gate.encodeReply(Submit, Reply, "").Status);
+  Reply.Verdict = CellVerdict::Refused;
+  const HttpResponse Refused = Gate.encodeReply(Submit, Reply, "");
+  CHECK_EQUAL(503, Refused.Status);
+  CHECK(Refused.RetryAfterSeconds > 0);
+  Reply.Verdict = CellVerdict::Gone;
+  CHECK_EQUAL(410, Gate.encodeReply(Submit, Reply, "").Status);
+}
+
+TEST(PlatformGateway, TellsAWorkerWhereTheLeaderIs) {
+  const CellCall Kind = WorkerReportCall{};
+  const HttpResponse Response =
+      Gate.encodeReply({Kind.index(), JobVerb::Read}, {}, "10.1.0.4:8166");
+  STRCMP_EQUAL(R"({"heartbeat_addr":"10.1.0.4:8166"})", Response.Body.c_str());
+}
+
+TEST(PlatformGateway, ReadsAdvice) {
+  AdviceQuestion Question;
+  Question.Id = 4;
+  Question.Step = {"5c0e", 0, 1};
+  const AdviceAnswer Known = Gate.decodeAdvice(
+      Question,
+      {200, false, R"({"eligible":[["i-1","t1"],["i-2","t2"]],"valid_ms":2000})"});
+  CHECK(Known.IsAnswered);
+  CHECK_EQUAL(2, Known.Admitted.size());
+  CHECK_EQUAL(2000, Known.TicketLife.count());
+  CHECK(!Gate.decodeAdvice(Question, {429, false, ""}).IsAnswered);
+}
