Bound how far and how often a poll's epoch deposes a leader

Cause: any client of the worker protocol could send an epoch above the leader's term, which made it step down and take the term over, without a bound. Now an epoch further ahead than 100,000, or within a minute of the last, is refused.

--- a/src/mulberryramp/node/centre_service.hpp
+++ b/src/mulberryramp/node/centre_service.hpp
@@ -191,6 +191,7 @@
   std::uint64_t ServeCount = 0; ///< How often this daemon began to serve.
   std::multimap<LogIndex, OpenCall> Open;
   std::set<std::string> Announcing;
+  Instant DeposedAt; ///< When a poll last deposed the leader; null: never.
   std::set<std::string> Removing;
   std::set<AttemptId> Settling;
   std::vector<Settlement> Settlements;
--- a/src/mulberryramp/node/centre_workers.cpp
+++ b/src/mulberryramp/node/centre_workers.cpp
@@ -104,6 +104,14 @@
     return;
   }
   if (Poll.Epoch > Member.Hard.Current) {
+    const bool IsRecent =
+        DeposedAt != Instant{} && Now - DeposedAt < DeposeEvery;
+    if (IsRecent || Poll.Epoch - Member.Hard.Current > MaxEpochLead) {
+      finishPoll(PollId, PollVerdict::Refused,
+                 "the epoch is ahead of this data centre", NotAfter);
+      return;
+    }
+    DeposedAt = Now;
     raiseTerm(Member, Now, Poll.Epoch);
     finishPoll(PollId, PollVerdict::NotLeader, "", Instant::max());
     return;
--- a/src/mulberryramp/node/fwd.hpp
+++ b/src/mulberryramp/node/fwd.hpp
@@ -12,6 +12,11 @@
 inline constexpr Millis ForwardTimeout{5000};
 inline constexpr Millis ForwardRetryEvery{100};
 inline constexpr Millis MaxCallWait{30000};
+/// How far a worker's epoch may be ahead; a group that lost its memory has to
+/// pass the terms of its former leaders, and elections are seldom.
+inline constexpr std::uint64_t MaxEpochLead = 100000;
+/// Between polls that may depose a leader by their epoch.
+inline constexpr Millis DeposeEvery{60000};
 
 struct PeerMessage;
 struct CallResult;
--- a/test/node/poll_test.cpp
+++ b/test/node/poll_test.cpp
@@ -266,3 +266,31 @@
   It.Core->call(77, SubmitCall{"", {}, It.Wall}, It.Now, It.Wall);
   CHECK_FALSE(It.Core->step(It.Now + Millis{20}, It.Wall).has_value());
 }
+
+TEST(NodePoll, AnEpochFarAheadDoesNotDeposeTheLeader) {
+  Single Daemon;
+  WorkerPoll Poll;
+  Poll.Name = "stranger";
+  Poll.Incarnation = 1;
+  Poll.Centre = "a";
+  Poll.IsFull = true;
+  Poll.Epoch = std::uint64_t{1} << 62U;
+  CHECK(PollVerdict::Refused == Daemon.poll(Poll).Verdict);
+  CHECK(Daemon.Core->isReadyForCallers(Daemon.Now));
+}
+
+TEST(NodePoll, EpochsAheadDeposeTheLeaderOnceAMinuteAtMost) {
+  Single Daemon;
+  WorkerPoll Poll;
+  Poll.Name = "stranger";
+  Poll.Incarnation = 1;
+  Poll.Centre = "a";
+  Poll.IsFull = true;
+  Poll.Epoch = 50;
+  CHECK(PollVerdict::NotLeader == Daemon.poll(Poll).Verdict);
+  Daemon.pass(4000);
+  CHECK(Daemon.Core->isReadyForCallers(Daemon.Now));
+  Poll.Epoch = 90;
+  CHECK(PollVerdict::Refused == Daemon.poll(Poll).Verdict);
+  CHECK(Daemon.Core->isReadyForCallers(Daemon.Now));
+}
