Look at admitted workers only when a step is planned

Cause: each plan rated all 350 workers for each waiting task, and for each question that could not be asked; the leader of the grown deployment ran at its share of 0.4 core in bursts.

--- a/src/mulberryramp/cell/advice.cpp
+++ b/src/mulberryramp/cell/advice.cpp
@@ -20,13 +20,16 @@
 constexpr Millis LongAnswer{150};
 constexpr std::size_t FreeShare = 4; ///< One node in so many stays free.
 
+bool isFree(const Dispatcher &Lead, NodeId Id, const AdviceNode &Node,
+            Instant Now) {
+  return Node.Question == 0 && Now >= Node.AvoidUntil &&
+         (Id == Lead.Self || Now - Node.HeardAt < NodeLostAfter);
+}
+
 AdviceNode *findFreeNode(Dispatcher &Lead, Instant Now, NodeId &Chosen) {
   AdviceNode *Best = nullptr;
   for (auto &[Id, Node] : Lead.Nodes) {
-    const bool IsUsable = Node.Question == 0 && Now >= Node.AvoidUntil &&
-                          (Id == Lead.Self ||
-                           Now - Node.HeardAt < NodeLostAfter);
-    if (IsUsable && (Best == nullptr || Chosen == Lead.Self)) {
+    if (isFree(Lead, Id, Node, Now) && (Best == nullptr || Chosen == Lead.Self)) {
       Best = &Node;
       Chosen = Id;
     }
@@ -64,6 +67,14 @@
   return Found != Known.Admitted.end() && Now < Found->second.GoodUntil;
 }
 
+bool mayAsk(const Dispatcher &Lead, const StepAdvice &Known, Instant Now) {
+  return Known.Question == 0 && Now >= Known.RetryAt &&
+         std::any_of(Lead.Nodes.begin(), Lead.Nodes.end(),
+                     [&](const auto &Item) {
+                       return isFree(Lead, Item.first, Item.second, Now);
+                     });
+}
+
 bool askAdvice(Dispatcher &Lead, const CellState &State, const StepKey &Step,
                const AdviceRules &Rules, const std::vector<LifeId> &Workers,
                Instant Now) {
--- a/src/mulberryramp/cell/advice.hpp
+++ b/src/mulberryramp/cell/advice.hpp
@@ -14,6 +14,10 @@
 [[nodiscard]] bool isAdmitted(const StepAdvice &Known, LifeId Worker,
                               Instant Now);
 
+/// @brief Tells whether a question about a step could be asked now.
+[[nodiscard]] bool mayAsk(const Dispatcher &Lead, const StepAdvice &Known,
+                          Instant Now);
+
 /// @brief Asks about a step, unless a question is open or no node is free.
 /// @param Workers Workers that would be used, best first.
 /// @return True if it was asked.
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -13,6 +13,8 @@
 
 /// Between plans while tasks wait and nothing changed.
 constexpr Millis PlanEvery{100};
+/// Shortest time between plans.
+constexpr Millis PlanPause{12};
 /// Between looks at all launches.
 constexpr Millis ReviewEvery{100};
 /// Between looks for what can be forgotten.
@@ -218,7 +220,9 @@
     Lead.Events.push_back("event=worker-joined worker=" +
                           State.Workers[Change.Worker].Report.Name);
   }
-  forgetSessions(Lead, State);
+  if (Lead.Sessions.size() != State.Workers.size()) {
+    forgetSessions(Lead, State);
+  }
   for (const JobId Id : Change.Over) {
     const Job &Item = State.Jobs[Id];
     Lead.Events.push_back("event=job-over job=" + Item.Name +
@@ -258,8 +262,11 @@
     Lead.SweepAt = Now + SweepEvery;
     forgetOld(Lead, State, Now, Wall);
   }
-  if (!Lead.HasOpenStarts && (Lead.IsDirty || Now >= Lead.PlanAt)) {
+  const bool IsDue =
+      (Lead.IsDirty && Now >= Lead.PlannedAt + PlanPause) || Now >= Lead.PlanAt;
+  if (!Lead.HasOpenStarts && IsDue) {
     Lead.IsDirty = false;
+    Lead.PlannedAt = Now;
     Lead.PlanAt = Now + PlanEvery;
     std::vector<Grant> Grants = planStarts(Lead, State, Now, Wall);
     if (!Grants.empty()) {
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -188,6 +188,7 @@
   std::uint64_t NextId = 1;
   bool IsDirty = false;      ///< Something changed that may let tasks start.
   bool HasOpenStarts = false; ///< Starts were proposed and not yet applied.
+  Instant PlannedAt;          ///< Last look.
   Instant PlanAt;             ///< Next look without a change.
   Instant ReviewAt;           ///< Next look at all launches.
   Instant SweepAt;            ///< Next look for what can be forgotten.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -29,6 +29,8 @@
 /// A job this many objectives late is served last.
 constexpr int HopelessFactor = 3;
 
+constexpr std::size_t NoPlace = std::numeric_limits<std::size_t>::max();
+
 /// A worker during one pass.
 struct Place {
   LifeId Worker;
@@ -88,10 +90,24 @@
         Item.Lasting +=
             Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLasting ? 1 : 0;
       }
+      if (PlaceOfSlot.size() <= Id.Slot) {
+        PlaceOfSlot.resize(Id.Slot + 1, NoPlace);
+      }
+      PlaceOfSlot[Id.Slot] = Places.size();
       Places.push_back(std::move(Item));
     }
   }
 
+  /// Finds the place of a life of a worker, or null.
+  Place *placeOf(LifeId Worker) {
+    if (Worker.Slot >= PlaceOfSlot.size() ||
+        PlaceOfSlot[Worker.Slot] == NoPlace) {
+      return nullptr;
+    }
+    Place &Item = Places[PlaceOfSlot[Worker.Slot]];
+    return Item.Worker == Worker ? &Item : nullptr;
+  }
+
   void listSteps() {
     for (const JobId Id : State.Jobs.ids()) {
       const Job &Item = State.Jobs[Id];
@@ -159,17 +175,6 @@
                 Labels.end());
   }
 
-  std::uint32_t countOn(const JobStep &Step, const Place &Item) const {
-    std::uint32_t Count = 0;
-    for (const JobTask &Task : Step.Tasks) {
-      Count += Task.State == JobTaskState::Assigned &&
-                       Task.Worker == Item.Worker
-                   ? 1
-                   : 0;
-    }
-    return Count;
-  }
-
   /// Rates a place; lower is better.
   double rate(const Place &Item, const StepSpec &Step, const Resources &Need,
               const JobTask *Task) const {
@@ -195,30 +200,45 @@
     return Rating;
   }
 
+  using TaskCounts = std::map<LifeId, std::uint32_t>;
+
+  static bool isFull(const StepSpec &Step, const Place &Item,
+                     const TaskCounts &Counts) {
+    if (Step.MaxPerWorker == 0) {
+      return false;
+    }
+    const auto Count = Counts.find(Item.Worker);
+    return Count != Counts.end() && Count->second >= Step.MaxPerWorker;
+  }
+
   /// Chooses the best place for a task, or null.
   Place *choose(const Job &Owner, const StepSpec &Step, const StepAdvice *Advice,
                 const JobTask *Task, const std::string *Rack,
-                const std::map<LifeId, std::uint32_t> &Counts) {
+                const TaskCounts &Counts) {
     const Resources Need = takenBy(Step);
     Place *Best = nullptr;
     double BestRating = std::numeric_limits<double>::max();
-    for (Place &Item : Places) {
+    const auto Consider = [&](Place &Item) {
       if (!fitsIn(Need, Item.Free) || !mayUse(Item, Owner, Step) ||
           (Rack != nullptr && Item.Life->Report.Rack != *Rack) ||
-          (Advice != nullptr && !isAdmitted(*Advice, Item.Worker, Now))) {
-        continue;
-      }
-      if (Step.MaxPerWorker != 0) {
-        const auto Count = Counts.find(Item.Worker);
-        if (Count != Counts.end() && Count->second >= Step.MaxPerWorker) {
-          continue;
-        }
+          isFull(Step, Item, Counts)) {
+        return;
       }
       const double Rating = rate(Item, Step, Need, Task);
       if (Rating < BestRating) {
         BestRating = Rating;
         Best = &Item;
       }
+    };
+    if (Advice == nullptr) {
+      std::for_each(Places.begin(), Places.end(), Consider);
+      return Best;
+    }
+    for (const auto &[Worker, Admission] : Advice->Admitted) {
+      Place *Item = Now < Admission.GoodUntil ? placeOf(Worker) : nullptr;
+      if (Item != nullptr) {
+        Consider(*Item);
+      }
     }
     return Best;
   }
@@ -230,8 +250,8 @@
     Grants.push_back({Key, Attempt, Item.Worker});
   }
 
-  std::map<LifeId, std::uint32_t> countTasks(const JobStep &Step) const {
-    std::map<LifeId, std::uint32_t> Counts;
+  static TaskCounts countTasks(const JobStep &Step) {
+    TaskCounts Counts;
     for (const JobTask &Task : Step.Tasks) {
       if (Task.State == JobTaskState::Assigned) {
         Counts[Task.Worker] += 1;
@@ -310,7 +330,7 @@
     for (const JobTask &Task : Step.Tasks) {
       Attempt = std::max(Attempt, Task.Run + 1);
     }
-    std::map<LifeId, std::uint32_t> Counts;
+    TaskCounts Counts;
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       Place *Chosen =
           choose(Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts);
@@ -330,7 +350,11 @@
   void askFor(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
               const JobStep &Step, std::size_t Missing) {
     const StepAdvice &Known = Lead.Advice[Key];
+    if (!mayAsk(Lead, Known, Now)) {
+      return;
+    }
     const Resources Need = takenBy(Spec);
+    const TaskCounts Counts = countTasks(Step);
     struct Candidate {
       bool IsUnknown = false;
       double Rating = 0;
@@ -346,9 +370,7 @@
     for (const Place &Item : Places) {
       if (!fitsIn(Need, Item.Free) || !mayUse(Item, Owner, Spec) ||
           Known.Denied.contains(Item.Worker) ||
-          isAdmitted(Known, Item.Worker, Now) ||
-          (Spec.MaxPerWorker != 0 &&
-           countOn(Step, Item) >= Spec.MaxPerWorker)) {
+          isAdmitted(Known, Item.Worker, Now) || isFull(Spec, Item, Counts)) {
         continue;
       }
       const bool IsUnknown = !Known.Admitted.contains(Item.Worker);
@@ -405,6 +427,7 @@
   Instant Now;
   WallTime Wall;
   std::vector<Place> Places;
+  std::vector<std::size_t> PlaceOfSlot; ///< By slot of the worker.
   std::vector<WaitingStep> Ready;
   std::vector<WaitingStep> Following;
   std::vector<Grant> Grants;
