Send acknowledgements on kept connections only

A process that has just begun has no open connections, so a hold that acknowledges is never sent on a new one.

--- a/src/mulberryramp/cell/order.hpp
+++ b/src/mulberryramp/cell/order.hpp
@@ -45,6 +45,8 @@
   std::int64_t Expires = 0;   ///< End of the lease on the worker's clock, ms.
   std::uint64_t AckedEnds = 0; ///< Ends that the worker may forget.
   Millis Wait{0};              ///< How long a hold waits for an end.
+  /// Not to be sent on a new connection, which another life may have taken.
+  bool NeedsKeptConnection = false;
   std::uint32_t Percent = 100; ///< Share that a paced task may work.
   Millis Timeout{1000};
 };
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -91,6 +91,7 @@
   WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
   const bool IsWell = Session.IsSettled && Session.Misses == 0;
   Order.AckedEnds = Session.IsVerified ? Worker.AckedEnds : 0;
+  Order.NeedsKeptConnection = Order.AckedEnds != 0;
   if (IsWell && Session.IsVerified && Worker.Tasks != 0) {
     Order.Wait = Session.IsDisturbed ? DisturbedWait : Lead.Options.HoldWait;
   }
@@ -656,8 +657,14 @@
     if (Session->LookOrder == Result.Id) {
       Session->LookOrder = 0;
     }
-    if (Result.Verdict == OrderVerdict::Done ||
-        Result.Verdict == OrderVerdict::Refused) {
+    const bool HadNoConnection = Order.Kind == WorkerOrderKind::Hold &&
+                                 Order.AckedEnds != 0 &&
+                                 Result.Verdict == OrderVerdict::Unsent;
+    if (HadNoConnection) {
+      Session->IsVerified = false;
+      Session->NextHoldAt = Now;
+    } else if (Result.Verdict == OrderVerdict::Done ||
+               Result.Verdict == OrderVerdict::Refused) {
       noteAnswer(Lead, State, Order.Worker, *Session, Result, Now);
     } else {
       noteMiss(Lead, State, Order.Worker, *Session, Result.Verdict, Now, Wall);
--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -48,6 +48,11 @@
   return CURL_SOCKOPT_OK;
 }
 
+curl_socket_t refuseSocket(void * /*Context*/, curlsocktype /*Purpose*/,
+                           curl_sockaddr * /*Address*/) {
+  return CURL_SOCKET_BAD;
+}
+
 } // namespace
 
 struct AsyncHttpClient::Impl final : public ACE_Event_Handler {
@@ -213,6 +218,9 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &takeBody);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Item->Received);
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+  if (Request.NeedsKeptConnection) {
+    curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &refuseSocket);
+  }
   Parts->Open[Handle] = std::move(Item);
   curl_multi_add_handle(Parts->Multi, Handle);
 }
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -70,6 +70,8 @@
   Instant CutUntil;
   Instant ReportAt;
   std::uint64_t Life = 0;
+  /// Life that last answered each node: what its kept connections lead to.
+  std::map<std::pair<NodeId, std::uint64_t>, std::uint64_t> KnownLife;
   std::map<std::uint64_t, std::pair<NodeId, std::uint64_t>> Holds;
 };
 
@@ -437,6 +439,16 @@
         Item.IsAnswered = false;
       }
       Item.WorkerLife = Workers.at(Item.Worker).Life;
+      if (Order.NeedsKeptConnection &&
+          Workers.at(Item.Worker).KnownLife[{From, Life}] !=
+              Item.WorkerLife) {
+        OrderResult Unsent;
+        Unsent.Id = Order.Id;
+        Unsent.Verdict = OrderVerdict::Unsent;
+        Deadlines[{From, Life, Order.Id}] = Now + Order.Timeout;
+        answer(From, Life, Unsent);
+        continue;
+      }
       Deadlines[{From, Life, Order.Id}] = Now + Order.Timeout;
       Item.Order = std::move(Order);
       Orders.push_back(std::move(Item));
@@ -495,6 +507,7 @@
       if (!Item.IsAnswered) {
         continue;
       }
+      To.KnownLife[{Item.From, Item.Life}] = To.Life;
       if (Answer) {
         answer(Item.From, Item.Life, std::move(*Answer));
       } else {
