--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -142,6 +142,10 @@
     return Owner == nullptr || isOver(Owner->Phase) ||
            findRun(*Owner, Item.first.Run) == nullptr;
   });
+  std::erase_if(Lead.Times, [&State](const auto &Item) {
+    const Job *Owner = State.Jobs.find(Item.first.Job);
+    return Owner == nullptr || isOver(Owner->Phase);
+  });
   for (const auto &[Id, Session] : Lead.Sessions) {
     const Instant Heard = std::max(Session.ReportedAt, Session.AnsweredAt);
     if (Session.Tasks.empty() && Now - Heard > ForgetWorkerAfter &&
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -99,7 +99,7 @@
   std::uint64_t AckSent = 0;      ///< Acknowledged in an answered hold.
   std::uint64_t Sequence = 0;     ///< Of its last report.
   std::uint32_t FailureStreak = 0;
-  double Slowness = 1; ///< Run times against estimates, averaged.
+  double Slowness = 1; ///< Run times against those of like tasks, averaged.
   Millis Remaining{0}; ///< Time left when it was told, of a draining worker.
   Instant AvoidUntil;
   bool IsDisturbed = false; ///< A serving task there is over its limit.
@@ -130,6 +130,13 @@
   Instant RetryAt;
 };
 
+/// @brief Run times of the tasks of a step that are done; estimates may be far
+/// off, but tasks of a step are alike.
+struct StepTimes {
+  std::uint32_t Count = 0;
+  Millis Total{0};
+};
+
 /// @brief A node that can ask the advisor, which answers each node in turn.
 struct AdviceNode {
   Instant HeardAt;
@@ -183,6 +190,7 @@
   std::map<TaskKey, Launch> Launches;
   std::map<std::uint64_t, OpenOrder> Sent;
   std::map<StepKey, StepAdvice> Advice;
+  std::map<StepKey, StepTimes> Times;
   std::map<NodeId, AdviceNode> Nodes;
   std::map<std::uint64_t, OpenQuestion> Questions;
   std::uint64_t NextId = 1;
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -24,11 +24,13 @@
 constexpr Millis FailingFor{6000};
 /// Failed starts in a row that make a worker suspect.
 constexpr std::uint32_t FailureStreakLimit = 3;
-/// Run times of shorter tasks are mostly the way there and back.
-constexpr Millis LeastTellingEstimate{300};
+/// Shorter run times are mostly the way there and back.
+constexpr Millis LeastTellingRun{300};
+/// Like tasks that a run time is compared with, at least.
+constexpr std::uint32_t LeastTellingTasks = 2;
 /// Weight of the last run time in the average.
 constexpr double SlownessGain = 0.3;
-/// A run this many times as long as estimated makes a worker suspect.
+/// A run this many times as long as like ones makes a worker suspect.
 constexpr double SlowRatio = 3.5;
 constexpr Millis SlowFor{2500};
 
@@ -313,23 +315,29 @@
 }
 
 /// Learns how fast a worker is from a task that it has done.
-void noteRunTime(const CellState &State, WorkerSession &Session,
-                 const Launch &Item, Instant Now) {
-  const StepSpec &Spec = State.Jobs[Item.Item.Key.Job]
-                             .Spec.Steps[Item.Item.Key.Step];
-  const bool IsTelling = Spec.Estimate >= LeastTellingEstimate &&
-                         !Spec.IsGang && !Spec.IsLasting &&
+void noteRunTime(Dispatcher &Lead, const CellState &State,
+                 WorkerSession &Session, const Launch &Item, Instant Now) {
+  const TaskKey &Key = Item.Item.Key;
+  const StepSpec &Spec = State.Jobs[Key.Job].Spec.Steps[Key.Step];
+  const Millis Took = Now - Item.StartedAt;
+  const bool IsTelling = Took >= LeastTellingRun && !Spec.IsGang &&
+                         !Spec.IsLasting &&
                          Item.Phase == LaunchPhase::Confirmed &&
-                         findTask(State, Item.Item.Key)->Saved.empty();
+                         findTask(State, Key)->Saved.empty();
   if (!IsTelling) {
     return;
   }
-  const double Ratio = static_cast<double>((Now - Item.StartedAt).count()) /
-                       static_cast<double>(Spec.Estimate.count());
-  Session.Slowness += (Ratio - Session.Slowness) * SlownessGain;
-  if (Ratio > SlowRatio) {
-    Session.AvoidUntil = Now + SlowFor;
+  StepTimes &Others = Lead.Times[{Key.Job, Key.Run, Key.Step}];
+  if (Others.Count >= LeastTellingTasks) {
+    const double Ratio = static_cast<double>(Took.count()) * Others.Count /
+                         static_cast<double>(Others.Total.count());
+    Session.Slowness += (Ratio - Session.Slowness) * SlownessGain;
+    if (Ratio > SlowRatio) {
+      Session.AvoidUntil = Now + SlowFor;
+    }
   }
+  Others.Count += 1;
+  Others.Total += Took;
 }
 
 void noteWorkerEnd(WorkerSession &Session, EndKind Kind, Instant Now) {
@@ -364,7 +372,7 @@
         Found->second.Item.Attempt == End.Attempt) {
       Found->second.IsEndProposed = true;
       if (End.Kind == EndKind::Done) {
-        noteRunTime(State, Session, Found->second, Now);
+        noteRunTime(Lead, State, Session, Found->second, Now);
       }
     }
     Command.Ends.push_back({*Key, End.Attempt, End.Kind, End.Saved});
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -3,6 +3,7 @@
 #include "mulberryramp/cell/orders.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace mulberryramp {
 
@@ -16,6 +17,8 @@
 constexpr Millis LeastWorthMoving{1500};
 /// and this many times as long as anew elsewhere.
 constexpr double MoveFactor = 2.5;
+/// Like tasks that a speed is compared with, at least.
+constexpr std::size_t LeastTellingTasks = 3;
 /// Time until a moved task runs again.
 constexpr Millis MoveTime{400};
 /// Listings closer to the start tell too little.
@@ -53,26 +56,70 @@
          Now - Item.ProgressAt > StandstillAfter + Spec.Estimate / 20;
 }
 
-/// Computes how long a task will go on at the speed that it showed.
+/// Computes how long a task takes in all at the speed that it showed.
+Millis timeInAll(const Launch &Item) {
+  return (Item.ProgressAt - Item.Since) * 100 /
+         std::max<std::int64_t>(Item.Percent, 1);
+}
+
 Millis timeLeft(const Launch &Item, Instant Now) {
-  const auto Worked = (Item.ProgressAt - Item.Since).count();
-  const std::int64_t Done = std::max<std::int64_t>(Item.Percent, 1);
-  return Millis{Worked * (100 - Done) / Done} - (Now - Item.ProgressAt);
+  return timeInAll(Item) - (Now - Item.Since);
+}
+
+bool showsItsSpeed(const Launch &Item, const StepSpec &Spec) {
+  return isWatched(Item, Spec) && !Spec.IsLasting &&
+         Item.ProgressAt - Item.Since >= LeastTellingRun;
 }
 
-bool isWorthMoving(const Launch &Item, const StepSpec &Spec, Instant Now) {
-  if (!isWatched(Item, Spec) || Spec.IsLasting ||
-      Item.ProgressAt - Item.Since < LeastTellingRun) {
+/// Times that like tasks take, as they show or as they took.
+class LikeTimes {
+public:
+  LikeTimes(const Dispatcher &Lead, const CellState &State) : Lead{Lead} {
+    for (const auto &[Key, Item] : Lead.Launches) {
+      if (findTask(State, Key) != nullptr &&
+          showsItsSpeed(Item, specOf(State, Key))) {
+        Shown[{Key.Job, Key.Run, Key.Step}].push_back(timeInAll(Item));
+      }
+    }
+  }
+
+  /// Computes the usual time, or nothing if too few tasks tell.
+  std::optional<Millis> usual(const StepKey &Step) {
+    std::vector<Millis> Times = Shown[Step];
+    const auto Done = Lead.Times.find(Step);
+    if (Done != Lead.Times.end()) {
+      Times.insert(Times.end(), Done->second.Count,
+                   Done->second.Total / Done->second.Count);
+    }
+    if (Times.size() < LeastTellingTasks) {
+      return std::nullopt;
+    }
+    const auto Middle =
+        Times.begin() + static_cast<std::ptrdiff_t>(Times.size() / 2);
+    std::nth_element(Times.begin(), Middle, Times.end());
+    return *Middle;
+  }
+
+private:
+  const Dispatcher &Lead;
+  std::map<StepKey, std::vector<Millis>> Shown;
+};
+
+bool isWorthMoving(const Launch &Item, const StepSpec &Spec, LikeTimes &Like,
+                   Instant Now) {
+  if (!showsItsSpeed(Item, Spec) || timeLeft(Item, Now) < LeastWorthMoving) {
+    return false;
+  }
+  const TaskKey &Key = Item.Item.Key;
+  const auto Usual = Like.usual({Key.Job, Key.Run, Key.Step});
+  if (!Usual) {
     return false;
   }
   const Millis Anew =
-      (Spec.SavesProgress ? Spec.Estimate * (100 - Item.Percent) / 100
-                          : Spec.Estimate) +
+      (Spec.SavesProgress ? *Usual * (100 - Item.Percent) / 100 : *Usual) +
       MoveTime;
-  const Millis Left = timeLeft(Item, Now);
-  return Left > LeastWorthMoving &&
-         static_cast<double>(Left.count()) >
-             static_cast<double>(Anew.count()) * MoveFactor;
+  return static_cast<double>(timeLeft(Item, Now).count()) >
+         static_cast<double>(Anew.count()) * MoveFactor;
 }
 
 /// Tells whether a task had better leave a worker that drains.
@@ -85,12 +132,14 @@
     return false;
   }
   const Millis Left = Session.Remaining - (Now - Session.ReportedAt);
-  return Spec.IsLasting ||
-         Item.StartedAt + Spec.Estimate - Now > std::max(Left, Millis{0});
+  const Millis Needed = showsItsSpeed(Item, Spec)
+                            ? timeLeft(Item, Now)
+                            : Item.StartedAt + Spec.Estimate - Now;
+  return Spec.IsLasting || Needed > std::max(Left, Millis{0});
 }
 
 void reviewLaunch(Dispatcher &Lead, const CellState &State, Launch &Item,
-                  Instant Now) {
+                  LikeTimes &Like, Instant Now) {
   const TaskKey &Key = Item.Item.Key;
   const StepSpec &Spec = specOf(State, Key);
   WorkerSession &Session = Lead.Sessions[Item.Item.Worker];
@@ -104,7 +153,7 @@
   } else if (standsStill(Item, Spec, Now)) {
     Session.AvoidUntil = Now + AvoidAfterStop;
     sendStop(Lead, State, Item, "no-progress", Now);
-  } else if (isWorthMoving(Item, Spec, Now)) {
+  } else if (isWorthMoving(Item, Spec, Like, Now)) {
     Session.AvoidUntil = Now + AvoidAfterStop;
     sendStop(Lead, State, Item, "slow", Now);
   }
@@ -159,9 +208,10 @@
 } // namespace
 
 void reviewLaunches(Dispatcher &Lead, const CellState &State, Instant Now) {
+  LikeTimes Like{Lead, State};
   for (auto &[Key, Item] : Lead.Launches) {
     if (findTask(State, Key) != nullptr) {
-      reviewLaunch(Lead, State, Item, Now);
+      reviewLaunch(Lead, State, Item, Like, Now);
     }
   }
   for (auto &[Id, Session] : Lead.Sessions) {
