--- a/src/mulberryramp/cell/advice.cpp
+++ b/src/mulberryramp/cell/advice.cpp
@@ -16,7 +16,7 @@
 constexpr Millis NodeLostAfter{1600};
 /// Taken off the life of a ticket for agreement and the way to the worker.
 constexpr Millis TicketMargin{200};
-/// Longer questions leave some nodes free for short ones.
+/// Questions that take longer leave some nodes free for others.
 constexpr Millis LongAnswer{150};
 constexpr std::size_t FreeShare = 4; ///< One node in so many stays free.
 
@@ -26,6 +26,13 @@
          (Id == Lead.Self || Now - Node.HeardAt < NodeLostAfter);
 }
 
+std::size_t countFreeNodes(const Dispatcher &Lead, Instant Now) {
+  return static_cast<std::size_t>(std::count_if(
+      Lead.Nodes.begin(), Lead.Nodes.end(), [&](const auto &Item) {
+        return isFree(Lead, Item.first, Item.second, Now);
+      }));
+}
+
 AdviceNode *findFreeNode(Dispatcher &Lead, Instant Now, NodeId &Chosen) {
   AdviceNode *Best = nullptr;
   for (auto &[Id, Node] : Lead.Nodes) {
@@ -37,12 +44,6 @@
   return Best;
 }
 
-std::size_t countFreeNodes(const Dispatcher &Lead) {
-  return static_cast<std::size_t>(std::count_if(
-      Lead.Nodes.begin(), Lead.Nodes.end(),
-      [](const auto &Item) { return Item.second.Question == 0; }));
-}
-
 void closeQuestion(Dispatcher &Lead, std::uint64_t Id,
                    const OpenQuestion &Question) {
   const auto Node = Lead.Nodes.find(Question.Node);
@@ -67,23 +68,21 @@
   return Found != Known.Admitted.end() && Now < Found->second.GoodUntil;
 }
 
-bool mayAsk(const Dispatcher &Lead, const StepAdvice &Known, Instant Now) {
-  return Known.Question == 0 && Now >= Known.RetryAt &&
-         std::any_of(Lead.Nodes.begin(), Lead.Nodes.end(),
-                     [&](const auto &Item) {
-                       return isFree(Lead, Item.first, Item.second, Now);
-                     });
+bool mayAsk(const Dispatcher &Lead, const StepAdvice &Known,
+            const AdviceRules &Rules, Instant Now) {
+  if (Known.Question != 0 || Now < Known.RetryAt) {
+    return false;
+  }
+  const bool IsLong = Rules.DecisionMs > static_cast<double>(LongAnswer.count());
+  const std::size_t Kept = IsLong ? Lead.Nodes.size() / FreeShare : 0;
+  return countFreeNodes(Lead, Now) > Kept;
 }
 
 bool askAdvice(Dispatcher &Lead, const CellState &State, const StepKey &Step,
                const AdviceRules &Rules, const std::vector<LifeId> &Workers,
                Instant Now) {
   StepAdvice &Known = Lead.Advice[Step];
-  if (Known.Question != 0 || Now < Known.RetryAt || Workers.empty()) {
-    return false;
-  }
-  const bool IsLong = answerTime(Rules, Workers.size()) > LongAnswer;
-  if (IsLong && countFreeNodes(Lead) <= Lead.Nodes.size() / FreeShare) {
+  if (Workers.empty() || !mayAsk(Lead, Known, Rules, Now)) {
     return false;
   }
   NodeId Chosen = 0;
--- a/src/mulberryramp/cell/advice.hpp
+++ b/src/mulberryramp/cell/advice.hpp
@@ -14,9 +14,10 @@
 [[nodiscard]] bool isAdmitted(const StepAdvice &Known, LifeId Worker,
                               Instant Now);
 
-/// @brief Tells whether a question about a step could be asked now.
+/// @brief Tells whether a question about a step could be asked now; cheap, so
+/// that candidates are rated only for questions that will be asked.
 [[nodiscard]] bool mayAsk(const Dispatcher &Lead, const StepAdvice &Known,
-                          Instant Now);
+                          const AdviceRules &Rules, Instant Now);
 
 /// @brief Asks about a step, unless a question is open or no node is free.
 /// @param Workers Workers that would be used, best first.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -22,6 +22,8 @@
 constexpr double SlownessWeight = 0.8;
 /// A step that follows is asked about so long before it is ready.
 constexpr Millis AskAhead{150};
+/// Pause before candidates are looked for again where there were none.
+constexpr Millis NoCandidatePause{60};
 /// Weights of a place, in units of a worker that is left empty.
 constexpr double AwayFromData = 4;
 constexpr double FailedThere = 3;
@@ -350,7 +352,7 @@
   void askFor(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
               const JobStep &Step, std::size_t Missing) {
     const StepAdvice &Known = Lead.Advice[Key];
-    if (!mayAsk(Lead, Known, Now)) {
+    if (!mayAsk(Lead, Known, *Owner.Queue.Advice, Now)) {
       return;
     }
     const Resources Need = takenBy(Spec);
@@ -378,7 +380,15 @@
           {IsUnknown, rate(Item, Spec, Need, nullptr), Item.Worker,
            (IsUnknown ? AdmittedShare : 1.0) * roomFor(Item, Spec)});
     }
-    std::sort(Candidates.begin(), Candidates.end());
+    if (Candidates.empty()) {
+      Lead.Advice[Key].RetryAt = Now + NoCandidatePause;
+      return;
+    }
+    const std::size_t Best = std::min(MaxQuestionWorkers, Candidates.size());
+    std::partial_sort(Candidates.begin(),
+                      Candidates.begin() + static_cast<std::ptrdiff_t>(Best),
+                      Candidates.end());
+    Candidates.resize(Best);
     std::vector<LifeId> Workers;
     std::size_t Unknown = 0;
     double Room = 0;
@@ -386,7 +396,7 @@
       const bool IsEnough =
           Room >= QuestionMargin * static_cast<double>(Missing) &&
           (!Item.IsUnknown || Unknown == 0 || Unknown >= MinUnknownWorkers);
-      if (IsEnough || Workers.size() >= MaxQuestionWorkers) {
+      if (IsEnough) {
         break;
       }
       Workers.push_back(Item.Worker);
