Take a worker for silent by its holds, not by one lost order

Cause: each unanswered start or stop made its worker silent: it got no work and its running copies were given up. With one order in twenty unanswered (applied_late) workers flapped 50 to 90 times a second on the grown deployments.

--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -19,7 +19,7 @@
   Millis MaxLease{6000};    ///< Longest that a worker grants.
   int DriftPercent = 2;     ///< By which a worker's clock may be slow.
   Millis LeaseSlack{200};   ///< Added to the end of a lease that ran out.
-  Millis HoldWait{1500};    ///< How long a hold waits for an end.
+  Millis HoldWait{1000};    ///< How long a hold waits for an end.
   Millis ReportEvery{1500}; ///< Between reports of a worker.
   Millis Retention{125000}; ///< How long jobs that are over can be read.
   double RemoteFactor = 2;  ///< Stretch of a run away from its data.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr Millis HoldGrace{700};
+constexpr Millis HoldGrace{400};
+/// Misses in a row that make a worker silent, so that copies are run elsewhere.
+constexpr std::uint32_t SilentAfterMisses = 2;
 /// Wait of a hold while a serving task is over its limit.
 constexpr Millis DisturbedWait{400};
 /// Between holds of a worker that does not answer.
@@ -147,6 +149,11 @@
     Lead.Events.push_back("event=worker-silent worker=" +
                           workerName(State, Worker) +
                           " cause=" + std::string{nameOf(Verdict)});
+  }
+  Session.Misses += 1;
+  Session.IsVerified = false;
+  Session.NextHoldAt = Session.Misses == 1 ? Now : Now + HoldRetryEvery;
+  if (Session.Misses == SilentAfterMisses) {
     for (const TaskKey &Key : Session.Tasks) {
       Launch &Item = Lead.Launches.at(Key);
       if (Item.Phase != LaunchPhase::Sending) {
@@ -154,9 +161,6 @@
       }
     }
   }
-  Session.Misses += 1;
-  Session.IsVerified = false;
-  Session.NextHoldAt = Now + HoldRetryEvery;
   Lead.Counters.Unanswered += 1;
 }
 
@@ -674,6 +678,10 @@
     } else if (Result.Verdict == OrderVerdict::Done ||
                Result.Verdict == OrderVerdict::Refused) {
       noteAnswer(Lead, State, Order.Worker, *Session, Result, Now);
+    } else if (Order.Kind != WorkerOrderKind::Hold &&
+               Result.Verdict == OrderVerdict::Unanswered) {
+      // One order may get lost; a look tells whether the worker is silent.
+      Session->WantsLook = true;
     } else {
       noteMiss(Lead, State, Order.Worker, *Session, Result.Verdict, Now, Wall);
     }
