--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -573,7 +573,7 @@
   for (const LifeId Id : State.Workers.ids()) {
     WorkerSession &Session = Lead.Sessions[Id];
     const WorkerLife &Worker = State.Workers[Id];
-    if (Session.WantsLook && Session.LookOrder == 0 && Session.Misses == 0) {
+    if (Session.WantsLook && Session.LookOrder == 0) {
       sendLook(Lead, Worker, Id, Session, Now);
     }
     if (Session.HoldOrder != 0 || Now < Session.NextHoldAt ||
@@ -678,11 +678,9 @@
     } else if (Result.Verdict == OrderVerdict::Done ||
                Result.Verdict == OrderVerdict::Refused) {
       noteAnswer(Lead, State, Order.Worker, *Session, Result, Now);
-    } else if (Order.Kind != WorkerOrderKind::Hold &&
-               Result.Verdict == OrderVerdict::Unanswered) {
-      // One order may get lost; a look tells whether the worker is silent.
-      Session->WantsLook = true;
     } else {
+      // One order may get lost; a look tells whether the worker is silent.
+      Session->WantsLook = Order.Kind != WorkerOrderKind::Hold;
       noteMiss(Lead, State, Order.Worker, *Session, Result.Verdict, Now, Wall);
     }
   }
