--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -108,10 +108,10 @@
   }
   WorkerSession &Session = Lead.Sessions[To];
   Session.Tasks = std::move(Former->second.Tasks);
-  // Orders for the former life may have reached this one, whose clock starts
-  // anew: they then last as long as the worker grants.
-  Session.LeaseEnd =
-      Now + leaseBound(Lead.Options, Lead.Options.MaxLease) + OrderTimeout;
+  // Orders for the former life may have reached this one, or still be carried
+  // out. As its clock starts anew they last as long as the worker grants.
+  Session.LeaseEnd = Now + Lead.Options.LateOrder +
+                     leaseBound(Lead.Options, Lead.Options.MaxLease);
   for (const TaskKey &Key : Session.Tasks) {
     Lead.Launches.at(Key).Item.Worker = To;
   }
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -17,6 +17,7 @@
 struct DispatchOptions {
   Millis Lease{4000};       ///< Given to what runs with each order.
   Millis MaxLease{6000};    ///< Longest that a worker grants.
+  Millis LateOrder{12000};  ///< Latest that an unanswered order is carried out.
   int DriftPercent = 2;     ///< By which a worker's clock may be slow.
   Millis LeaseSlack{200};   ///< Added to the end of a lease that ran out.
   Millis HoldWait{1000};    ///< How long a hold waits for an end.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -95,13 +95,14 @@
   WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
   const bool IsWell = Session.IsSettled && Session.Misses == 0;
   Order.AckedEnds = Session.IsVerified ? Worker.AckedEnds : 0;
-  Order.NeedsKeptConnection = Order.AckedEnds != 0;
+  Order.NeedsKeptConnection = Session.IsVerified;
   if (IsWell && Session.IsVerified && Worker.Tasks != 0) {
     Order.Wait = Session.IsDisturbed ? DisturbedWait : Lead.Options.HoldWait;
   }
   OpenOrder Open;
-  // A worker that does not answer must not be given more time unseen.
-  if (Session.Clock && Session.Misses == 0) {
+  // A worker that does not answer must not be given more time unseen, and the
+  // next life none by the clock of this one.
+  if (Session.Clock && Session.Misses == 0 && Session.IsVerified) {
     Order.Expires = extendLease(Lead, Session, Now);
     Open.HasLease = true;
   }
@@ -670,7 +671,7 @@
       Session->LookOrder = 0;
     }
     const bool HadNoConnection = Order.Kind == WorkerOrderKind::Hold &&
-                                 Order.AckedEnds != 0 &&
+                                 (Order.HasLease || Order.AckedEnds != 0) &&
                                  Result.Verdict == OrderVerdict::Unsent;
     if (HadNoConnection) {
       Session->IsVerified = false;
