--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -57,8 +57,8 @@
 public:
   ReadableHandler(ACE_Reactor &Loop, int Descriptor,
                   std::function<void()> OnReadable)
-      : ACE_Event_Handler{&Loop}, Descriptor{Descriptor},
-        OnReadable{std::move(OnReadable)} {
+      : ACE_Event_Handler{&Loop}, Descriptor{Descriptor}, OnReadable{std::move(
+                                                              OnReadable)} {
     Loop.register_handler(this, READ_MASK);
   }
   ~ReadableHandler() override {
@@ -223,8 +223,8 @@
   }
   Incarnation = *Identity;
   Writer = std::make_unique<GroupWriter>(std::move(*Store));
-  WriterWaker = std::make_unique<ReadableHandler>(
-      Loop, Writer->descriptor(), [this] {
+  WriterWaker =
+      std::make_unique<ReadableHandler>(Loop, Writer->descriptor(), [this] {
         if (Writer->takeDone()) {
           Node->writeDone();
         }
@@ -242,26 +242,24 @@
     }
     Stored = std::move(*Opened);
   }
-  Node = std::make_unique<CellNode>(nodeOptions(Settings, Incarnation),
-                                    std::move(Stored),
-                                    SuspendAwareClock::now());
+  Node =
+      std::make_unique<CellNode>(nodeOptions(Settings, Incarnation),
+                                 std::move(Stored), SuspendAwareClock::now());
   event("event=start incarnation=" + std::to_string(Incarnation) +
         " voter=" + (Settings.IsVoter ? "yes" : "no"));
   return {};
 }
 
 tl::expected<void, std::string> CellDaemon::Impl::openLinks() {
-  auto Opened = PeerLinks::open({Settings.Host, Settings.PeerPort}, Loop,
-                                [this](std::string_view Payload) {
-                                  const auto Message =
-                                      decodeCellMessage(Payload);
-                                  if (Message) {
-                                    Node->receive(*Message,
-                                                  SuspendAwareClock::now(),
-                                                  wallNow());
-                                  }
-                                  return Message.has_value();
-                                });
+  auto Opened = PeerLinks::open(
+      {Settings.Host, Settings.PeerPort}, Loop,
+      [this](std::string_view Payload) {
+        const auto Message = decodeCellMessage(Payload);
+        if (Message) {
+          Node->receive(*Message, SuspendAwareClock::now(), wallNow());
+        }
+        return Message.has_value();
+      });
   if (!Opened) {
     return tl::make_unexpected(Opened.error());
   }
@@ -288,8 +286,8 @@
   Front Item;
   Item.Http = std::move(*Http);
   HttpServer &Server = *Item.Http;
-  Item.Waker = std::make_unique<ReadableHandler>(
-      Loop, Server.descriptor(), [&Server] { Server.run(); });
+  Item.Waker = std::make_unique<ReadableHandler>(Loop, Server.descriptor(),
+                                                 [&Server] { Server.run(); });
   Fronts.push_back(std::move(Item));
   return {};
 }
@@ -309,10 +307,9 @@
   };
   const Serve Metrics = [this](HttpServer &Http, std::uint64_t Id,
                                const ApiRequest & /*Request*/) {
-    Http.respond(Id,
-                 {200, "text/plain; version=0.0.4",
-                  Telemetry.render(Node->view(), Links->counters(),
-                                   Writer ? Writer->failures() : 0)});
+    Http.respond(Id, {200, "text/plain; version=0.0.4",
+                      Telemetry.render(Node->view(), Links->counters(),
+                                       Writer ? Writer->failures() : 0)});
   };
   return listen(Settings.Callers, CallsFrom(Listener::Callers))
       .and_then([&] {
@@ -381,13 +378,14 @@
   Telemetry.observeCall(std::chrono::duration<double>(Took).count());
   if (Done.Reply.Verdict == CellVerdict::Refused ||
       Done.Reply.Verdict == CellVerdict::Unknown) {
-    event("event=not-served verdict=" +
-          std::string{nameOf(Done.Reply.Verdict)} +
-          " after_ms=" + std::to_string(Took.count()) +
-          " reason=" + Done.Reply.Text);
-  }
-  Item.Http->respond(Item.Exchange, Protocol->encodeReply(Item.Shape, Done.Reply,
-                                                          controlAddress()));
+    event(
+        "event=not-served verdict=" + std::string{nameOf(Done.Reply.Verdict)} +
+        " after_ms=" + std::to_string(Took.count()) +
+        " reason=" + Done.Reply.Text);
+  }
+  Item.Http->respond(
+      Item.Exchange,
+      Protocol->encodeReply(Item.Shape, Done.Reply, controlAddress()));
 }
 
 void CellDaemon::Impl::sendPeer(const CellMessage &Message) {
@@ -496,8 +494,7 @@
   if (Now - LeftAt >= Settings.LeaveWithin) {
     return true;
   }
-  const bool IsDrained =
-      !Settings.Callers || Now - LeftAt >= LingerCallers;
+  const bool IsDrained = !Settings.Callers || Now - LeftAt >= LingerCallers;
   return IsDrained && Open.empty() && !Node->isLeading(Now);
 }
 
@@ -525,8 +522,7 @@
 
 int CellDaemon::main(const std::string &SettingsFile,
                      std::unique_ptr<Gateway> Protocol) {
-  const auto Settings =
-      parseCellSettings(SettingsFile, readFile(SettingsFile));
+  const auto Settings = parseCellSettings(SettingsFile, readFile(SettingsFile));
   if (!Settings) {
     LOG(ERROR) << Settings.error().render();
     return 2;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,11 +1,11 @@
 #include "daemon/daemon.hpp"
 
-#include "mulberryramp/storage/identity.hpp"
 #include "daemon/state_log.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/http/server.hpp"
 #include "mulberryramp/net/peer_links.hpp"
 #include "mulberryramp/node/node.hpp"
+#include "mulberryramp/storage/identity.hpp"
 #include "mulberryramp/telemetry/metrics.hpp"
 
 #include <ace/Dev_Poll_Reactor.h>
@@ -105,8 +105,8 @@
   }
   Self.Core = std::move(*Core);
   const NodeSettings &Mine = *findNode(Deployment, Deployment.Self);
-  auto Links = PeerLinks::open(
-      Mine.Peer, Self.Loop, [&Self](std::string_view Payload) {
+  auto Links =
+      PeerLinks::open(Mine.Peer, Self.Loop, [&Self](std::string_view Payload) {
         const auto Message = decodeMessage(Payload);
         if (Message) {
           Self.Core->receive(*Message, SuspendAwareClock::now(), wallNow());
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,6 @@
 #include "daemon/daemon.hpp"
-#include "mulberryramp/storage/identity.hpp"
 #include "mulberryramp/node/node.hpp"
+#include "mulberryramp/storage/identity.hpp"
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
--- a/src/mulberryramp/cell/advice.cpp
+++ b/src/mulberryramp/cell/advice.cpp
@@ -36,7 +36,8 @@
 AdviceNode *findFreeNode(Dispatcher &Lead, Instant Now, NodeId &Chosen) {
   AdviceNode *Best = nullptr;
   for (auto &[Id, Node] : Lead.Nodes) {
-    if (isFree(Lead, Id, Node, Now) && (Best == nullptr || Chosen == Lead.Self)) {
+    if (isFree(Lead, Id, Node, Now) &&
+        (Best == nullptr || Chosen == Lead.Self)) {
       Best = &Node;
       Chosen = Id;
     }
@@ -73,7 +74,8 @@
   if (Known.Question != 0 || Now < Known.RetryAt) {
     return false;
   }
-  const bool IsLong = Rules.DecisionMs > static_cast<double>(LongAnswer.count());
+  const bool IsLong =
+      Rules.DecisionMs > static_cast<double>(LongAnswer.count());
   const std::size_t Kept = IsLong ? Lead.Nodes.size() / FreeShare : 0;
   return countFreeNodes(Lead, Now) > Kept;
 }
@@ -100,8 +102,7 @@
   }
   Node->Question = Question.Id;
   Known.Question = Question.Id;
-  Lead.Questions[Question.Id] = {Step, Chosen, Workers,
-                                 Now + Question.Timeout};
+  Lead.Questions[Question.Id] = {Step, Chosen, Workers, Now + Question.Timeout};
   Lead.Counters.Questions += 1;
   Lead.Asks.push_back({Chosen, std::move(Question)});
   return true;
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -186,9 +186,9 @@
 std::uint32_t CellNode::countPending(const JobQueue &Queue) const {
   std::uint32_t Count = 0;
   for (const JobId Id : State.Jobs.ids()) {
-    Count +=
-        State.Jobs[Id].Phase == JobPhase::Queued && isOfQueue(Id, Queue) ? 1
-                                                                         : 0;
+    Count += State.Jobs[Id].Phase == JobPhase::Queued && isOfQueue(Id, Queue)
+                 ? 1
+                 : 0;
   }
   return Count;
 }
@@ -226,8 +226,7 @@
 }
 
 void CellNode::submitJob(const Waiter &For, const JobQueue &Queue,
-                         std::string Name, const JobCall &Call,
-                         WallTime Wall) {
+                         std::string Name, const JobCall &Call, WallTime Wall) {
   if (Name.empty()) {
     answer(For.From, For.Id, reply(CellVerdict::NotFound, "no job name"));
     return;
@@ -255,10 +254,10 @@
     answer(For.From, For.Id, reply(CellVerdict::Done, "already overtaken"));
     return;
   }
-  Events.push_back("event=configure version=" +
-                   std::to_string(Call.Rules.Version) +
-                   " queues=" + std::to_string(Call.Rules.Queues.size()) +
-                   " former=" + std::to_string(State.Rules.Version));
+  Events.push_back(
+      "event=configure version=" + std::to_string(Call.Rules.Version) +
+      " queues=" + std::to_string(Call.Rules.Queues.size()) +
+      " former=" + std::to_string(State.Rules.Version));
   propose(For, ConfigureCommand{Call.Rules});
 }
 
@@ -307,8 +306,8 @@
 }
 
 void CellNode::onLeadership(const Replica &Member) {
-  const bool IsSame = Member.Role == ReplicaRole::Leader &&
-                      Member.Hard.Current == Lead.Fence;
+  const bool IsSame =
+      Member.Role == ReplicaRole::Leader && Member.Hard.Current == Lead.Fence;
   if (Lead.IsActive && !IsSame) {
     endDispatch(Lead);
     dropWaiters();
@@ -431,7 +430,7 @@
     Events.push_back("event=lead term=" + std::to_string(Member.Hard.Current) +
                      " jobs=" + std::to_string(State.Jobs.size()) +
                      " workers=" + std::to_string(State.Workers.size()));
-    beginDispatch(Lead, State, Member.Hard.Current, Now);
+    beginDispatch(Lead, State, Member.Hard.Current, Now, Wall);
     welcomeGuests(Now);
   }
   if (MayLead && Lead.IsActive) {
@@ -478,8 +477,8 @@
   std::string Line = "event=role role=" + std::string{Seen.Role} +
                      " leader=" + std::to_string(Seen.Leader) +
                      " term=" + std::to_string(Seen.InTerm) +
-                     " voters=" + std::to_string(Seen.Voters) + " ready=" +
-                     (Relay.isServed(Now) ? "yes" : "no");
+                     " voters=" + std::to_string(Seen.Voters) +
+                     " ready=" + (Relay.isServed(Now) ? "yes" : "no");
   if (Line != LastRole) {
     Events.push_back(Line);
     LastRole = std::move(Line);
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -155,7 +155,7 @@
   std::vector<Waiter> ProposalWaiters;
   std::map<LogIndex, std::vector<Waiter>> Waiters;
   std::vector<CellMessage> Out;
-  std::map<NodeId, Instant> Guests; ///< Nodes that greeted, and when.
+  std::map<NodeId, Instant> Guests;        ///< Nodes that greeted, and when.
   std::map<std::uint64_t, AskedFor> Asked; ///< Questions under way here.
   std::uint64_t NextQuestion = 1;
   std::vector<AdviceQuestion> Questions;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -21,6 +21,8 @@
 constexpr Millis SweepEvery{1000};
 /// Silence after which a worker that runs nothing is forgotten.
 constexpr Millis ForgetWorkerAfter{20000};
+/// Civil clocks of machines differ by less.
+constexpr Millis ClockSkew{3000};
 
 WorkerSession &openSession(Dispatcher &Lead, LifeId Worker,
                            const WorkerLife &Life, Instant Now) {
@@ -68,10 +70,10 @@
   const LifeId Worker = Found->second.Item.Worker;
   const auto Session = Lead.Sessions.find(Worker);
   if (Session != Lead.Sessions.end()) {
-    const bool MayRun = Found->second.IsGivenUp ||
-                        std::find(Change.Unsettled.begin(),
-                                  Change.Unsettled.end(),
-                                  Worker) != Change.Unsettled.end();
+    const bool MayRun =
+        Found->second.IsGivenUp ||
+        std::find(Change.Unsettled.begin(), Change.Unsettled.end(), Worker) !=
+            Change.Unsettled.end();
     if (MayRun && End.Kind == EndKind::Lost) {
       Ghost Left;
       Left.Key = End.Key;
@@ -101,6 +103,14 @@
   }
 }
 
+/// Orders for the former life may have reached this one, or still be carried
+/// out. As its clock starts anew they last as long as the worker grants.
+void allowForFormerLife(const Dispatcher &Lead, WorkerSession &Session,
+                        Instant Now) {
+  Session.LeaseEnd = Now + Lead.Options.LateOrder +
+                     leaseBound(Lead.Options, Lead.Options.MaxLease);
+}
+
 void moveLaunches(Dispatcher &Lead, LifeId From, LifeId To, Instant Now) {
   const auto Former = Lead.Sessions.find(From);
   if (Former == Lead.Sessions.end()) {
@@ -108,10 +118,7 @@
   }
   WorkerSession &Session = Lead.Sessions[To];
   Session.Tasks = std::move(Former->second.Tasks);
-  // Orders for the former life may have reached this one, or still be carried
-  // out. As its clock starts anew they last as long as the worker grants.
-  Session.LeaseEnd = Now + Lead.Options.LateOrder +
-                     leaseBound(Lead.Options, Lead.Options.MaxLease);
+  allowForFormerLife(Lead, Session, Now);
   for (const TaskKey &Key : Session.Tasks) {
     Lead.Launches.at(Key).Item.Worker = To;
   }
@@ -175,13 +182,18 @@
 }
 
 void beginDispatch(Dispatcher &Lead, const CellState &State, Term Fence,
-                   Instant Now) {
+                   Instant Now, WallTime Wall) {
   endDispatch(Lead);
   Lead.IsActive = true;
   Lead.Fence = Fence;
   Lead.IsDirty = true;
   for (const LifeId Id : State.Workers.ids()) {
-    openSession(Lead, Id, State.Workers[Id], Now);
+    const WorkerLife &Worker = State.Workers[Id];
+    WorkerSession &Session = openSession(Lead, Id, Worker, Now);
+    const WallTime Born{Millis{Worker.Report.Born}};
+    if (Wall - Born < Lead.Options.LateOrder + ClockSkew) {
+      allowForFormerLife(Lead, Session, Now);
+    }
   }
   inheritAll(Lead, State, Now);
   Lead.Nodes[Lead.Self].HeardAt = Now;
@@ -204,19 +216,20 @@
     Lead.Counters.Ends += 1;
     forgetLaunch(Lead, State, End, Change);
     const TaskName Name = nameTask(State, End.Key);
-    Lead.Events.push_back(
-        "event=end job=" + Name.Job + " run=" + std::to_string(Name.Run) +
-        " step=" + std::to_string(Name.Step) +
-        " task=" + std::to_string(Name.Task) + " attempt=" +
-        std::to_string(End.Attempt) + " how=" + std::string{nameOf(End.Kind)});
+    Lead.Events.push_back("event=end job=" + Name.Job +
+                          " run=" + std::to_string(Name.Run) +
+                          " step=" + std::to_string(Name.Step) +
+                          " task=" + std::to_string(Name.Task) +
+                          " attempt=" + std::to_string(End.Attempt) +
+                          " how=" + std::string{nameOf(End.Kind)});
     if (State.Jobs.contains(End.Key.Job) &&
         State.Jobs[End.Key.Job].Spec.Steps[End.Key.Step].IsGang) {
       forgetReleased(Lead, State, End.Key.Job);
     }
   }
   if (Change.Worker.isSet()) {
-    WorkerSession &Session = openSession(Lead, Change.Worker,
-                                         State.Workers[Change.Worker], Now);
+    WorkerSession &Session =
+        openSession(Lead, Change.Worker, State.Workers[Change.Worker], Now);
     Session.IsSettled = !Change.Former.isSet();
     if (Change.Former.isSet()) {
       moveLaunches(Lead, Change.Former, Change.Worker, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -51,7 +51,7 @@
   std::optional<Instant> StopAckedAt;
   std::uint64_t StopOrder = 0; ///< Open stop.
   bool IsEndProposed = false;
-  bool IsGivenUp = false; ///< Its proposed end is not known for certain.
+  bool IsGivenUp = false;    ///< Its proposed end is not known for certain.
   std::uint32_t Percent = 0; ///< Last progress that was listed.
   Instant ProgressAt;        ///< When it last rose.
   std::uint32_t ListedPercent = 0; ///< Progress when it was first listed.
@@ -195,7 +195,7 @@
   std::map<NodeId, AdviceNode> Nodes;
   std::map<std::uint64_t, OpenQuestion> Questions;
   std::uint64_t NextId = 1;
-  bool IsDirty = false;      ///< Something changed that may let tasks start.
+  bool IsDirty = false;       ///< Something changed that may let tasks start.
   bool HasOpenStarts = false; ///< Starts were proposed and not yet applied.
   Instant PlannedAt;          ///< Last look.
   Instant PlanAt;             ///< Next look without a change.
@@ -214,8 +214,9 @@
 /// @param State The state, with all entries of earlier terms applied.
 /// @param Fence Term of the leader.
 /// @param Now The present moment.
+/// @param Wall Civil time.
 void beginDispatch(Dispatcher &Lead, const CellState &State, Term Fence,
-                   Instant Now);
+                   Instant Now, WallTime Wall);
 
 /// @brief Stops leading.
 void endDispatch(Dispatcher &Lead);
--- a/src/mulberryramp/cell/message.hpp
+++ b/src/mulberryramp/cell/message.hpp
@@ -41,7 +41,7 @@
 /// @brief Its answer.
 struct RelayedReply {
   std::uint64_t Id = 0;
-  bool IsLeading = true; ///< False: the call has to go to another node.
+  bool IsLeading = true;   ///< False: the call has to go to another node.
   bool IsDoubtful = false; ///< The call may have had its effect.
   CellReply Reply;
 
@@ -51,9 +51,9 @@
   }
 };
 
-using CellBody = std::variant<ReplicaMessage, NodeHello, NodeWelcome,
-                              RelayedCall, RelayedReply, AdviceQuestion,
-                              AdviceAnswer>;
+using CellBody =
+    std::variant<ReplicaMessage, NodeHello, NodeWelcome, RelayedCall,
+                 RelayedReply, AdviceQuestion, AdviceAnswer>;
 
 /// @brief A message between nodes of a cell.
 struct CellMessage {
--- a/src/mulberryramp/cell/message_codec.cpp
+++ b/src/mulberryramp/cell/message_codec.cpp
@@ -29,8 +29,7 @@
   return encode(Commands);
 }
 
-std::optional<std::vector<CellCommand>>
-decodeCommands(std::string_view Bytes) {
+std::optional<std::vector<CellCommand>> decodeCommands(std::string_view Bytes) {
   return decodeOptional<std::vector<CellCommand>>(Bytes);
 }
 
--- a/src/mulberryramp/cell/order.hpp
+++ b/src/mulberryramp/cell/order.hpp
@@ -40,9 +40,9 @@
   TaskName Task;
   std::uint32_t Attempt = 0;
   std::string Payload;
-  std::string Saved;          ///< Checkpoint to go on from, or none.
-  std::string Ticket;         ///< Admission of the step, or none.
-  std::int64_t Expires = 0;   ///< End of the lease on the worker's clock, ms.
+  std::string Saved;           ///< Checkpoint to go on from, or none.
+  std::string Ticket;          ///< Admission of the step, or none.
+  std::int64_t Expires = 0;    ///< End of the lease on the worker's clock, ms.
   std::uint64_t AckedEnds = 0; ///< Ends that the worker may forget.
   Millis Wait{0};              ///< How long a hold waits for an end.
   /// Not to be sent on a new connection, which another life may have taken.
@@ -109,10 +109,10 @@
   OrderVerdict Verdict = OrderVerdict::Unanswered;
   RefusalReason Reason = RefusalReason::None;
   std::optional<std::int64_t> Clock; ///< Of the worker, in ms.
-  std::int64_t Born = 0;             ///< Of the life that answered; 0: not told.
-  std::vector<RunningTask> Running;  ///< Complete, for a hold.
-  std::vector<ListedEnd> Ended;      ///< For a hold.
-  bool HasMoreEnds = false;          ///< `Ended` was cut off.
+  std::int64_t Born = 0;            ///< Of the life that answered; 0: not told.
+  std::vector<RunningTask> Running; ///< Complete, for a hold.
+  std::vector<ListedEnd> Ended;     ///< For a hold.
+  bool HasMoreEnds = false;         ///< `Ended` was cut off.
 };
 
 /// @brief Names a step for the advisor.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -86,8 +86,8 @@
 }
 
 bool wantsHold(const WorkerLife &Worker, const WorkerSession &Session) {
-  return Worker.Tasks != 0 || !Session.IsSettled || !Session.Ghosts.empty() || Session.Misses != 0 ||
-         Session.AckSent < Worker.AckedEnds;
+  return Worker.Tasks != 0 || !Session.IsSettled || !Session.Ghosts.empty() ||
+         Session.Misses != 0 || Session.AckSent < Worker.AckedEnds;
 }
 
 void sendHold(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
@@ -117,8 +117,9 @@
   send(Lead, std::move(Order), Open);
 }
 
-/// Looks at once, since an open hold may wait for long. It acknowledges nothing:
-/// while the hold is open it is not known whether the worker still lives.
+/// Looks at once, since an open hold may wait for long. It acknowledges
+/// nothing: while the hold is open it is not known whether the worker still
+/// lives.
 void sendLook(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
               WorkerSession &Session, Instant Now) {
   WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
@@ -136,8 +137,7 @@
 void giveUpCopy(Dispatcher &Lead, const CellState &State, Launch &Item,
                 WallTime Wall) {
   const Job *Owner = State.Jobs.find(Item.Item.Key.Job);
-  if (Owner != nullptr &&
-      Owner->Spec.Steps[Item.Item.Key.Step].MayRunCopies) {
+  if (Owner != nullptr && Owner->Spec.Steps[Item.Item.Key.Step].MayRunCopies) {
     Item.IsGivenUp = true;
     proposeEnd(Lead, Item, EndKind::Lost, Wall);
   }
@@ -147,9 +147,9 @@
               WorkerSession &Session, OrderVerdict Verdict, Instant Now,
               WallTime Wall) {
   if (Session.Misses == 0) {
-    Lead.Events.push_back("event=worker-silent worker=" +
-                          workerName(State, Worker) +
-                          " cause=" + std::string{nameOf(Verdict)});
+    Lead.Events.push_back(
+        "event=worker-silent worker=" + workerName(State, Worker) +
+        " cause=" + std::string{nameOf(Verdict)});
   }
   Session.Misses += 1;
   Session.IsVerified = false;
@@ -205,16 +205,15 @@
     }
     return;
   }
-  Lead.Events.push_back(
-      "event=start-failed " + describe(nameTask(State, Order.Key), Order.Attempt) +
-      " worker=" + workerName(State, Order.Worker) +
-      " verdict=" + std::string{nameOf(Result.Verdict)} +
-      " reason=" + std::string{nameOf(Result.Reason)});
-  const bool IsOpen =
-      Result.Verdict == OrderVerdict::Unanswered ||
-      (Result.Verdict == OrderVerdict::Refused &&
-       (Result.Reason == RefusalReason::Old ||
-        Result.Reason == RefusalReason::Fence));
+  Lead.Events.push_back("event=start-failed " +
+                        describe(nameTask(State, Order.Key), Order.Attempt) +
+                        " worker=" + workerName(State, Order.Worker) +
+                        " verdict=" + std::string{nameOf(Result.Verdict)} +
+                        " reason=" + std::string{nameOf(Result.Reason)});
+  const bool IsOpen = Result.Verdict == OrderVerdict::Unanswered ||
+                      (Result.Verdict == OrderVerdict::Refused &&
+                       (Result.Reason == RefusalReason::Old ||
+                        Result.Reason == RefusalReason::Fence));
   if (IsOpen) {
     Item.Phase = LaunchPhase::Doubtful;
     Item.Since = Now;
@@ -223,8 +222,8 @@
     return;
   }
   if (Result.Reason == RefusalReason::Ticket) {
-    const auto Known = Lead.Advice.find(
-        {Order.Key.Job, Order.Key.Run, Order.Key.Step});
+    const auto Known =
+        Lead.Advice.find({Order.Key.Job, Order.Key.Run, Order.Key.Step});
     if (Known != Lead.Advice.end()) {
       Known->second.Admitted[Order.Worker].GoodUntil = Instant{};
     }
@@ -433,8 +432,7 @@
   bool HasStrangers = false;
   for (const RunningTask &Running : Result.Running) {
     const auto Key = keyOf(State, Running.Task);
-    const auto Found =
-        Key ? Lead.Launches.find(*Key) : Lead.Launches.end();
+    const auto Found = Key ? Lead.Launches.find(*Key) : Lead.Launches.end();
     const bool IsOurs = Found != Lead.Launches.end() &&
                         Found->second.Item.Worker == Order.Worker &&
                         Found->second.Item.Attempt == Running.Attempt;
@@ -522,8 +520,8 @@
 void sendStop(Dispatcher &Lead, const CellState &State, Launch &Item,
               std::string_view Why, Instant Now) {
   const WorkerLife *Worker = State.Workers.find(Item.Item.Worker);
-  const bool IsRecent = Item.StopSentAt != Instant{} &&
-                        Now - Item.StopSentAt < StopRetryEvery;
+  const bool IsRecent =
+      Item.StopSentAt != Instant{} && Now - Item.StopSentAt < StopRetryEvery;
   if (Worker == nullptr || Item.StopOrder != 0 || IsRecent ||
       Item.IsEndProposed) {
     return;
@@ -634,8 +632,7 @@
     }
     if (IsNew) {
       Session.IsSettled = false;
-      Lead.Events.push_back("event=lease-over worker=" +
-                            workerName(State, Id));
+      Lead.Events.push_back("event=lease-over worker=" + workerName(State, Id));
     }
   }
 }
@@ -704,8 +701,7 @@
     break;
   case WorkerOrderKind::Pace:
     if (const auto Paced = Lead.Launches.find(Order.Key);
-        Paced != Lead.Launches.end() &&
-        Result.Verdict != OrderVerdict::Done) {
+        Paced != Lead.Launches.end() && Result.Verdict != OrderVerdict::Done) {
       Paced->second.Pace = 100; // Tried again by the next review.
     }
     break;
@@ -720,8 +716,8 @@
   }
   const WorkerSession &Session = Found->second;
   const Millis Silence = Lead.Options.ReportEvery * 5 / 2;
-  return Session.IsSettled && Session.Ghosts.empty() && Session.Misses == 0 && Session.Clock &&
-         !State.Workers[Worker].Report.IsDraining &&
+  return Session.IsSettled && Session.Ghosts.empty() && Session.Misses == 0 &&
+         Session.Clock && !State.Workers[Worker].Report.IsDraining &&
          Now >= Session.AvoidUntil && !isOverdue(Session, Now) &&
          Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
 }
--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -4,8 +4,7 @@
 
 namespace mulberryramp {
 
-CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds,
-                     Instant Now)
+CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now)
     : Self{Self}, LeaderLostAt{Now} {
   learn(Seeds);
 }
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -192,9 +192,10 @@
   Session.IsDisturbed = IsOver || (Session.IsDisturbed && !IsCalm);
   for (const TaskKey &Key : Session.Tasks) {
     Launch &Item = Lead.Launches.at(Key);
-    const bool IsFiller = !specOf(State, Key).IsLasting &&
-                          Item.Phase == LaunchPhase::Confirmed;
-    if (!IsFiller || (Item.PaceAt != Instant{} && Now - Item.PaceAt < PaceEvery)) {
+    const bool IsFiller =
+        !specOf(State, Key).IsLasting && Item.Phase == LaunchPhase::Confirmed;
+    if (!IsFiller ||
+        (Item.PaceAt != Instant{} && Now - Item.PaceAt < PaceEvery)) {
       continue;
     }
     if (IsOver) {
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -129,9 +129,8 @@
     Found.Priority = Item.Queue.Priority;
     Found.Objective = objectiveOf(Item, Run.Number);
     const WallTime Due = dueTime(Item, Run.Number);
-    Found.IsHopeless =
-        !Item.Spec.Steps.front().IsLasting &&
-        Wall > Due + (Found.Objective - Due) * HopelessFactor;
+    Found.IsHopeless = !Item.Spec.Steps.front().IsLasting &&
+                       Wall > Due + (Found.Objective - Due) * HopelessFactor;
     for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
       const JobStep &Each = Run.Steps[Step];
       if (Each.Assigned + Each.Done == Each.Tasks.size()) {
@@ -172,9 +171,8 @@
     const auto &Labels = Item.Life->Report.Labels;
     return Item.Life->Report.Pool == Owner.Queue.Pool &&
            (Step.IsLasting || !Item.IsDisturbed) &&
-           (Step.Label.empty() ||
-            std::find(Labels.begin(), Labels.end(), Step.Label) !=
-                Labels.end());
+           (Step.Label.empty() || std::find(Labels.begin(), Labels.end(),
+                                            Step.Label) != Labels.end());
   }
 
   /// Rates a place; lower is better.
@@ -182,9 +180,9 @@
               const JobTask *Task) const {
     const Resources Left = Item.Free - Need;
     const auto Share = [](std::int64_t Part, std::int64_t Whole) {
-      return Whole == 0 ? 0.0
-                        : static_cast<double>(Part) /
-                              static_cast<double>(Whole);
+      return Whole == 0
+                 ? 0.0
+                 : static_cast<double>(Part) / static_cast<double>(Whole);
     };
     const Resources &Whole = Item.Life->Report.Capacity;
     double Rating = Share(Left.MilliCpus, Whole.MilliCpus) +
@@ -214,9 +212,9 @@
   }
 
   /// Chooses the best place for a task, or null.
-  Place *choose(const Job &Owner, const StepSpec &Step, const StepAdvice *Advice,
-                const JobTask *Task, const std::string *Rack,
-                const TaskCounts &Counts) {
+  Place *choose(const Job &Owner, const StepSpec &Step,
+                const StepAdvice *Advice, const JobTask *Task,
+                const std::string *Rack, const TaskCounts &Counts) {
     const Resources Need = takenBy(Step);
     Place *Best = nullptr;
     double BestRating = std::numeric_limits<double>::max();
@@ -270,8 +268,9 @@
     if (Owner.Queue.Advice) {
       Advice = &Lead.Advice[Key];
     }
-    const std::size_t Missing = Spec.IsGang ? planGang(Key, Owner, Spec, Step, Advice)
-                                            : planTasks(Key, Owner, Spec, Step, Advice);
+    const std::size_t Missing = Spec.IsGang
+                                    ? planGang(Key, Owner, Spec, Step, Advice)
+                                    : planTasks(Key, Owner, Spec, Step, Advice);
     if (Missing != 0 && Advice != nullptr) {
       askFor(Key, Owner, Spec, Step, Missing);
     }
@@ -288,9 +287,9 @@
       if (Task.State != JobTaskState::Waiting) {
         continue;
       }
-      Place *Chosen =
-          Missing != 0 ? nullptr
-                       : choose(Owner, Spec, Advice, &Task, nullptr, Counts);
+      Place *Chosen = Missing != 0
+                          ? nullptr
+                          : choose(Owner, Spec, Advice, &Task, nullptr, Counts);
       if (Chosen == nullptr) {
         Missing += 1;
         continue;
--- a/src/mulberryramp/cell/start_planner.hpp
+++ b/src/mulberryramp/cell/start_planner.hpp
@@ -15,8 +15,8 @@
 /// @param Wall Civil time.
 /// @return Grants that fit together.
 [[nodiscard]] std::vector<Grant> planStarts(Dispatcher &Lead,
-                                            const CellState &State,
-                                            Instant Now, WallTime Wall);
+                                            const CellState &State, Instant Now,
+                                            WallTime Wall);
 
 /// @brief Computes when a run of a job loses worth.
 [[nodiscard]] WallTime objectiveOf(const Job &Item, std::uint32_t Run);
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -198,9 +198,8 @@
 
 NodeId nodeIdOf(const std::string &Host) noexcept {
   in_addr Address{};
-  return inet_pton(AF_INET, Host.c_str(), &Address) == 1
-             ? ntohl(Address.s_addr)
-             : 0;
+  return inet_pton(AF_INET, Host.c_str(), &Address) == 1 ? ntohl(Address.s_addr)
+                                                         : 0;
 }
 
 std::string hostOf(NodeId Node) {
--- a/src/mulberryramp/config/ini.cpp
+++ b/src/mulberryramp/config/ini.cpp
@@ -48,8 +48,8 @@
 
 } // namespace
 
-std::vector<IniPair> readIni(const std::string &Source,
-                             const std::string &Text, Findings &Report) {
+std::vector<IniPair> readIni(const std::string &Source, const std::string &Text,
+                             Findings &Report) {
   IniText Ini;
   Ini.Lines = splitLines(Text);
   const int Bad = ini_parse_stream(readIniLine, &Ini, takeIniPair, &Ini);
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -67,8 +67,8 @@
     Item->Connection = Connection;
     Item->Request.Method = Method;
     Item->Request.Path = Url;
-    const char *Host = MHD_lookup_connection_value(
-        Connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
+    const char *Host = MHD_lookup_connection_value(Connection, MHD_HEADER_KIND,
+                                                   MHD_HTTP_HEADER_HOST);
     Item->Request.Host = Host == nullptr ? "" : Host;
     MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND,
                               internal::takeQuery, &Item->Request.Query);
--- a/src/mulberryramp/job/configuration.hpp
+++ b/src/mulberryramp/job/configuration.hpp
@@ -26,13 +26,13 @@
 
 /// @brief A queue of jobs and how it is served.
 struct JobQueue {
-  std::string Host;   ///< With `Prefix`, the identity of the queue.
-  std::string Prefix; ///< Paths of its jobs begin so.
-  std::string Pool;   ///< Workers that run its tasks.
+  std::string Host;           ///< With `Prefix`, the identity of the queue.
+  std::string Prefix;         ///< Paths of its jobs begin so.
+  std::string Pool;           ///< Workers that run its tasks.
   std::uint32_t Priority = 0; ///< Lower ones go first.
   std::uint32_t MaxAttempts = 1;
-  double SlackFactor = 1; ///< Allowed stretch of the pure run time.
-  Millis Target{0};       ///< Allowed time beside the run time.
+  double SlackFactor = 1;            ///< Allowed stretch of the pure run time.
+  Millis Target{0};                  ///< Allowed time beside the run time.
   std::optional<AdviceRules> Advice; ///< Set if workers need admission.
 
   bool operator==(const JobQueue &) const = default;
--- a/src/mulberryramp/job/job.cpp
+++ b/src/mulberryramp/job/job.cpp
@@ -9,10 +9,10 @@
 }
 
 WallTime dueTime(const Job &Item, std::uint32_t Run) noexcept {
-  return Item.Spec.Repeats == 0 ? Item.AcceptedAt
-                                : Item.Spec.FirstDue +
-                                      Item.Spec.RepeatEvery *
-                                          static_cast<std::int64_t>(Run);
+  return Item.Spec.Repeats == 0
+             ? Item.AcceptedAt
+             : Item.Spec.FirstDue +
+                   Item.Spec.RepeatEvery * static_cast<std::int64_t>(Run);
 }
 
 JobRun *findRun(Job &Item, std::uint32_t Run) noexcept {
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -85,8 +85,8 @@
   JobQueue Queue; ///< As last in force.
   WallTime AcceptedAt;
   JobPhase Phase = JobPhase::Queued;
-  std::vector<JobRun> Runs;       ///< Those that are due and not yet done.
-  std::uint32_t NextRun = 0;      ///< Number of the next run that falls due.
+  std::vector<JobRun> Runs;  ///< Those that are due and not yet done.
+  std::uint32_t NextRun = 0; ///< Number of the next run that falls due.
   std::uint32_t AssignedTasks = 0;
   WallTime OverAt; ///< When it was over.
 
--- a/src/mulberryramp/job/spec.cpp
+++ b/src/mulberryramp/job/spec.cpp
@@ -24,9 +24,9 @@
     if (!isNonNegative(Step.Need)) {
       return Place + "a task cannot need less than nothing";
     }
-    const bool InOrder = std::all_of(
-        Step.After.begin(), Step.After.end(),
-        [Index](std::uint32_t Earlier) { return Earlier < Index; });
+    const bool InOrder =
+        std::all_of(Step.After.begin(), Step.After.end(),
+                    [Index](std::uint32_t Earlier) { return Earlier < Index; });
     if (!InOrder) {
       return Place + "it may only follow earlier steps";
     }
--- a/src/mulberryramp/job/spec.hpp
+++ b/src/mulberryramp/job/spec.hpp
@@ -15,9 +15,9 @@
   Millis Estimate{0};               ///< Rough run time of a task.
   std::vector<std::uint32_t> After; ///< Earlier steps that must be done first.
   bool SavesProgress = false;       ///< Tasks write checkpoints.
-  bool IsGang = false;     ///< All tasks run at the same time, or none.
-  bool IsSameRack = false; ///< Tasks are slower on more than one rack.
-  bool IsLasting = false;  ///< Tasks run until the job is cancelled.
+  bool IsGang = false;       ///< All tasks run at the same time, or none.
+  bool IsSameRack = false;   ///< Tasks are slower on more than one rack.
+  bool IsLasting = false;    ///< Tasks run until the job is cancelled.
   bool MayRunCopies = false; ///< Copies of a task may run side by side.
   bool UsesSpareCpu = false; ///< Processors are not counted against a worker.
   std::string Label;         ///< Label that the worker must have, or none.
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -64,9 +64,8 @@
   if (!IsDone) {
     return;
   }
-  std::erase_if(Item.Runs, [&Key](const JobRun &Each) {
-    return Each.Number == Key.Run;
-  });
+  std::erase_if(Item.Runs,
+                [&Key](const JobRun &Each) { return Each.Number == Key.Run; });
   if (Item.Runs.empty() && Item.NextRun >= runCount(Item.Spec) &&
       !isOver(Item.Phase)) {
     endJob(State, Key.Job, JobPhase::Completed, At, Change);
@@ -250,8 +249,7 @@
 CellChange apply(CellState &State, const WorkerJoinCommand &Item) {
   CellChange Change;
   const LifeId Known = findWorker(State, Item.Report.Name);
-  if (Known.isSet() &&
-      State.Workers[Known].Report.Born >= Item.Report.Born) {
+  if (Known.isSet() && State.Workers[Known].Report.Born >= Item.Report.Born) {
     return Change;
   }
   std::vector<LifeId> Ended;
@@ -344,8 +342,8 @@
 
 CellChange apply(CellState &State, const OpenRunCommand &Item) {
   Job *Owner = State.Jobs.find(Item.Job);
-  if (Owner != nullptr && !isOver(Owner->Phase) &&
-      Owner->NextRun == Item.Run && Item.Run < runCount(Owner->Spec)) {
+  if (Owner != nullptr && !isOver(Owner->Phase) && Owner->NextRun == Item.Run &&
+      Item.Run < runCount(Owner->Spec)) {
     openRun(*Owner);
   }
   return {};
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -25,13 +25,13 @@
 
 /// @brief What a command did.
 struct CellChange {
-  std::vector<Grant> Started;  ///< Grants that took effect.
-  std::vector<TaskEnd> Ended;  ///< Ends that took effect.
-  std::vector<JobId> Over;     ///< Jobs that it ended.
-  JobId Job;                   ///< Job that it names, if known.
-  LifeId Worker;               ///< Worker that it added.
+  std::vector<Grant> Started;    ///< Grants that took effect.
+  std::vector<TaskEnd> Ended;    ///< Ends that took effect.
+  std::vector<JobId> Over;       ///< Jobs that it ended.
+  JobId Job;                     ///< Job that it names, if known.
+  LifeId Worker;                 ///< Worker that it added.
   std::vector<LifeId> Unsettled; ///< Workers that may run more than is noted.
-  LifeId Former;               ///< Life that the added one takes over from.
+  LifeId Former;                 ///< Life that the added one takes over from.
 };
 
 /// @brief Applies a command; the outcome depends on the state alone.
--- a/src/mulberryramp/job/worker.hpp
+++ b/src/mulberryramp/job/worker.hpp
@@ -19,20 +19,19 @@
   std::vector<std::string> Labels;
   Resources Capacity;
   bool IsDraining = false;
-  Millis Remaining{0}; ///< Least time that a draining worker has left.
+  Millis Remaining{0};        ///< Least time that a draining worker has left.
   std::uint64_t Sequence = 0; ///< Rises with each report of a life.
   std::int64_t Clock = 0;     ///< Steady clock of the worker, in ms.
 
   bool operator==(const WorkerReport &) const = default;
 
   static constexpr auto fields() {
-    return std::make_tuple(
-        &WorkerReport::Name, &WorkerReport::Born, &WorkerReport::Pool,
-        &WorkerReport::Address, &WorkerReport::Centre, &WorkerReport::Rack,
-        &WorkerReport::Labels, &WorkerReport::Capacity,
-        &WorkerReport::IsDraining, &WorkerReport::Remaining,
-        &WorkerReport::Sequence,
-        &WorkerReport::Clock);
+    return std::make_tuple(&WorkerReport::Name, &WorkerReport::Born,
+                           &WorkerReport::Pool, &WorkerReport::Address,
+                           &WorkerReport::Centre, &WorkerReport::Rack,
+                           &WorkerReport::Labels, &WorkerReport::Capacity,
+                           &WorkerReport::IsDraining, &WorkerReport::Remaining,
+                           &WorkerReport::Sequence, &WorkerReport::Clock);
   }
 };
 
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -894,8 +894,7 @@
 }
 
 void finishSave(Replica &State) {
-  State.Saved =
-      std::min(std::max(State.Saved, State.Saving), lastIndex(State));
+  State.Saved = std::min(std::max(State.Saved, State.Saving), lastIndex(State));
   internal::advanceCommit(State);
 }
 
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -93,7 +93,7 @@
   std::deque<Entry> Entries; ///< Entries behind `Start`.
   std::vector<MembershipAt> Memberships;
 
-  LogIndex Saved = 0; ///< Last entry that is synced here.
+  LogIndex Saved = 0;  ///< Last entry that is synced here.
   LogIndex Saving = 0; ///< Last entry of the write that is under way.
   LogIndex Commit = 0;
   LogIndex SavedCommit = 0; ///< Commit that is synced here.
--- a/src/mulberryramp/storage/group_store.hpp
+++ b/src/mulberryramp/storage/group_store.hpp
@@ -43,8 +43,8 @@
   FileSystem *Files;
   std::string Folder;
   std::uint64_t Generation = 0;
-  std::size_t LogBytes = 0;  ///< Synced bytes of the log file.
-  bool HasFailed = false;    ///< Bytes behind `LogBytes` may be left over.
+  std::size_t LogBytes = 0; ///< Synced bytes of the log file.
+  bool HasFailed = false;   ///< Bytes behind `LogBytes` may be left over.
 };
 
 } // namespace mulberryramp
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -126,12 +126,14 @@
   }
 
 private:
-  [[nodiscard]] WallTime wall() const { return WallTime{Now.time_since_epoch()}; }
+  [[nodiscard]] WallTime wall() const {
+    return WallTime{Now.time_since_epoch()};
+  }
 
   void violate(const std::string &Text) {
     Result.Violations.push_back(
-        std::to_string((Now - Instant{Millis{100000}}).count()) + " ms: " +
-        Text);
+        std::to_string((Now - Instant{Millis{100000}}).count()) +
+        " ms: " + Text);
   }
 
   static CellNodeOptions voterOptions(NodeId Id, std::uint64_t Incarnation,
@@ -440,8 +442,7 @@
       }
       Item.WorkerLife = Workers.at(Item.Worker).Life;
       if (Order.NeedsKeptConnection &&
-          Workers.at(Item.Worker).KnownLife[{From, Life}] !=
-              Item.WorkerLife) {
+          Workers.at(Item.Worker).KnownLife[{From, Life}] != Item.WorkerLife) {
         OrderResult Unsent;
         Unsent.Id = Order.Id;
         Unsent.Verdict = OrderVerdict::Unsent;
@@ -651,8 +652,7 @@
     const auto Acked = AckedDone.find(Deed.Task);
     // Copies have a time bound, and late orders none.
     const Millis Allowed = Step.MayRunCopies ? Millis{1000} : Millis{0};
-    const bool IsExempt =
-        Step.IsLasting || (Step.MayRunCopies && Deed.IsLate);
+    const bool IsExempt = Step.IsLasting || (Step.MayRunCopies && Deed.IsLate);
     if (Acked != AckedDone.end() && Now - Acked->second > Allowed &&
         !IsExempt) {
       violate("start after its end was acknowledged: " + Text);
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -42,8 +42,8 @@
   Into.Born = Born;
   for (const auto &[Task, Item] : Runs) {
     const auto Worked = (Now - Item.BeganAt).count();
-    const auto Whole = std::max<std::int64_t>(
-        (Item.EndsAt - Item.BeganAt).count(), 1);
+    const auto Whole =
+        std::max<std::int64_t>((Item.EndsAt - Item.BeganAt).count(), 1);
     const auto Percent = static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(Worked * 100 / Whole, 0, 100));
     Into.Running.push_back(
@@ -69,9 +69,8 @@
                        Item.Kind, false});
     }
   }
-  std::erase_if(Ends, [UpTo](const ListedEnd &Item) {
-    return Item.Number <= UpTo;
-  });
+  std::erase_if(Ends,
+                [UpTo](const ListedEnd &Item) { return Item.Number <= UpTo; });
 }
 
 OrderResult FakeWorker::start(const WorkerOrder &Order, Instant Now,
@@ -98,8 +97,8 @@
   extend(Order.Expires, Now);
   const bool IsLasting = Order.Payload == "lasting";
   const auto Extra = static_cast<std::int64_t>(Draw.below(400));
-  Runs[Order.Task] = {Order.Attempt, Now, Now + WorkTime + Millis{Extra},
-                      false, IsLasting};
+  Runs[Order.Task] = {Order.Attempt, Now, Now + WorkTime + Millis{Extra}, false,
+                      IsLasting};
   Deeds.push_back({WorkerDeed::Kind::Started, Order.Task, Order.Attempt,
                    EndKind::Done, IsLate});
   return Result;
@@ -172,8 +171,8 @@
   std::vector<EndKind> Hows;
   for (const auto &[Task, Item] : Runs) {
     const bool HasLapsed = clock(Now) >= Expires;
-    const bool IsOver = Now >= Item.EndsAt &&
-                        (!Item.IsLasting || Item.IsStopping);
+    const bool IsOver =
+        Now >= Item.EndsAt && (!Item.IsLasting || Item.IsStopping);
     if (!HasLapsed && !IsOver) {
       continue;
     }
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -121,8 +121,7 @@
   const LifeId Worker = On.join("w", 1);
   const JobId Id = On.submit("j", {step(2)});
   On.start({Id, 0, 0, 0}, 1, Worker);
-  const CellChange Change =
-      applyCommand(On.State, CancelJobCommand{"j", Noon});
+  const CellChange Change = applyCommand(On.State, CancelJobCommand{"j", Noon});
   CHECK_EQUAL(1, Change.Over.size());
   CHECK(On.start({Id, 0, 0, 1}, 1, Worker).Started.empty());
   CHECK_EQUAL(1, On.State.Workers[Worker].Tasks);
@@ -268,7 +267,8 @@
   JobQueue Inner = Rules.Queues.front();
   Inner.Prefix = "/q/inner/";
   Rules.Queues.push_back(Inner);
-  STRCMP_EQUAL("/q/inner/", findQueue(Rules, "host", "/q/inner/x")->Prefix.c_str());
+  STRCMP_EQUAL("/q/inner/",
+               findQueue(Rules, "host", "/q/inner/x")->Prefix.c_str());
   STRCMP_EQUAL("/q/", findQueue(Rules, "host", "/q/x")->Prefix.c_str());
   CHECK(findQueue(Rules, "other", "/q/x") == nullptr);
 }
--- a/test/platform/gateway_test.cpp
+++ b/test/platform/gateway_test.cpp
@@ -136,14 +136,13 @@
   CHECK_EQUAL(400, statusOfConfiguration(Good.substr(0, Good.size() / 2)));
   CHECK_EQUAL(400, statusOfConfiguration(
                        configuration(std::string{Route} + "," + Route)));
-  CHECK_EQUAL(400, statusOfConfiguration(
-                       configuration(Route, R"({"name":"other"})")));
-  CHECK_EQUAL(400, statusOfConfiguration(replaced(
-                       Good, R"("timeout_ms":3000)", R"("timeout_ms":0)")));
+  CHECK_EQUAL(
+      400, statusOfConfiguration(configuration(Route, R"({"name":"other"})")));
+  CHECK_EQUAL(400, statusOfConfiguration(replaced(Good, R"("timeout_ms":3000)",
+                                                  R"("timeout_ms":0)")));
   CHECK_EQUAL(400, statusOfConfiguration(
                        replaced(Good, R"("version":7)", R"("version":"7")")));
-  CHECK_EQUAL(400, statusOfConfiguration(
-                       replaced(Good, R"("host":"h",)", "")));
+  CHECK_EQUAL(400, statusOfConfiguration(replaced(Good, R"("host":"h",)", "")));
 }
 
 TEST(PlatformGateway, ReadsAReportOfAWorker) {
@@ -257,7 +256,8 @@
   Question.Step = {"5c0e", 0, 1};
   const AdviceAnswer Known = Gate.decodeAdvice(
       Question,
-      {200, false, R"({"eligible":[["i-1","t1"],["i-2","t2"]],"valid_ms":2000})"});
+      {200, false,
+       R"({"eligible":[["i-1","t1"],["i-2","t2"]],"valid_ms":2000})"});
   CHECK(Known.IsAnswered);
   CHECK_EQUAL(2, Known.Admitted.size());
   CHECK_EQUAL(2000, Known.TicketLife.count());
--- a/test/replica/replica_test.cpp
+++ b/test/replica/replica_test.cpp
@@ -287,15 +287,19 @@
   const Member First{2, 1};
   receive(State, Three.Now,
           {"g", First, State.Self,
-           AppendRequest{1, 0, 0, {{1, 1, EntryKind::Noop, ""},
-                                   {1, 2, EntryKind::Command, "a"}},
-                         0, Three.Now}});
+           AppendRequest{
+               1,
+               0,
+               0,
+               {{1, 1, EntryKind::Noop, ""}, {1, 2, EntryKind::Command, "a"}},
+               0,
+               Three.Now}});
   CHECK(beginSave(State).has_value());
   const Member Second{3, 1};
   receive(State, Three.Now,
           {"g", Second, State.Self,
-           AppendRequest{2, 1, 1, {{2, 2, EntryKind::Command, "b"}}, 0,
-                         Three.Now}});
+           AppendRequest{
+               2, 1, 1, {{2, 2, EntryKind::Command, "b"}}, 0, Three.Now}});
   finishSave(State);
   CHECK_EQUAL(1, State.Saved);
   CHECK(beginSave(State).has_value());
