--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -157,7 +157,7 @@
   [[nodiscard]] tl::expected<void, std::string> openLinks();
   using Serve = std::function<void(HttpServer &, std::uint64_t, ApiRequest)>;
   [[nodiscard]] tl::expected<void, std::string>
-  listen(const std::optional<Endpoint> &Where, Serve OnRequest);
+  listen(const std::optional<Endpoint> &Where, const Serve &OnRequest);
   [[nodiscard]] tl::expected<void, std::string> openFronts();
 
   void onCall(Listener Where, HttpServer &Http, std::uint64_t Exchange,
@@ -203,6 +203,7 @@
   const bool IsNew = Stored.Base.Voters.Voters.empty();
   if (IsFounder && IsNew) {
     std::vector<Member> Founders;
+    Founders.reserve(Seeds.size());
     for (const NodeId Seed : Seeds) {
       Founders.push_back({Seed, FounderIncarnation});
     }
@@ -269,7 +270,7 @@
 
 tl::expected<void, std::string>
 CellDaemon::Impl::listen(const std::optional<Endpoint> &Where,
-                         Serve OnRequest) {
+                         const Serve &OnRequest) {
   if (!Where) {
     return {};
   }
--- a/src/celld/event_log.cpp
+++ b/src/celld/event_log.cpp
@@ -11,7 +11,7 @@
 /// Lines a second; a leader at its planned peak writes fewer.
 constexpr std::uint32_t MaxLinesPerSecond = 2000;
 /// Bytes that wait for the reader.
-constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+constexpr std::size_t MaxBufferedBytes = std::size_t{256} * 1024;
 constexpr std::int64_t MsPerSecond = 1000;
 
 } // namespace
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -96,7 +96,7 @@
         PlaceOfSlot.resize(Id.Slot + 1, NoPlace);
       }
       PlaceOfSlot[Id.Slot] = Places.size();
-      Places.push_back(std::move(Item));
+      Places.push_back(Item);
     }
   }
 
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -15,7 +15,7 @@
 using internal::IniPair;
 
 /// Longest time that a setting may name.
-constexpr std::int64_t MaxMillis = 24 * 3600 * 1000;
+constexpr std::int64_t MaxMillis = std::int64_t{24} * 3600 * 1000;
 
 std::vector<std::string> splitCommas(const std::string &Text) {
   std::vector<std::string> Parts;
--- a/src/mulberryramp/job/fwd.hpp
+++ b/src/mulberryramp/job/fwd.hpp
@@ -10,7 +10,7 @@
 namespace mulberryramp {
 
 /// @brief Longest payload of a job, in bytes.
-inline constexpr std::size_t MaxJobPayloadBytes = 64 * 1024;
+inline constexpr std::size_t MaxJobPayloadBytes = std::size_t{64} * 1024;
 /// @brief Most steps of a job.
 inline constexpr std::size_t MaxJobSteps = 256;
 /// @brief Most tasks of a step.
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -729,7 +729,7 @@
         Here += Task.Job == Name ? 1 : 0;
       }
     }
-    const bool HasRoom = All < 4 * WorkerCount;
+    const bool HasRoom = All < std::size_t{4} * WorkerCount;
     if (HasRoom && Here < Item.Spec.Steps.front().Tasks) {
       violate("lasting job " + Name + " does not run");
     }
