--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -86,6 +86,7 @@
   HttpServer *Http = nullptr;
   std::uint64_t Exchange = 0;
   CallShape Shape;
+  std::string Path; ///< Names the request in the log.
   Instant Since;
 };
 
@@ -352,6 +353,7 @@
   Item.Http = &Http;
   Item.Exchange = Exchange;
   Item.Shape.Kind = Call->index();
+  Item.Path = Request.Path;
   Item.Since = SuspendAwareClock::now();
   if (const auto *OfJob = std::get_if<JobCall>(&*Call)) {
     Item.Shape.Verb = OfJob->Verb;
@@ -379,10 +381,9 @@
   Telemetry.observeCall(std::chrono::duration<double>(Took).count());
   if (Done.Reply.Verdict == CellVerdict::Refused ||
       Done.Reply.Verdict == CellVerdict::Unknown) {
-    event(
-        "event=not-served verdict=" + std::string{nameOf(Done.Reply.Verdict)} +
-        " after_ms=" + std::to_string(Took.count()) +
-        " reason=" + Done.Reply.Text);
+    event("event=not-served path=" + Item.Path +
+          " verdict=" + std::string{nameOf(Done.Reply.Verdict)} + " after_ms=" +
+          std::to_string(Took.count()) + " reason=" + Done.Reply.Text);
   }
   Item.Http->respond(
       Item.Exchange,
