--- /dev/null
+++ b/test/cell/review_test.cpp
@@ -0,0 +1,124 @@
+#include "mulberryramp/cell/review.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+
+namespace {
+
+constexpr std::int64_t TailLimitMs = 100;
+
+/// A worker with a serving task and one that fills beside it, both confirmed.
+struct Shared {
+  CellState State;
+  Dispatcher Lead;
+  Instant Now{Millis{100000}};
+  TaskKey Serving;
+  TaskKey Filler;
+
+  Shared() {
+    CellConfiguration Rules;
+    Rules.Version = 1;
+    JobQueue Queue;
+    Queue.Host = "h";
+    Queue.Prefix = "/q/";
+    Queue.Pool = "pool";
+    Queue.MaxAttempts = 3;
+    Rules.Queues.push_back(Queue);
+    applyCommand(State, ConfigureCommand{Rules});
+    WorkerReport Report;
+    Report.Name = "w";
+    Report.Born = 1;
+    Report.Pool = "pool";
+    Report.Address = "w:1";
+    Report.Capacity.MilliCpus = 4000;
+    Report.Clock = 1000;
+    Report.Sequence = 1;
+    applyCommand(State, WorkerJoinCommand{Report});
+    const LifeId Worker = findWorker(State, "w");
+    beginDispatch(Lead, State, 1, Now, WallTime{Millis{100000}});
+    noteReport(Lead, Worker, Report, Now);
+    StepSpec Step;
+    Step.Estimate = Millis{60000};
+    Step.Need.MilliCpus = 1000;
+    Filler = begin("fill", Step, Worker);
+    Step.IsLasting = true;
+    Step.TailLimit = Millis{TailLimitMs};
+    Serving = begin("serve", Step, Worker);
+    Lead.Orders.clear();
+  }
+
+  TaskKey begin(const std::string &Name, const StepSpec &Step, LifeId Worker) {
+    JobSpec Spec;
+    Spec.Steps.push_back(Step);
+    applyCommand(State, SubmitJobCommand{Name, "h", "/q/", Spec, WallTime{}});
+    const TaskKey Key{findJob(State, Name), 0, 0, 0};
+    noteChange(Lead, State,
+               applyCommand(State, StartCommand{{{Key, 1, Worker}}}), Now);
+    Launch &Item = Lead.Launches.at(Key);
+    Item.Phase = LaunchPhase::Confirmed;
+    Item.Percent = Step.IsLasting ? 100 : 1;
+    return Key;
+  }
+
+  /// Lets the tail be at a value for a while.
+  void pass(std::int64_t Ms, std::int64_t Tail) {
+    for (std::int64_t Done = 0; Done < Ms; Done += 100) {
+      Now += Millis{100};
+      Launch &Item = Lead.Launches.at(Serving);
+      Item.Gauge = Tail;
+      Lead.Launches.at(Filler).ProgressAt = Now;
+      reviewLaunches(Lead, State, Now);
+    }
+  }
+
+  std::vector<std::uint32_t> takePaces() {
+    std::vector<std::uint32_t> Paces;
+    for (const WorkerOrder &Order : Lead.Orders) {
+      if (Order.Kind == WorkerOrderKind::Pace) {
+        STRCMP_EQUAL("fill", Order.Task.Job.c_str());
+        Paces.push_back(Order.Percent);
+      }
+    }
+    Lead.Orders.clear();
+    return Paces;
+  }
+};
+
+} // namespace
+
+TEST_GROUP(CellReview){};
+
+TEST(CellReview, ATailInBoundsChangesNothing) {
+  Shared On;
+  On.pass(3000, TailLimitMs);
+  CHECK(On.takePaces().empty());
+}
+
+TEST(CellReview, WhatFillsIsPacedAndThenStoppedWhileATailIsOverItsLimit) {
+  Shared On;
+  On.pass(3000, TailLimitMs + 1);
+  const auto Paces = On.takePaces();
+  CHECK_EQUAL(2, Paces.size());
+  CHECK(Paces[0] < 100 && Paces[0] > 0);
+  CHECK_EQUAL(0, Paces[1]);
+}
+
+TEST(CellReview, WhatWasPacedGoesOnOnceTheTailIsCalm) {
+  Shared On;
+  On.pass(3000, TailLimitMs + 1);
+  (void)On.takePaces();
+  On.pass(3000, TailLimitMs / 2);
+  const auto Paces = On.takePaces();
+  CHECK_EQUAL(2, Paces.size());
+  CHECK_EQUAL(100, Paces[1]);
+}
+
+TEST(CellReview, TasksOfACancelledJobAreStopped) {
+  Shared On;
+  applyCommand(On.State, CancelJobCommand{"serve", WallTime{}});
+  On.pass(100, 0);
+  CHECK_EQUAL(1, On.Lead.Orders.size());
+  CHECK(WorkerOrderKind::Stop == On.Lead.Orders.front().Kind);
+  STRCMP_EQUAL("serve", On.Lead.Orders.front().Task.Job.c_str());
+}
