--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.hpp"
 
 #include "daemon/state_log.hpp"
+#include "mulberryramp/admin/api.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/http/server.hpp"
 #include "mulberryramp/net/peer_links.hpp"
