--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -86,7 +86,7 @@
 
 void CellNode::onHello(NodeId From, Instant Now) {
   if (Group) {
-    Guests[From] = Now;
+    Greeters[From] = Now;
     welcome(From, Now);
   }
 }
@@ -106,12 +106,12 @@
   send(From, std::move(Welcome));
 }
 
-void CellNode::welcomeGuests(Instant Now) {
-  std::erase_if(Guests, [Now](const auto &Guest) {
-    return Now - Guest.second > GuestLostAfter;
+void CellNode::welcomeGreeters(Instant Now) {
+  std::erase_if(Greeters, [Now](const auto &Greeter) {
+    return Now - Greeter.second > GreeterLostAfter;
   });
-  for (const auto &[Guest, HeardAt] : Guests) {
-    welcome(Guest, Now);
+  for (const auto &[Greeter, HeardAt] : Greeters) {
+    welcome(Greeter, Now);
   }
 }
 
@@ -431,7 +431,7 @@
                      " jobs=" + std::to_string(State.Jobs.size()) +
                      " workers=" + std::to_string(State.Workers.size()));
     beginDispatch(Lead, State, Member.Hard.Current, Now, Wall);
-    welcomeGuests(Now);
+    welcomeGreeters(Now);
   }
   if (MayLead && Lead.IsActive) {
     stepDispatch(Lead, State, Now, Wall);
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -117,7 +117,7 @@
 
   void onHello(NodeId From, Instant Now);
   void welcome(NodeId From, Instant Now);
-  void welcomeGuests(Instant Now);
+  void welcomeGreeters(Instant Now);
   void onCall(NodeId From, const RelayedCall &Call, WallTime Wall);
   void onQuestion(NodeId From, const AdviceQuestion &Question);
   void answer(NodeId To, std::uint64_t Id, CellReply Reply);
@@ -155,7 +155,7 @@
   std::vector<Waiter> ProposalWaiters;
   std::map<LogIndex, std::vector<Waiter>> Waiters;
   std::vector<CellMessage> Out;
-  std::map<NodeId, Instant> Guests;        ///< Nodes that greeted, and when.
+  std::map<NodeId, Instant> Greeters;      ///< Nodes that greeted, and when.
   std::map<std::uint64_t, AskedFor> Asked; ///< Questions under way here.
   std::uint64_t NextQuestion = 1;
   std::vector<AdviceQuestion> Questions;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -75,11 +75,11 @@
         std::find(Change.Unsettled.begin(), Change.Unsettled.end(), Worker) !=
             Change.Unsettled.end();
     if (MayRun && End.Kind == EndKind::Lost) {
-      Ghost Left;
+      AbandonedStart Left;
       Left.Key = End.Key;
       Left.Name = nameTask(State, End.Key);
       Left.Attempt = End.Attempt;
-      Session->second.Ghosts.push_back(std::move(Left));
+      Session->second.Abandoned.push_back(std::move(Left));
     }
     Session->second.Tasks.erase(End.Key);
   }
@@ -291,7 +291,7 @@
       Lead.Commands.emplace_back(StartCommand{std::move(Grants)});
     }
   }
-  stopGhosts(Lead, State, Now);
+  stopAbandoned(Lead, State, Now);
   sendHolds(Lead, State, Now);
 }
 
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -63,7 +63,7 @@
 };
 
 /// @brief A start that was given up though it may still run, or begin to.
-struct Ghost {
+struct AbandonedStart {
   TaskKey Key;
   TaskName Name;
   std::uint32_t Attempt = 0;
@@ -105,7 +105,8 @@
   Instant AvoidUntil;
   bool IsDisturbed = false; ///< A serving task there is over its limit.
   std::set<TaskKey> Tasks;
-  std::vector<Ghost> Ghosts; ///< None may be left when a start is sent.
+  std::vector<AbandonedStart>
+      Abandoned; ///< None may be left when a start is sent.
 };
 
 /// @brief Names one step of one run of a job.
--- a/src/mulberryramp/cell/fwd.hpp
+++ b/src/mulberryramp/cell/fwd.hpp
@@ -22,7 +22,7 @@
 /// knows whom to tell.
 inline constexpr Millis GreetOthersEvery{2000};
 /// @brief A node that was not heard for this long is not told of a new leader.
-inline constexpr Millis GuestLostAfter{5000};
+inline constexpr Millis GreeterLostAfter{5000};
 /// @brief Between greetings while no leader is known.
 inline constexpr Millis SeekEvery{200};
 /// @brief Silence after which a leader is looked for again.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -86,8 +86,9 @@
 }
 
 bool wantsHold(const WorkerLife &Worker, const WorkerSession &Session) {
-  return Worker.Tasks != 0 || !Session.IsSettled || !Session.Ghosts.empty() ||
-         Session.Misses != 0 || Session.AckSent < Worker.AckedEnds;
+  return Worker.Tasks != 0 || !Session.IsSettled ||
+         !Session.Abandoned.empty() || Session.Misses != 0 ||
+         Session.AckSent < Worker.AckedEnds;
 }
 
 void sendHold(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
@@ -234,9 +235,9 @@
   proposeEnd(Lead, Item, EndKind::Refused, Wall);
 }
 
-void noteGhostStopped(WorkerSession &Session, const OpenOrder &Order,
-                      const OrderResult &Result, Instant Now) {
-  for (Ghost &Left : Session.Ghosts) {
+void noteAbandonedStopped(WorkerSession &Session, const OpenOrder &Order,
+                          const OrderResult &Result, Instant Now) {
+  for (AbandonedStart &Left : Session.Abandoned) {
     if (Left.Key != Order.Key || Left.Attempt != Order.Attempt) {
       continue;
     }
@@ -249,9 +250,9 @@
 }
 
 /// Forgets what a list that was made after its stop does not show.
-void layGhosts(WorkerSession &Session, const OrderResult &Result,
-               Instant HoldSentAt) {
-  std::erase_if(Session.Ghosts, [&](const Ghost &Left) {
+void forgetAbandoned(WorkerSession &Session, const OrderResult &Result,
+                     Instant HoldSentAt) {
+  std::erase_if(Session.Abandoned, [&](const AbandonedStart &Left) {
     if (!Left.StopAckedAt || *Left.StopAckedAt >= HoldSentAt) {
       return false;
     }
@@ -267,7 +268,7 @@
                     const OrderResult &Result, WorkerSession *Session,
                     Instant Now) {
   if (Session != nullptr) {
-    noteGhostStopped(*Session, Order, Result, Now);
+    noteAbandonedStopped(*Session, Order, Result, Now);
   }
   const auto Found = Lead.Launches.find(Order.Key);
   if (Found == Lead.Launches.end() ||
@@ -449,7 +450,7 @@
     }
     noteProgress(Item, Running, Now);
   }
-  layGhosts(Session, Result, Order.SentAt);
+  forgetAbandoned(Session, Result, Order.SentAt);
   proposeListedEnds(Lead, State, Order.Worker, Session, Result, Now, Wall);
   if (!Result.HasMoreEnds) {
     for (const TaskKey &Key : std::set<TaskKey>{Session.Tasks}) {
@@ -587,13 +588,13 @@
   }
 }
 
-void stopGhosts(Dispatcher &Lead, const CellState &State, Instant Now) {
+void stopAbandoned(Dispatcher &Lead, const CellState &State, Instant Now) {
   for (auto &[Id, Session] : Lead.Sessions) {
     const WorkerLife *Worker = State.Workers.find(Id);
     if (Worker == nullptr || Session.Misses != 0) {
       continue;
     }
-    for (Ghost &Left : Session.Ghosts) {
+    for (AbandonedStart &Left : Session.Abandoned) {
       const bool IsRecent = Left.StopSentAt != Instant{} &&
                             Now - Left.StopSentAt < StopRetryEvery;
       if (Left.StopOrder != 0 || IsRecent) {
@@ -716,8 +717,9 @@
   }
   const WorkerSession &Session = Found->second;
   const Millis Silence = Lead.Options.ReportEvery * 5 / 2;
-  return Session.IsSettled && Session.Ghosts.empty() && Session.Misses == 0 &&
-         Session.Clock && !State.Workers[Worker].Report.IsDraining &&
+  return Session.IsSettled && Session.Abandoned.empty() &&
+         Session.Misses == 0 && Session.Clock &&
+         !State.Workers[Worker].Report.IsDraining &&
          Now >= Session.AvoidUntil && !isOverdue(Session, Now) &&
          Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
 }
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -32,7 +32,7 @@
 void sendHolds(Dispatcher &Lead, const CellState &State, Instant Now);
 
 /// @brief Stops what was given up, until workers confirm it.
-void stopGhosts(Dispatcher &Lead, const CellState &State, Instant Now);
+void stopAbandoned(Dispatcher &Lead, const CellState &State, Instant Now);
 
 /// @brief Gives up what ran on workers whose lease has run out.
 void expireLeases(Dispatcher &Lead, const CellState &State, Instant Now,
