Make one piece serve where the cell had written twins, drop what nothing uses

Found on the last reading: a handler for readable descriptors, a seed and a set of gauges stood in both daemons; orders about a start were filled in five places, and a start was rendered for the log in two. Unused: two dispatch options, two accessors, fields and parameters. The line on a node's role was built on each step; it is built when the role changes now. Three comments said the opposite of the code.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -4,8 +4,10 @@
 #include "celld/event_log.hpp"
 #include "celld/group_writer.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/core/random.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/net/peer_links.hpp"
+#include "mulberryramp/net/readable_handler.hpp"
 #include "mulberryramp/storage/identity.hpp"
 
 #include <ace/Dev_Poll_Reactor.h>
@@ -14,11 +16,9 @@
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <map>
-#include <random>
 
 namespace mulberryramp {
 
@@ -47,34 +47,6 @@
 void onStopSignal(int /*Signal*/) { StopRequested = 1; }
 void onReloadSignal(int /*Signal*/) { ReloadRequested = 1; }
 
-std::uint64_t drawSeed() {
-  std::random_device Source;
-  return (static_cast<std::uint64_t>(Source()) << 32U) | Source();
-}
-
-/// Runs a function when a descriptor becomes readable.
-class ReadableHandler final : public ACE_Event_Handler {
-public:
-  ReadableHandler(ACE_Reactor &Loop, int Descriptor,
-                  std::function<void()> OnReadable)
-      : ACE_Event_Handler{&Loop}, Descriptor{Descriptor}, OnReadable{std::move(
-                                                              OnReadable)} {
-    Loop.register_handler(this, READ_MASK);
-  }
-  ~ReadableHandler() override {
-    reactor()->remove_handler(this, READ_MASK | DONT_CALL);
-  }
-  ACE_HANDLE get_handle() const override { return Descriptor; }
-  int handle_input(ACE_HANDLE /*Handle*/) override {
-    OnReadable();
-    return 0;
-  }
-
-private:
-  int Descriptor;
-  std::function<void()> OnReadable;
-};
-
 /// An HTTP server with the handler that drives it.
 struct Front {
   std::unique_ptr<HttpServer> Http;
--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -1,28 +1,13 @@
 #include "celld/cell_metrics.hpp"
 
-#include <prometheus/gauge.h>
+#include "mulberryramp/telemetry/gauges.hpp"
+
 #include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 
 namespace mulberryramp {
 
-struct CellMetrics::Impl {
-  prometheus::Registry Registry;
+struct CellMetrics::Impl : Gauges {
   prometheus::Histogram *Calls = nullptr;
-
-  void set(const char *Name, const char *Help, double Value) {
-    prometheus::BuildGauge()
-        .Name(Name)
-        .Help(Help)
-        .Register(Registry)
-        .Add({})
-        .Set(Value);
-  }
-
-  void set(const char *Name, const char *Help, std::uint64_t Value) {
-    set(Name, Help, static_cast<double>(Value));
-  }
 };
 
 CellMetrics::CellMetrics() : Parts{std::make_unique<Impl>()} {
@@ -76,7 +61,7 @@
          "Messages for links without room", Links.Dropped);
   To.set("mulberryramp_storage_failures_total", "Writes that failed",
          StorageFailures);
-  return prometheus::TextSerializer{}.Serialize(To.Registry.Collect());
+  return To.Gauges::render();
 }
 
 } // namespace mulberryramp
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,9 +2,11 @@
 
 #include "daemon/state_log.hpp"
 #include "mulberryramp/admin/api.hpp"
+#include "mulberryramp/core/random.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/http/server.hpp"
 #include "mulberryramp/net/peer_links.hpp"
+#include "mulberryramp/net/readable_handler.hpp"
 #include "mulberryramp/node/node.hpp"
 #include "mulberryramp/storage/identity.hpp"
 #include "mulberryramp/telemetry/metrics.hpp"
@@ -15,7 +17,6 @@
 #include <glog/logging.h>
 
 #include <csignal>
-#include <random>
 
 namespace mulberryramp {
 
@@ -28,31 +29,6 @@
 
 volatile std::sig_atomic_t StopRequested = 0;
 
-/// Lets the HTTP server work when it has to.
-class HttpWaker final : public ACE_Event_Handler {
-public:
-  HttpWaker(ACE_Reactor &Loop, HttpServer &Http)
-      : ACE_Event_Handler{&Loop}, Http{Http} {
-    Loop.register_handler(this, READ_MASK);
-  }
-  ~HttpWaker() override {
-    reactor()->remove_handler(this, READ_MASK | DONT_CALL);
-  }
-  ACE_HANDLE get_handle() const override { return Http.descriptor(); }
-  int handle_input(ACE_HANDLE /*Handle*/) override {
-    Http.run();
-    return 0;
-  }
-
-private:
-  HttpServer &Http;
-};
-
-std::uint64_t randomSeed() {
-  std::random_device Source;
-  return (static_cast<std::uint64_t>(Source()) << 32U) | Source();
-}
-
 } // namespace internal
 
 struct Daemon::Impl {
@@ -64,7 +40,7 @@
   std::unique_ptr<Node> Core;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<HttpServer> Http;
-  std::unique_ptr<internal::HttpWaker> Waker;
+  std::unique_ptr<ReadableHandler> Waker; ///< Lets `Http` work.
   Metrics Telemetry;
   StateLog Changes;
   bool IsLeaving = false;
@@ -99,8 +75,8 @@
     }
     Incarnation = *Identity;
   }
-  auto Core = Node::start(Deployment, Self.Files.get(), Incarnation,
-                          internal::randomSeed(), SuspendAwareClock::now());
+  auto Core = Node::start(Deployment, Self.Files.get(), Incarnation, drawSeed(),
+                          SuspendAwareClock::now());
   if (!Core) {
     return tl::make_unexpected(Core.error().Text);
   }
@@ -133,7 +109,8 @@
     return tl::make_unexpected(Http.error());
   }
   Self.Http = std::move(*Http);
-  Self.Waker = std::make_unique<internal::HttpWaker>(Self.Loop, *Self.Http);
+  Self.Waker = std::make_unique<ReadableHandler>(
+      Self.Loop, Self.Http->descriptor(), [&Self] { Self.Http->run(); });
   LOG(INFO) << "daemon " << Deployment.Self << " started, incarnation "
             << Incarnation;
   return std::unique_ptr<Daemon>{new Daemon{std::move(Parts)}};
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -55,7 +55,6 @@
 
 void CellNode::receive(const CellMessage &Message, Instant Now, WallTime Wall) {
   Clock = Now;
-  CivilNow = Wall;
   if (Message.To != Options.Self) {
     return;
   }
@@ -170,7 +169,15 @@
     return;
   }
   const Waiter For{From, Call.Id, std::nullopt};
-  std::visit([&](const auto &Body) { serve(For, Body, Wall); }, Call.Body);
+  std::visit(
+      [&](const auto &Body) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(Body)>, JobCall>) {
+          serve(For, Body, Wall);
+        } else {
+          serve(For, Body);
+        }
+      },
+      Call.Body);
 }
 
 void CellNode::propose(const Waiter &For, CellCommand Command) {
@@ -217,7 +224,7 @@
   } else if (!IsKnown) {
     answer(For.From, For.Id, reply(CellVerdict::Gone, "no such job"));
   } else if (Call.Verb == JobVerb::Cancel) {
-    cancelJob(For, *Queue, Name, Wall);
+    cancelJob(For, Known, Wall);
   } else {
     CellReply Found;
     Found.Phase = State.Jobs[Known].Phase;
@@ -238,18 +245,17 @@
                                 Call.Spec, Wall});
 }
 
-void CellNode::cancelJob(const Waiter &For, const JobQueue & /*Queue*/,
-                         const std::string &Name, WallTime Wall) {
-  if (isOver(State.Jobs[findJob(State, Name)].Phase)) {
+void CellNode::cancelJob(const Waiter &For, JobId Id, WallTime Wall) {
+  const Job &Item = State.Jobs[Id];
+  if (isOver(Item.Phase)) {
     answer(For.From, For.Id, reply(CellVerdict::Done));
     return;
   }
-  Events.push_back("event=cancel job=" + Name);
-  propose(For, CancelJobCommand{Name, Wall});
+  Events.push_back("event=cancel job=" + Item.Name);
+  propose(For, CancelJobCommand{Item.Name, Wall});
 }
 
-void CellNode::serve(const Waiter &For, const ConfigureCall &Call,
-                     WallTime /*Wall*/) {
+void CellNode::serve(const Waiter &For, const ConfigureCall &Call) {
   if (Call.Rules.Version <= State.Rules.Version) {
     answer(For.From, For.Id, reply(CellVerdict::Done, "already overtaken"));
     return;
@@ -261,16 +267,15 @@
   propose(For, ConfigureCommand{Call.Rules});
 }
 
-void CellNode::serve(const Waiter &For, const ReadConfigurationCall & /*Call*/,
-                     WallTime /*Wall*/) {
+void CellNode::serve(const Waiter &For,
+                     const ReadConfigurationCall & /*Call*/) {
   answer(For.From, For.Id,
          State.Rules.Version == 0
              ? reply(CellVerdict::Refused, "no configuration yet")
              : reply(CellVerdict::Done, State.Rules.Document));
 }
 
-void CellNode::serve(const Waiter &For, const WorkerReportCall &Call,
-                     WallTime /*Wall*/) {
+void CellNode::serve(const Waiter &For, const WorkerReportCall &Call) {
   const LifeId Known = findWorker(State, Call.Report.Name);
   const WorkerLife *Life = State.Workers.find(Known);
   if (Life == nullptr || Call.Report.Born > Life->Report.Born) {
@@ -293,8 +298,7 @@
   propose(For, WorkerDrainCommand{Known});
 }
 
-void CellNode::serve(const Waiter &For, const WorkerLeaveCall &Call,
-                     WallTime /*Wall*/) {
+void CellNode::serve(const Waiter &For, const WorkerLeaveCall &Call) {
   // A late call may be from an earlier life; only a drained one may leave.
   const LifeId Known = findWorker(State, Call.Name);
   if (!Known.isSet() || !State.Workers[Known].Report.IsDraining) {
@@ -473,21 +477,26 @@
 }
 
 void CellNode::noteRole(Instant Now) {
-  const CellNodeView Seen = view();
-  std::string Line = "event=role role=" + std::string{Seen.Role} +
-                     " leader=" + std::to_string(Seen.Leader) +
-                     " term=" + std::to_string(Seen.InTerm) +
-                     " voters=" + std::to_string(Seen.Voters) +
-                     " ready=" + (Relay.isServed(Now) ? "yes" : "no");
-  if (Line != LastRole) {
-    Events.push_back(Line);
-    LastRole = std::move(Line);
+  RoleSeen Seen{"relay", leader(), 0, 0, Relay.isServed(Now)};
+  if (Group) {
+    const Replica &Member = Group->replica();
+    Seen.Role = nameOf(Member.Role);
+    Seen.InTerm = Member.Hard.Current;
+    Seen.Voters = membership(Member).Voters.size();
+  }
+  if (Seen == LastRole) {
+    return;
   }
+  LastRole = Seen;
+  Events.push_back("event=role role=" + std::string{Seen.Role} +
+                   " leader=" + std::to_string(Seen.Leader) +
+                   " term=" + std::to_string(Seen.InTerm) +
+                   " voters=" + std::to_string(Seen.Voters) +
+                   " ready=" + (Seen.IsServed ? "yes" : "no"));
 }
 
 CellOutput CellNode::step(Instant Now, WallTime Wall) {
   Clock = Now;
-  CivilNow = Wall;
   CellOutput Output;
   if (Group) {
     stepGroup(Now, Wall);
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -96,15 +96,22 @@
   /// @brief Reads what logs and metrics show.
   [[nodiscard]] CellNodeView view() const;
 
-  /// @brief Reads the replicated state.
-  [[nodiscard]] const CellState &state() const noexcept { return State; }
-
 private:
   struct Waiter {
     NodeId From = 0;
     std::uint64_t Id = 0;
     std::optional<WorkerReport> Report; ///< Noted once the worker joined.
   };
+  /// What of the node is logged when it changes.
+  struct RoleSeen {
+    std::string_view Role;
+    NodeId Leader = 0;
+    Term InTerm = 0;
+    std::size_t Voters = 0;
+    bool IsServed = false;
+
+    bool operator==(const RoleSeen &) const = default;
+  };
   struct AskedFor {
     NodeId From = 0;
     std::uint64_t Id = 0;
@@ -123,15 +130,13 @@
   void answer(NodeId To, std::uint64_t Id, CellReply Reply);
   void propose(const Waiter &For, CellCommand Command);
   void serve(const Waiter &For, const JobCall &Call, WallTime Wall);
-  void serve(const Waiter &For, const ConfigureCall &Call, WallTime Wall);
-  void serve(const Waiter &For, const ReadConfigurationCall &Call,
-             WallTime Wall);
-  void serve(const Waiter &For, const WorkerReportCall &Call, WallTime Wall);
-  void serve(const Waiter &For, const WorkerLeaveCall &Call, WallTime Wall);
+  void serve(const Waiter &For, const ConfigureCall &Call);
+  void serve(const Waiter &For, const ReadConfigurationCall &Call);
+  void serve(const Waiter &For, const WorkerReportCall &Call);
+  void serve(const Waiter &For, const WorkerLeaveCall &Call);
   void submitJob(const Waiter &For, const JobQueue &Queue, std::string Name,
                  const JobCall &Call, WallTime Wall);
-  void cancelJob(const Waiter &For, const JobQueue &Queue,
-                 const std::string &Name, WallTime Wall);
+  void cancelJob(const Waiter &For, JobId Id, WallTime Wall);
   [[nodiscard]] std::uint32_t countPending(const JobQueue &Queue) const;
   [[nodiscard]] bool isOfQueue(JobId Id, const JobQueue &Queue) const;
 
@@ -148,8 +153,7 @@
   Dispatcher Lead;
   CallRelay Relay;
   std::optional<HostedGroup> Group;
-  Instant Clock;     ///< Moment of the present step.
-  WallTime CivilNow; ///< Civil time of the present step.
+  Instant Clock; ///< Moment of the present step.
 
   std::vector<CellCommand> Proposals;
   std::vector<Waiter> ProposalWaiters;
@@ -165,7 +169,7 @@
   std::vector<ReplicaMessage> HeldNow;  ///< Go out after the present write.
   std::vector<ReplicaMessage> HeldNext; ///< Go out after the next one.
   bool IsLeaving = false;
-  std::string LastRole;
+  RoleSeen LastRole;
 };
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -144,15 +144,13 @@
   if (!Forget.Jobs.empty()) {
     Lead.Commands.emplace_back(std::move(Forget));
   }
-  std::erase_if(Lead.Advice, [&State](const auto &Item) {
+  const auto IsOfNoRun = [&State](const auto &Item) {
     const Job *Owner = State.Jobs.find(Item.first.Job);
     return Owner == nullptr || isOver(Owner->Phase) ||
            findRun(*Owner, Item.first.Run) == nullptr;
-  });
-  std::erase_if(Lead.Times, [&State](const auto &Item) {
-    const Job *Owner = State.Jobs.find(Item.first.Job);
-    return Owner == nullptr || isOver(Owner->Phase);
-  });
+  };
+  std::erase_if(Lead.Advice, IsOfNoRun);
+  std::erase_if(Lead.Times, IsOfNoRun);
   for (const auto &[Id, Session] : Lead.Sessions) {
     const Instant Heard = std::max(Session.ReportedAt, Session.AnsweredAt);
     if (Session.Tasks.empty() && Now - Heard > ForgetWorkerAfter &&
@@ -169,7 +167,7 @@
         Item.NextRun >= Item.Spec.Repeats) {
       continue;
     }
-    if (Wall + Lead.Options.OpenEarly >= dueTime(Item, Item.NextRun)) {
+    if (Wall >= dueTime(Item, Item.NextRun)) {
       Lead.Commands.emplace_back(OpenRunCommand{Id, Item.NextRun});
     }
   }
@@ -215,12 +213,8 @@
   for (const TaskEnd &End : Change.Ended) {
     Lead.Counters.Ends += 1;
     forgetLaunch(Lead, State, End, Change);
-    const TaskName Name = nameTask(State, End.Key);
-    Lead.Events.push_back("event=end job=" + Name.Job +
-                          " run=" + std::to_string(Name.Run) +
-                          " step=" + std::to_string(Name.Step) +
-                          " task=" + std::to_string(Name.Task) +
-                          " attempt=" + std::to_string(End.Attempt) +
+    Lead.Events.push_back("event=end " +
+                          describeStart(nameTask(State, End.Key), End.Attempt) +
                           " how=" + std::string{nameOf(End.Kind)});
     if (State.Jobs.contains(End.Key.Job) &&
         State.Jobs[End.Key.Job].Spec.Steps[End.Key.Step].IsGang) {
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -23,8 +23,6 @@
   Millis HoldWait{1000};    ///< How long a hold waits for an end.
   Millis ReportEvery{1500}; ///< Between reports of a worker.
   Millis Retention{125000}; ///< How long jobs that are over can be read.
-  double RemoteFactor = 2;  ///< Stretch of a run away from its data.
-  Millis OpenEarly{0};      ///< Repeated runs open so long before they are due.
 };
 
 /// @brief What the leader knows of a start.
@@ -54,12 +52,11 @@
   bool IsGivenUp = false;    ///< Its proposed end is not known for certain.
   std::uint32_t Percent = 0; ///< Last progress that was listed.
   Instant ProgressAt;        ///< When it last rose.
-  std::uint32_t ListedPercent = 0; ///< Progress when it was first listed.
-  Instant ListedAt;                ///< When it was first listed; null: never.
-  std::int64_t Gauge = 0;          ///< Last listed tail or processors.
-  Instant OverLimitSince;          ///< Tail over its limit; null: it is not.
-  std::uint32_t Pace = 100;        ///< Share that it may work at.
-  Instant PaceAt;                  ///< When the pace was last changed.
+  Instant ListedAt;          ///< When it was first listed; null: never.
+  std::int64_t Gauge = 0;    ///< Last listed tail or processors.
+  Instant OverLimitSince;    ///< Tail over its limit; null: it is not.
+  std::uint32_t Pace = 100;  ///< Share that it may work at.
+  Instant PaceAt;            ///< When the pace was last changed.
 };
 
 /// @brief A start that was given up though it may still run, or begin to.
@@ -105,8 +102,8 @@
   Instant AvoidUntil;
   bool IsDisturbed = false; ///< A serving task there is over its limit.
   std::set<TaskKey> Tasks;
-  std::vector<AbandonedStart>
-      Abandoned; ///< None may be left when a start is sent.
+  /// None may be left when a start is sent.
+  std::vector<AbandonedStart> Abandoned;
 };
 
 /// @brief Names one step of one run of a job.
--- a/src/mulberryramp/cell/fwd.hpp
+++ b/src/mulberryramp/cell/fwd.hpp
@@ -30,7 +30,6 @@
 /// @brief Silence of a leader that costs a node its readiness.
 inline constexpr Millis UnreadyAfter{3000};
 
-struct CellCallOrigin;
 struct CellMessage;
 struct CellReply;
 struct WorkerOrder;
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+/// Time for the answer of a hold beyond its wait.
 constexpr Millis HoldGrace{400};
 /// Misses in a row that make a worker silent, so that copies are run elsewhere.
 constexpr std::uint32_t SilentAfterMisses = 2;
@@ -36,13 +37,6 @@
 constexpr double SlowRatio = 3.5;
 constexpr Millis SlowFor{2500};
 
-std::string describe(const TaskName &Task, std::uint32_t Attempt) {
-  return "job=" + Task.Job + " run=" + std::to_string(Task.Run) +
-         " step=" + std::to_string(Task.Step) +
-         " task=" + std::to_string(Task.Task) +
-         " attempt=" + std::to_string(Attempt);
-}
-
 const std::string &workerName(const CellState &State, LifeId Worker) {
   static const std::string None = "-";
   const WorkerLife *Life = State.Workers.find(Worker);
@@ -74,8 +68,20 @@
   return Least + Lead.Options.Lease.count();
 }
 
+/// Makes an order about one start.
+WorkerOrder makeTaskOrder(Dispatcher &Lead, const WorkerLife &Worker,
+                          WorkerOrderKind Kind, TaskName Task,
+                          std::uint32_t Attempt) {
+  WorkerOrder Order = makeOrder(Lead, Worker, Kind);
+  Order.Task = std::move(Task);
+  Order.Attempt = Attempt;
+  return Order;
+}
+
+/// Sends an order; `Open` says what its answer will be needed for.
 void send(Dispatcher &Lead, WorkerOrder Order, OpenOrder Open) {
   Open.Kind = Order.Kind;
+  Open.Attempt = Order.Attempt;
   Lead.Sent[Order.Id] = Open;
   Lead.Orders.push_back(std::move(Order));
 }
@@ -206,11 +212,12 @@
     }
     return;
   }
-  Lead.Events.push_back("event=start-failed " +
-                        describe(nameTask(State, Order.Key), Order.Attempt) +
-                        " worker=" + workerName(State, Order.Worker) +
-                        " verdict=" + std::string{nameOf(Result.Verdict)} +
-                        " reason=" + std::string{nameOf(Result.Reason)});
+  Lead.Events.push_back(
+      "event=start-failed " +
+      describeStart(nameTask(State, Order.Key), Order.Attempt) +
+      " worker=" + workerName(State, Order.Worker) +
+      " verdict=" + std::string{nameOf(Result.Verdict)} +
+      " reason=" + std::string{nameOf(Result.Reason)});
   const bool IsOpen = Result.Verdict == OrderVerdict::Unanswered ||
                       (Result.Verdict == OrderVerdict::Refused &&
                        (Result.Reason == RefusalReason::Old ||
@@ -287,7 +294,6 @@
 void noteProgress(Launch &Item, const RunningTask &Listed, Instant Now) {
   if (Item.ListedAt == Instant{}) {
     Item.ListedAt = Now;
-    Item.ListedPercent = Listed.Percent;
     Item.ProgressAt = Now;
   }
   if (Listed.Percent != Item.Percent) {
@@ -299,10 +305,10 @@
 
 void stopStranger(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
                   const RunningTask &Listed, Instant Now) {
-  WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Stop);
-  Order.Task = Listed.Task;
-  Order.Attempt = Listed.Attempt;
-  Lead.Events.push_back("event=stop " + describe(Listed.Task, Listed.Attempt) +
+  WorkerOrder Order = makeTaskOrder(Lead, Worker, WorkerOrderKind::Stop,
+                                    Listed.Task, Listed.Attempt);
+  Lead.Events.push_back("event=stop " +
+                        describeStart(Listed.Task, Listed.Attempt) +
                         " worker=" + Worker.Report.Name + " why=unknown-there");
   OpenOrder Open;
   Open.Worker = Id;
@@ -471,6 +477,13 @@
 
 } // namespace
 
+std::string describeStart(const TaskName &Task, std::uint32_t Attempt) {
+  return "job=" + Task.Job + " run=" + std::to_string(Task.Run) +
+         " step=" + std::to_string(Task.Step) +
+         " task=" + std::to_string(Task.Task) +
+         " attempt=" + std::to_string(Attempt);
+}
+
 TaskName nameTask(const CellState &State, const TaskKey &Key) {
   const Job *Owner = State.Jobs.find(Key.Job);
   return {Owner == nullptr ? "-" : Owner->Name, Key.Run, Key.Step, Key.Task};
@@ -491,9 +504,8 @@
     return;
   }
   const Job &Owner = State.Jobs[Item.Key.Job];
-  WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Start);
-  Order.Task = nameTask(State, Item.Key);
-  Order.Attempt = Item.Attempt;
+  WorkerOrder Order = makeTaskOrder(Lead, *Worker, WorkerOrderKind::Start,
+                                    nameTask(State, Item.Key), Item.Attempt);
   Order.Payload = Owner.Spec.Payload;
   Order.Saved = findTask(State, Item.Key)->Saved;
   Order.Expires = extendLease(Lead, Session, Now);
@@ -502,13 +514,12 @@
   if (Known != Lead.Advice.end()) {
     Order.Ticket = Known->second.Admitted[Item.Worker].Text;
   }
-  Lead.Events.push_back("event=start " + describe(Order.Task, Order.Attempt) +
-                        " worker=" + Order.Worker +
-                        " fence=" + std::to_string(Lead.Fence));
+  Lead.Events.push_back(
+      "event=start " + describeStart(Order.Task, Order.Attempt) +
+      " worker=" + Order.Worker + " fence=" + std::to_string(Lead.Fence));
   OpenOrder Open;
   Open.Worker = Item.Worker;
   Open.Key = Item.Key;
-  Open.Attempt = Item.Attempt;
   Open.SentAt = Now;
   Open.HasLease = true;
   Lead.Counters.Starts += 1;
@@ -527,20 +538,19 @@
       Item.IsEndProposed) {
     return;
   }
-  WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Stop);
-  Order.Task = nameTask(State, Item.Item.Key);
-  Order.Attempt = Item.Item.Attempt;
+  WorkerOrder Order =
+      makeTaskOrder(Lead, *Worker, WorkerOrderKind::Stop,
+                    nameTask(State, Item.Item.Key), Item.Item.Attempt);
   if (Item.StopSentAt == Instant{}) {
-    Lead.Events.push_back("event=stop " + describe(Order.Task, Order.Attempt) +
-                          " worker=" + Order.Worker +
-                          " why=" + std::string{Why});
+    Lead.Events.push_back(
+        "event=stop " + describeStart(Order.Task, Order.Attempt) +
+        " worker=" + Order.Worker + " why=" + std::string{Why});
   }
   Item.StopSentAt = Now;
   Item.StopOrder = Order.Id;
   OpenOrder Open;
   Open.Worker = Item.Item.Worker;
   Open.Key = Item.Item.Key;
-  Open.Attempt = Item.Item.Attempt;
   Open.SentAt = Now;
   Lead.Counters.Stops += 1;
   send(Lead, std::move(Order), Open);
@@ -552,19 +562,18 @@
   if (Worker == nullptr || Item.Pace == Percent) {
     return;
   }
-  WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Pace);
-  Order.Task = nameTask(State, Item.Item.Key);
-  Order.Attempt = Item.Item.Attempt;
+  WorkerOrder Order =
+      makeTaskOrder(Lead, *Worker, WorkerOrderKind::Pace,
+                    nameTask(State, Item.Item.Key), Item.Item.Attempt);
   Order.Percent = Percent;
-  Lead.Events.push_back("event=pace " + describe(Order.Task, Order.Attempt) +
-                        " worker=" + Order.Worker +
-                        " percent=" + std::to_string(Percent));
+  Lead.Events.push_back(
+      "event=pace " + describeStart(Order.Task, Order.Attempt) +
+      " worker=" + Order.Worker + " percent=" + std::to_string(Percent));
   Item.Pace = Percent;
   Item.PaceAt = Now;
   OpenOrder Open;
   Open.Worker = Item.Item.Worker;
   Open.Key = Item.Item.Key;
-  Open.Attempt = Item.Item.Attempt;
   Open.SentAt = Now;
   send(Lead, std::move(Order), Open);
 }
@@ -600,15 +609,13 @@
       if (Left.StopOrder != 0 || IsRecent) {
         continue;
       }
-      WorkerOrder Order = makeOrder(Lead, *Worker, WorkerOrderKind::Stop);
-      Order.Task = Left.Name;
-      Order.Attempt = Left.Attempt;
+      WorkerOrder Order = makeTaskOrder(Lead, *Worker, WorkerOrderKind::Stop,
+                                        Left.Name, Left.Attempt);
       Left.StopOrder = Order.Id;
       Left.StopSentAt = Now;
       OpenOrder Open;
       Open.Worker = Id;
       Open.Key = Left.Key;
-      Open.Attempt = Left.Attempt;
       Open.SentAt = Now;
       Lead.Counters.Stops += 1;
       send(Lead, std::move(Order), Open);
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -14,6 +14,10 @@
 /// @brief Names a task as workers know it.
 [[nodiscard]] TaskName nameTask(const CellState &State, const TaskKey &Key);
 
+/// @brief Renders a start for the log.
+[[nodiscard]] std::string describeStart(const TaskName &Task,
+                                        std::uint32_t Attempt);
+
 /// @brief Sends the order to begin a start that was agreed on.
 void sendStart(Dispatcher &Lead, const CellState &State, const Grant &Item,
                Instant Now);
--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -53,7 +53,7 @@
   }
   Leader = Node;
   for (auto &[Id, Item] : Open) {
-    Item.IsDoubtful = Item.IsDoubtful || Item.IsSent;
+    Item.IsDoubtful = Item.mayHaveActed();
     submit(Id, Item, Now);
   }
 }
@@ -122,19 +122,18 @@
   greet(Now);
   std::vector<std::uint64_t> Ended;
   for (auto &[Id, Item] : Open) {
-    const bool IsDoubtful = Item.IsSent || Item.IsDoubtful;
     if (isHopeless(Item, Now)) {
       Ended.push_back(Id);
     } else if (!Item.IsSent || Now - Item.SentAt >= RelayRetryEvery) {
-      Item.IsDoubtful = IsDoubtful;
+      Item.IsDoubtful = Item.mayHaveActed();
       submit(Id, Item, Now);
     }
   }
   for (const std::uint64_t Id : Ended) {
     const OpenCall &Item = Open[Id];
     CellReply Reply;
-    Reply.Verdict = Item.IsSent || Item.IsDoubtful ? CellVerdict::Unknown
-                                                   : CellVerdict::Refused;
+    Reply.Verdict =
+        Item.mayHaveActed() ? CellVerdict::Unknown : CellVerdict::Refused;
     Reply.Text = "no leader answered in time";
     finish(Id, std::move(Reply));
   }
--- a/src/mulberryramp/cell/relay.hpp
+++ b/src/mulberryramp/cell/relay.hpp
@@ -59,9 +59,6 @@
   /// @brief Counts the calls without an answer.
   [[nodiscard]] std::size_t openCalls() const noexcept { return Open.size(); }
 
-  /// @brief Reads the nodes that may know the leader.
-  [[nodiscard]] const std::set<NodeId> &known() const noexcept { return Known; }
-
 private:
   struct OpenCall {
     std::uint64_t CallId = 0;
@@ -69,7 +66,11 @@
     Instant Since;
     Instant SentAt;
     bool IsSent = false;     ///< To the present leader.
-    bool IsDoubtful = false; ///< May have had its effect.
+    bool IsDoubtful = false; ///< An earlier copy may have had its effect.
+
+    [[nodiscard]] bool mayHaveActed() const noexcept {
+      return IsSent || IsDoubtful;
+    }
   };
 
   void send(NodeId To, CellBody Body);
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -18,7 +18,7 @@
 constexpr double QuestionMargin = 1.5;
 /// Fewest unknown workers that a question names, if there are as many.
 constexpr std::size_t MinUnknownWorkers = 8;
-/// Weight of the run times on a worker against the estimates.
+/// Weight of the run times on a worker against those of like tasks.
 constexpr double SlownessWeight = 0.8;
 /// A step that follows is asked about so long before it is ready.
 constexpr Millis AskAhead{150};
@@ -39,7 +39,7 @@
   const WorkerLife *Life = nullptr;
   Resources Free;
   std::uint32_t Lasting = 0; ///< Serving tasks there.
-  double Slowness = 1;       ///< Run times against estimates.
+  double Slowness = 1;       ///< Run times against those of like tasks.
   bool IsDisturbed = false;  ///< Serving tasks there are over their limit.
 };
 
@@ -346,8 +346,8 @@
     return true;
   }
 
-  /// Asks about workers that have room: unknown ones first, then those whose
-  /// ticket has run out.
+  /// Asks about workers that have room: first those whose ticket has run out,
+  /// then unknown ones.
   void askFor(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
               const JobStep &Step, std::size_t Missing) {
     const StepAdvice &Known = Lead.Advice[Key];
--- a/src/mulberryramp/core/random.hpp
+++ b/src/mulberryramp/core/random.hpp
@@ -39,4 +39,7 @@
   std::uint64_t State;
 };
 
+/// @brief Draws a seed from the machine, another one for each process.
+[[nodiscard]] std::uint64_t drawSeed();
+
 } // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/telemetry/gauges.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <cstdint>
+#include <string>
+
+namespace mulberryramp {
+
+/// @brief A registry of metrics whose values are set before each rendering.
+struct Gauges {
+  prometheus::Registry Registry;
+
+  /// @brief Sets a value.
+  void set(const char *Name, const char *Help, double Value) {
+    prometheus::BuildGauge()
+        .Name(Name)
+        .Help(Help)
+        .Register(Registry)
+        .Add({})
+        .Set(Value);
+  }
+
+  /// @copydoc set
+  void set(const char *Name, const char *Help, std::uint64_t Value) {
+    set(Name, Help, static_cast<double>(Value));
+  }
+
+  /// @brief Renders all metrics in the text format of Prometheus.
+  [[nodiscard]] std::string render() const {
+    return prometheus::TextSerializer{}.Serialize(Registry.Collect());
+  }
+};
+
+} // namespace mulberryramp
--- a/src/mulberryramp/telemetry/metrics.cpp
+++ b/src/mulberryramp/telemetry/metrics.cpp
@@ -1,9 +1,8 @@
 #include "mulberryramp/telemetry/metrics.hpp"
 
-#include <prometheus/gauge.h>
+#include "mulberryramp/telemetry/gauges.hpp"
+
 #include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
 
 #include <array>
 #include <fstream>
@@ -38,22 +37,8 @@
 
 } // namespace internal
 
-struct Metrics::Impl {
-  prometheus::Registry Registry;
+struct Metrics::Impl : Gauges {
   prometheus::Histogram *Steps = nullptr;
-
-  void set(const char *Name, const char *Help, double Value) {
-    prometheus::BuildGauge()
-        .Name(Name)
-        .Help(Help)
-        .Register(Registry)
-        .Add({})
-        .Set(Value);
-  }
-
-  void set(const char *Name, const char *Help, std::uint64_t Value) {
-    set(Name, Help, static_cast<double>(Value));
-  }
 };
 
 Metrics::Metrics() : Parts{std::make_unique<Impl>()} {
@@ -124,7 +109,7 @@
           internal::residentBytes());
   Out.set("process_cpu_seconds_total", "Processor time",
           internal::cpuSeconds());
-  return prometheus::TextSerializer{}.Serialize(Out.Registry.Collect());
+  return Out.Gauges::render();
 }
 
 } // namespace mulberryramp
