--- /dev/null
+++ b/test/cell/cell_load.cpp
@@ -0,0 +1,362 @@
+#include "cell/cell_load.hpp"
+
+#include "cell/fake_worker.hpp"
+#include "cell/wire_standin.hpp"
+#include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/cell/message.hpp"
+#include "platform/gateway.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace mulberryramp::test {
+
+namespace {
+
+constexpr Millis ReportEvery{1500};
+constexpr Millis GreetEvery{500};
+constexpr Millis Way{1}; ///< To a worker or a node, one way.
+constexpr NodeId Leader = 1;
+constexpr NodeId FirstHelper = 100;
+constexpr std::int64_t WorkerCpus = 32000;
+constexpr double AdmittedPercent = 40;
+constexpr int MaxAttempts = 4;
+
+double processorTime() {
+  timespec Spent{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Spent);
+  return static_cast<double>(Spent.tv_sec) +
+         static_cast<double>(Spent.tv_nsec) / 1e9;
+}
+
+/// Kinds of jobs of the load, with what their queues ask of the advisor.
+struct JobKind {
+  const char *Prefix;
+  std::uint32_t Tasks;
+  std::int64_t WorkMs;
+  std::int64_t MilliCpus;
+  std::uint32_t Priority;
+  double DecisionMs;
+  double PerWorkerMs;
+};
+
+constexpr JobKind ShortJob{"/short/", 8, 640, 4500, 0, 22, 0.32};
+constexpr JobKind LongJob{"/long/", 17, 4800, 9000, 2, 430, 6.1};
+
+JobQueue queueFor(const JobKind &Kind) {
+  JobQueue Queue;
+  Queue.Host = "host";
+  Queue.Prefix = Kind.Prefix;
+  Queue.Pool = "pool";
+  Queue.Priority = Kind.Priority;
+  Queue.MaxAttempts = MaxAttempts;
+  Queue.SlackFactor = 2;
+  Queue.Target = Millis{1000};
+  Queue.Advice = AdviceRules{Kind.DecisionMs, Kind.PerWorkerMs, Millis{2000}};
+  return Queue;
+}
+
+JobSpec specFor(const JobKind &Kind) {
+  JobSpec Spec;
+  Spec.Payload = "work " + std::to_string(Kind.WorkMs) + std::string(200, 'x');
+  for (std::uint32_t Index = 0; Index < 2; ++Index) {
+    StepSpec Step;
+    Step.Tasks = Kind.Tasks;
+    Step.Need.MilliCpus = Kind.MilliCpus;
+    Step.Need.MemoryMb = 100;
+    Step.Estimate = Millis{Kind.WorkMs};
+    if (Index != 0) {
+      Step.After.push_back(Index - 1);
+    }
+    Spec.Steps.push_back(Step);
+  }
+  return Spec;
+}
+
+class LoadRun {
+public:
+  explicit LoadRun(const CellLoad &Options) : Options{Options} {
+    StoredGroup Stored = foundGroup({{Leader, 1}});
+    CellNodeOptions Node;
+    Node.Self = Leader;
+    Node.Seeds = {Leader};
+    Node.IsVoter = true;
+    Node.Incarnation = 1;
+    Node.Agreement.IsOpen = true;
+    Node.Agreement.MayRecoverAlone = false;
+    Node.Agreement.WantedVoters = 1;
+    Node.Agreement.SnapshotEvery = 2000;
+    Node.Agreement.KeepEntries = 500;
+    Node.Dispatch.ReportEvery = ReportEvery;
+    Subject = std::make_unique<CellNode>(Node, std::move(Stored), Now);
+    for (std::size_t Index = 0; Index < Options.Workers; ++Index) {
+      const std::string Name = "w" + std::to_string(Index);
+      Resources Capacity;
+      Capacity.MilliCpus = WorkerCpus;
+      Capacity.MemoryMb = 128000;
+      Workers.emplace(Name, FakeWorker{Name, Capacity, Index, Now});
+      const auto Offset = static_cast<std::int64_t>(Index) *
+                          ReportEvery.count() /
+                          static_cast<std::int64_t>(Options.Workers);
+      ReportAt[Name] = Now + Millis{Offset};
+    }
+  }
+
+  CellLoadResult play() {
+    const Instant Traffic = Now + Millis{6000};
+    const Instant End = Traffic + Millis{Options.Seconds * 1000};
+    Instant ShortAt = Traffic;
+    Instant LongAt = Traffic;
+    StalledFrom =
+        Options.StallAt < 0 ? End : Traffic + Millis{Options.StallAt * 1000};
+    while (Now < End) {
+      Now += Millis{Options.StepMs};
+      if (!IsConfigured) {
+        configure();
+      }
+      submitDue(ShortJob, Options.ShortJobsPerSecond, ShortAt);
+      submitDue(LongJob, Options.LongJobsPerSecond, LongAt);
+      greet();
+      reportWorkers();
+      deliver();
+      step();
+    }
+    const auto &Counters = Subject->view().Counters;
+    Result.Starts = Counters.Starts;
+    Result.Holds = Counters.Holds;
+    Result.Questions = Counters.Questions;
+    Result.MeanTurnaround =
+        Result.Completed == 0
+            ? 0
+            : Turnaround / static_cast<double>(Result.Completed);
+    return Result;
+  }
+
+private:
+  [[nodiscard]] WallTime wall() const {
+    return WallTime{Now.time_since_epoch()};
+  }
+
+  /// Runs what the node does and adds its time up.
+  template <typename Work> auto timed(double &Sum, Work &&Do) {
+    const double Before = processorTime();
+    struct Adder {
+      double &Sum;
+      double Before;
+      ~Adder() { Sum += processorTime() - Before; }
+    } Add{Sum, Before};
+    return Do();
+  }
+
+  [[nodiscard]] bool isStalled() const {
+    return Now >= StalledFrom &&
+           Now < StalledFrom + Millis{Options.StallFor * 1000};
+  }
+
+  std::uint64_t call(CellCall Body) {
+    const std::uint64_t Id = NextCall;
+    NextCall += 1;
+    timed(Result.NodeSeconds, [&] { Subject->call(Id, std::move(Body), Now); });
+    return Id;
+  }
+
+  void configure() {
+    if (!Subject->isLeading(Now)) {
+      return;
+    }
+    CellConfiguration Rules;
+    Rules.Version = 1;
+    Rules.Queues = {queueFor(ShortJob), queueFor(LongJob)};
+    call(ConfigureCall{Rules});
+    IsConfigured = true;
+  }
+
+  void submitDue(const JobKind &Kind, double PerSecond, Instant &At) {
+    if (PerSecond <= 0) {
+      return;
+    }
+    while (Now >= At) {
+      At += Millis{static_cast<std::int64_t>(1000 / PerSecond)};
+      const std::string Name = "00000000" + std::to_string(10000000 + NextJob);
+      NextJob += 1;
+      JobCall Body{JobVerb::Submit, "host", Kind.Prefix + Name, specFor(Kind)};
+      call(std::move(Body));
+      SubmittedAt[Name] = Now;
+      Result.Submitted += 1;
+    }
+  }
+
+  void greet() {
+    if (Now < GreetAt) {
+      return;
+    }
+    GreetAt = Now + GreetEvery;
+    for (std::size_t Index = 0; Index < Options.Nodes; ++Index) {
+      const CellMessage Hello{static_cast<NodeId>(FirstHelper + Index), Leader,
+                              NodeHello{}};
+      timed(Result.NodeSeconds, [&] { Subject->receive(Hello, Now, wall()); });
+    }
+  }
+
+  void reportWorkers() {
+    for (auto &[Name, Item] : Workers) {
+      if (Now >= ReportAt[Name]) {
+        ReportAt[Name] = Now + ReportEvery;
+        call(WorkerReportCall{Item.report(Now)});
+      }
+      (void)Item.takeDeeds();
+      for (OrderResult &Each : Item.pass(Now)) {
+        queueAnswer(std::move(Each));
+      }
+    }
+  }
+
+  void queueAnswer(OrderResult Each) {
+    const auto Found = OpenOrders.find(Each.Id);
+    if (Found != OpenOrders.end() && !isStalled()) {
+      Answers.emplace(Now + Way, std::move(Each));
+    }
+  }
+
+  void deliver() {
+    while (!Sent.empty() && Sent.begin()->first <= Now) {
+      const WorkerOrder Order = std::move(Sent.begin()->second);
+      Sent.erase(Sent.begin());
+      if (isStalled()) {
+        continue;
+      }
+      auto Answer = Workers.at(Order.Worker).take(Order, Now, false);
+      if (Answer) {
+        queueAnswer(std::move(*Answer));
+      }
+    }
+    while (!Answers.empty() && Answers.begin()->first <= Now) {
+      const OrderResult Each = std::move(Answers.begin()->second);
+      Answers.erase(Answers.begin());
+      OutboundResponse Response;
+      Response.Body = renderAnswer(Each, Response.Status);
+      finishOrder(Each.Id, Response);
+    }
+    for (auto Item = Deadlines.begin();
+         Item != Deadlines.end() && Item->first <= Now;) {
+      const std::uint64_t Id = Item->second;
+      Item = Deadlines.erase(Item);
+      finishOrder(Id, {});
+    }
+    while (!Advice.empty() && Advice.begin()->first <= Now) {
+      const auto Told = std::move(Advice.begin()->second);
+      Advice.erase(Advice.begin());
+      timed(Result.NodeSeconds, [&] { Subject->receive(Told, Now, wall()); });
+    }
+  }
+
+  void finishOrder(std::uint64_t Id, const OutboundResponse &Response) {
+    const auto Found = OpenOrders.find(Id);
+    if (Found == OpenOrders.end()) {
+      return;
+    }
+    const WorkerOrder Order = std::move(Found->second);
+    OpenOrders.erase(Found);
+    const OrderResult Decoded = timed(Result.CodecSeconds, [&] {
+      return Protocol.decodeOrderAnswer(Order.Id, Order.Kind, Response);
+    });
+    timed(Result.NodeSeconds,
+          [&] { Subject->orderDone(Decoded, Now, wall()); });
+  }
+
+  void step() {
+    const double Before = Result.NodeSeconds;
+    CellOutput Output =
+        timed(Result.NodeSeconds, [&] { return Subject->step(Now, wall()); });
+    Result.SlowestStep =
+        std::max(Result.SlowestStep, Result.NodeSeconds - Before);
+    if (Output.Write) {
+      Subject->writeDone();
+    }
+    for (const CellMessage &Message : Output.Messages) {
+      timed(Result.CodecSeconds, [&] { return encodeCellMessage(Message); });
+      if (const auto *Asked = std::get_if<AdviceQuestion>(&Message.Body)) {
+        advise(Message.To, *Asked);
+      }
+    }
+    for (const AdviceQuestion &Question : Output.Questions) {
+      AdviceAnswer None;
+      None.Id = Question.Id;
+      timed(Result.NodeSeconds, [&] { Subject->adviceDone(None, Now); });
+    }
+    for (WorkerOrder &Order : Output.Orders) {
+      timed(Result.CodecSeconds, [&] { return Protocol.encodeOrder(Order); });
+      Deadlines.emplace(Now + Order.Timeout, Order.Id);
+      OpenOrders[Order.Id] = Order;
+      Sent.emplace(Now + Way, std::move(Order));
+    }
+    for (const std::string &Line : Output.Events) {
+      noteEvent(Line);
+    }
+  }
+
+  void advise(NodeId Node, const AdviceQuestion &Question) {
+    AdviceAnswer Answer;
+    Answer.Id = Question.Id;
+    Answer.IsAnswered = true;
+    for (const std::string &Worker : Question.Workers) {
+      const std::size_t Hash = std::hash<std::string>{}(
+          Question.Step.Job + std::to_string(Question.Step.Step) + Worker);
+      if (Hash % 100 < static_cast<std::size_t>(AdmittedPercent)) {
+        Answer.Admitted.push_back({Worker, "ticket"});
+      }
+    }
+    const bool IsShort = Question.Timeout < Millis{1400};
+    const JobKind &Kind = IsShort ? ShortJob : LongJob;
+    const auto Takes = static_cast<std::int64_t>(
+        Kind.DecisionMs +
+        Kind.PerWorkerMs * static_cast<double>(Question.Workers.size()));
+    Advice.emplace(Now + Millis{Takes},
+                   CellMessage{Node, Leader, std::move(Answer)});
+  }
+
+  void noteEvent(const std::string &Line) {
+    const std::string Mark = "event=job-over job=";
+    if (!Line.starts_with(Mark)) {
+      return;
+    }
+    const std::string Name = Line.substr(Mark.size(), 16);
+    const auto Found = SubmittedAt.find(Name);
+    if (Found != SubmittedAt.end()) {
+      Result.Completed += 1;
+      Turnaround += static_cast<double>((Now - Found->second).count()) / 1000;
+      SubmittedAt.erase(Found);
+    }
+  }
+
+  CellLoad Options;
+  platform::PlatformGateway Protocol;
+  Instant Now{Millis{100000}};
+  std::unique_ptr<CellNode> Subject;
+  std::map<std::string, FakeWorker> Workers;
+  std::map<std::string, Instant> ReportAt;
+  std::multimap<Instant, WorkerOrder> Sent;
+  std::multimap<Instant, OrderResult> Answers;
+  std::multimap<Instant, std::uint64_t> Deadlines;
+  std::multimap<Instant, CellMessage> Advice;
+  std::map<std::uint64_t, WorkerOrder> OpenOrders;
+  std::map<std::string, Instant> SubmittedAt;
+  Instant GreetAt;
+  Instant StalledFrom;
+  std::uint64_t NextCall = 1;
+  std::uint64_t NextJob = 0;
+  bool IsConfigured = false;
+  double Turnaround = 0;
+  CellLoadResult Result;
+};
+
+} // namespace
+
+CellLoadResult runCellLoad(const CellLoad &Options) {
+  return LoadRun{Options}.play();
+}
+
+} // namespace mulberryramp::test
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -26,6 +26,13 @@
   Holds.clear();
 }
 
+Millis FakeWorker::workTime(const std::string &Payload) {
+  const std::string Mark = "work ";
+  return Payload.starts_with(Mark)
+             ? Millis{std::stoll(Payload.substr(Mark.size()))}
+             : WorkTime;
+}
+
 std::int64_t FakeWorker::clock(Instant Now) const {
   return 1000 + (Now - BornAt).count() * ClockPercent / 100;
 }
@@ -97,7 +104,8 @@
   extend(Order.Expires, Now);
   const bool IsLasting = Order.Payload == "lasting";
   const auto Extra = static_cast<std::int64_t>(Draw.below(400));
-  Runs[Order.Task] = {Order.Attempt, Now, Now + WorkTime + Millis{Extra}, false,
+  Runs[Order.Task] = {Order.Attempt, Now,
+                      Now + workTime(Order.Payload) + Millis{Extra}, false,
                       IsLasting};
   Deeds.push_back({WorkerDeed::Kind::Started, Order.Task, Order.Attempt,
                    EndKind::Done, IsLate});
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -68,6 +68,8 @@
     Instant Until;
   };
 
+  /// Payloads "work N" name a run time of N ms.
+  static Millis workTime(const std::string &Payload);
   [[nodiscard]] std::int64_t clock(Instant Now) const;
   [[nodiscard]] OrderResult answerTo(std::uint64_t Order, Instant Now) const;
   OrderResult start(const WorkerOrder &Order, Instant Now, bool IsLate);
--- /dev/null
+++ b/test/cell/wire_standin.cpp
@@ -0,0 +1,93 @@
+#include "cell/wire_standin.hpp"
+
+#include "mulberryramp/core/names.hpp"
+
+#include <sstream>
+#include <vector>
+
+namespace mulberryramp::test {
+
+namespace {
+
+using platform::Json;
+
+std::optional<TaskName> readTask(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream Source{Text};
+  for (std::string Part; std::getline(Source, Part, '.');) {
+    Parts.push_back(std::move(Part));
+  }
+  if (Parts.size() != 4) {
+    return std::nullopt;
+  }
+  const auto Number = [&Parts](std::size_t Index) {
+    return static_cast<std::uint32_t>(std::stoul(Parts[Index]));
+  };
+  return TaskName{Parts[0], Number(1), Number(2), Number(3)};
+}
+
+} // namespace
+
+std::string renderTask(const TaskName &Task) {
+  return Task.Job + "." + std::to_string(Task.Run) + "." +
+         std::to_string(Task.Step) + "." + std::to_string(Task.Task);
+}
+
+std::optional<WorkerOrder> readOrder(const std::string &Path,
+                                     const std::string &Body) {
+  const Json Source = Json::parse(Body, nullptr, false);
+  if (!Source.is_object()) {
+    return std::nullopt;
+  }
+  WorkerOrder Order;
+  Order.Fence = Source.value("fencing_token", std::uint64_t{0});
+  Order.Expires = Source.value("expires_ms", std::int64_t{0});
+  if (Path == "/api/hold") {
+    Order.AckedEnds = Source.value("ack_cursor", std::uint64_t{0});
+    Order.Wait = Millis{Source.value("wait_ms", std::int64_t{0})};
+    return Order;
+  }
+  const auto Task = readTask(Source.value("task", std::string{}));
+  if (!Task) {
+    return std::nullopt;
+  }
+  Order.Task = *Task;
+  Order.Attempt = Source.value("attempt", 0U);
+  Order.Payload = Source.value("spec", std::string{});
+  Order.Saved = Source.value("checkpoint", std::string{});
+  Order.Ticket = Source.value("ticket", std::string{});
+  if (Path == "/api/run-start") {
+    Order.Kind = WorkerOrderKind::Start;
+  } else if (Path == "/api/run-stop") {
+    Order.Kind = WorkerOrderKind::Stop;
+  } else if (Path == "/api/pace") {
+    Order.Kind = WorkerOrderKind::Pace;
+  } else {
+    return std::nullopt;
+  }
+  return Order;
+}
+
+std::string renderAnswer(const OrderResult &Result, int &Status) {
+  Json Body{{"clock_ms", Result.Clock.value_or(0)}};
+  Status = Result.Verdict == OrderVerdict::Done ? 200 : 409;
+  if (Status != 200) {
+    Body["reason"] = nameOf(Result.Reason);
+  }
+  if (Result.Born != 0) {
+    Body["born"] = Result.Born;
+    Body["running"] = Json::array();
+    for (const RunningTask &Item : Result.Running) {
+      Body["running"].push_back({renderTask(Item.Task), Item.Attempt,
+                                 Item.Saved, Item.Percent, Item.Gauge});
+    }
+    Body["finished"] = Json::array();
+    for (const ListedEnd &Item : Result.Ended) {
+      Body["finished"].push_back({Item.Number, renderTask(Item.Task),
+                                  Item.Attempt, nameOf(Item.Kind), Item.Saved});
+    }
+  }
+  return Body.dump();
+}
+
+} // namespace mulberryramp::test
