Prefer workers that lost no order lately

A lost order now counts against a worker for 3 s when places are rated; it is still used if there is no other, since all workers may lose orders alike.

Test: CellPlanner.AWorkerThatLostAnOrderIsTheSecondChoiceForAWhile failed first.

--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -93,6 +93,7 @@
   Instant AnsweredAt;
   Instant LeaseEnd;               ///< Nothing runs there after this.
   std::uint32_t Misses = 0;       ///< Orders without an answer, in a row.
+  Instant LostAt;                 ///< When an order last got no answer.
   std::uint64_t EndsProposed = 0; ///< Listed ends that were proposed.
   std::uint64_t AckSent = 0;      ///< Acknowledged in an answered hold.
   std::uint64_t Sequence = 0;     ///< Of its last report.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -179,6 +179,7 @@
         " cause=" + std::string{nameOf(Verdict)});
   }
   Session.Misses += 1;
+  Session.LostAt = Now;
   Session.IsVerified = false;
   Session.NextHoldAt = Session.Misses == 1 ? Now : Now + HoldRetryEvery;
   if (Session.Misses == SilentAfterMisses) {
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -28,6 +28,10 @@
 constexpr double AwayFromData = 4;
 constexpr double FailedThere = 3;
 constexpr double BesideLasting = 0.6;
+constexpr double LostAnOrder = 2;
+/// An order without an answer speaks against a worker for so long; paths that
+/// lose some orders do so for seconds.
+constexpr Millis LossTellsFor{3000};
 /// A job this many objectives late is served last.
 constexpr int HopelessFactor = 3;
 
@@ -41,6 +45,7 @@
   std::uint32_t Lasting = 0; ///< Serving tasks there.
   double Slowness = 1;       ///< Run times against those of like tasks.
   bool IsDisturbed = false;  ///< Serving tasks there are over their limit.
+  bool LosesOrders = false;  ///< An order got no answer lately.
 };
 
 /// A step with tasks that wait.
@@ -87,6 +92,8 @@
       const WorkerSession &Session = Lead.Sessions.at(Id);
       Item.Slowness = Session.Slowness;
       Item.IsDisturbed = Session.IsDisturbed;
+      Item.LosesOrders =
+          Session.LostAt != Instant{} && Now - Session.LostAt < LossTellsFor;
       for (const TaskKey &Key : Session.Tasks) {
         const Job *Owner = State.Jobs.find(Key.Job);
         Item.Lasting +=
@@ -191,6 +198,9 @@
       Rating += FailedThere;
     }
     Rating += Item.Slowness * SlownessWeight;
+    if (Item.LosesOrders) {
+      Rating += LostAnOrder;
+    }
     if (!Step.IsLasting && Item.Lasting != 0) {
       Rating += BesideLasting;
     }
--- /dev/null
+++ b/test/cell/planner_test.cpp
@@ -0,0 +1,127 @@
+#include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/start_planner.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+
+namespace {
+
+/// Two equal workers that answer.
+struct Pair {
+  CellState State;
+  Dispatcher Lead;
+  Instant Now{Millis{100000}};
+
+  Pair() {
+    CellConfiguration Rules;
+    Rules.Version = 1;
+    JobQueue Queue;
+    Queue.Host = "h";
+    Queue.Prefix = "/q/";
+    Queue.Pool = "pool";
+    Queue.MaxAttempts = 3;
+    Rules.Queues.push_back(Queue);
+    applyCommand(State, ConfigureCommand{Rules});
+    beginDispatch(Lead, State, 1, Now, wall());
+    join("a");
+    join("b");
+  }
+
+  [[nodiscard]] WallTime wall() const {
+    return WallTime{Now.time_since_epoch()};
+  }
+
+  void join(const std::string &Name) {
+    WorkerReport Report;
+    Report.Name = Name;
+    Report.Born = 1;
+    Report.Pool = "pool";
+    Report.Address = Name + ":1";
+    Report.Capacity.MilliCpus = 4000;
+    Report.Clock = 1000;
+    Report.Sequence = 1;
+    noteChange(Lead, State, applyCommand(State, WorkerJoinCommand{Report}),
+               Now);
+    noteReport(Lead, findWorker(State, Name), Report, Now);
+  }
+
+  void submit(const std::string &Name) {
+    JobSpec Spec;
+    StepSpec Step;
+    Step.Need.MilliCpus = 1000;
+    Step.Estimate = Millis{1000};
+    Spec.Steps.push_back(Step);
+    applyCommand(State, SubmitJobCommand{Name, "h", "/q/", Spec, wall()});
+  }
+
+  /// Plans and starts; tells the worker of the first start.
+  std::string place() {
+    const auto Grants = planStarts(Lead, State, Now, wall());
+    if (Grants.empty()) {
+      return "";
+    }
+    noteChange(Lead, State, applyCommand(State, StartCommand{Grants}), Now);
+    return State.Workers[Grants.front().Worker].Report.Name;
+  }
+
+  void answer(WorkerOrderKind Kind, OrderVerdict Verdict) {
+    for (const WorkerOrder &Order : std::exchange(Lead.Orders, {})) {
+      if (Order.Kind != Kind) {
+        continue;
+      }
+      OrderResult Result;
+      Result.Id = Order.Id;
+      Result.Verdict = Verdict;
+      if (Verdict == OrderVerdict::Done) {
+        Result.Clock = 1000;
+        Result.Born = Kind == WorkerOrderKind::Hold ? 1 : 0;
+      }
+      noteOrderResult(Lead, State, Result, Now, wall());
+    }
+  }
+};
+
+} // namespace
+
+TEST_GROUP(CellPlanner){};
+
+TEST(CellPlanner, EqualWorkersAreFilledOneAfterTheOther) {
+  Pair Of;
+  Of.submit("one");
+  STRCMP_EQUAL("a", Of.place().c_str());
+  Of.answer(WorkerOrderKind::Start, OrderVerdict::Done);
+  Of.submit("two");
+  STRCMP_EQUAL("a", Of.place().c_str());
+}
+
+TEST(CellPlanner, AWorkerThatLostAnOrderIsTheSecondChoiceForAWhile) {
+  Pair Of;
+  Of.submit("one");
+  STRCMP_EQUAL("a", Of.place().c_str());
+  Of.answer(WorkerOrderKind::Start, OrderVerdict::Unanswered);
+  // A look shows that it lives.
+  holdTouched(Of.Lead, Of.State, Of.Now);
+  Of.answer(WorkerOrderKind::Hold, OrderVerdict::Done);
+  Of.submit("two");
+  STRCMP_EQUAL("b", Of.place().c_str());
+  Of.answer(WorkerOrderKind::Start, OrderVerdict::Done);
+  Of.Now += Millis{3100};
+  for (const char *Name : {"a", "b"}) {
+    Of.Lead.Sessions.at(findWorker(Of.State, Name)).ReportedAt = Of.Now;
+  }
+  Of.submit("three");
+  STRCMP_EQUAL("a", Of.place().c_str());
+}
+
+TEST(CellPlanner, AWorkerThatLostAnOrderIsStillUsedIfThereIsNoOther) {
+  Pair Of;
+  Of.submit("one");
+  STRCMP_EQUAL("a", Of.place().c_str());
+  Of.answer(WorkerOrderKind::Start, OrderVerdict::Unanswered);
+  holdTouched(Of.Lead, Of.State, Of.Now);
+  Of.answer(WorkerOrderKind::Hold, OrderVerdict::Done);
+  Of.Lead.Sessions.at(findWorker(Of.State, "b")).IsSettled = false;
+  Of.submit("two");
+  STRCMP_EQUAL("a", Of.place().c_str());
+}
