Look for starts and ends that are overdue

A lost start was doubted only after its time-out of 500 ms, and an end behind a lost hold was seen up to 1.4 s late. A start without an answer for 150 ms is now looked for, and stopped if the list does not show it; while orders get lost, tasks that should be done are looked for once.

Test: CellPlanner.AStartWithoutAnAnswerIsLookedForBeforeItTimesOut.

--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -271,6 +271,7 @@
     expireQuestions(Lead, Now);
     expireLeases(Lead, State, Now, Wall);
     stopAbandoned(Lead, State, Now);
+    lookForStarts(Lead, Now);
     sendHolds(Lead, State, Now);
   }
   if (Now >= Lead.ReviewAt) {
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -57,6 +57,7 @@
   Instant OverLimitSince;    ///< Tail over its limit; null: it is not.
   std::uint32_t Pace = 100;  ///< Share that it may work at.
   Instant PaceAt;            ///< When the pace was last changed.
+  bool IsLookedFor = false;  ///< A look was asked for since it should be done.
 };
 
 /// @brief A start that was given up though it may still run, or begin to.
@@ -161,6 +162,7 @@
   Instant SentAt;
   bool HasLease = false;
   std::uint64_t AckedEnds = 0;
+  bool IsLookedFor = false; ///< A start whose answer is overdue.
 };
 
 /// @brief A question for a node.
@@ -202,6 +204,7 @@
   Instant SweepAt;            ///< Next look for what can be forgotten.
   Instant TimersAt;           ///< Next look at all times that run out.
   std::set<LifeId> Touched;   ///< Workers that may have to be held at once.
+  Instant LostAt;             ///< When an order last got no answer.
   DispatchCounters Counters;
 
   std::vector<WorkerOrder> Orders;
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Answers to starts take less, unless they or the orders got lost.
+constexpr Millis StartPatience{150};
 /// Time for the answer of a hold beyond its wait.
 constexpr Millis HoldGrace{400};
 /// Misses in a row that make a worker silent, so that copies are run elsewhere.
@@ -180,6 +182,7 @@
   }
   Session.Misses += 1;
   Session.LostAt = Now;
+  Lead.LostAt = Now;
   Session.IsVerified = false;
   Session.NextHoldAt = Session.Misses == 1 ? Now : Now + HoldRetryEvery;
   if (Session.Misses == SilentAfterMisses) {
@@ -216,6 +219,15 @@
   Session.Clock = ClockSample{*Result.Clock, Now};
 }
 
+/// Takes a start for one that may be carried out later, or never.
+void doubtStart(Dispatcher &Lead, const CellState &State, Launch &Item,
+                Instant Now, WallTime Wall) {
+  Item.Phase = LaunchPhase::Doubtful;
+  Item.Since = Now;
+  giveUpCopy(Lead, State, Item, Wall);
+  sendStop(Lead, State, Item, "doubtful", Now);
+}
+
 void noteStartResult(Dispatcher &Lead, const CellState &State,
                      const OpenOrder &Order, const OrderResult &Result,
                      WorkerSession *Session, Instant Now, WallTime Wall) {
@@ -244,10 +256,9 @@
                        (Result.Reason == RefusalReason::Old ||
                         Result.Reason == RefusalReason::Fence));
   if (IsOpen) {
-    Item.Phase = LaunchPhase::Doubtful;
-    Item.Since = Now;
-    giveUpCopy(Lead, State, Item, Wall);
-    sendStop(Lead, State, Item, "doubtful", Now);
+    if (Item.Phase != LaunchPhase::Doubtful) {
+      doubtStart(Lead, State, Item, Now, Wall);
+    }
     return;
   }
   if (Result.Reason == RefusalReason::Ticket) {
@@ -424,6 +435,9 @@
   }
   switch (Item.Phase) {
   case LaunchPhase::Sending:
+    if (HoldSentAt - Item.Since >= StartPatience) {
+      doubtStart(Lead, State, Item, Now, Wall);
+    }
     return;
   case LaunchPhase::Confirmed:
   case LaunchPhase::Inherited:
@@ -614,6 +628,21 @@
   }
 }
 
+void lookForStarts(Dispatcher &Lead, Instant Now) {
+  for (auto &[Id, Order] : Lead.Sent) {
+    if (Now - Order.SentAt < StartPatience) {
+      return; // Orders are numbered as they are sent.
+    }
+    const auto Session = Lead.Sessions.find(Order.Worker);
+    if (Order.Kind == WorkerOrderKind::Start && !Order.IsLookedFor &&
+        Session != Lead.Sessions.end()) {
+      Order.IsLookedFor = true;
+      Session->second.WantsLook = true;
+      Lead.Touched.insert(Order.Worker);
+    }
+  }
+}
+
 void stopAbandoned(Dispatcher &Lead, const CellState &State, Instant Now) {
   for (auto &[Id, Session] : Lead.Sessions) {
     const WorkerLife *Worker = State.Workers.find(Id);
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -10,6 +10,9 @@
 /// @brief Answers of a worker that is well come within this time; links take
 /// 20 ms.
 inline constexpr Millis OrderTimeout{500};
+/// An order without an answer tells so long that orders get lost: paths that
+/// lose some do so for seconds.
+inline constexpr Millis LossTellsFor{3000};
 
 /// @brief Names a task as workers know it.
 [[nodiscard]] TaskName nameTask(const CellState &State, const TaskKey &Key);
@@ -38,6 +41,10 @@
 /// @brief Sends the holds of the workers that something happened to.
 void holdTouched(Dispatcher &Lead, const CellState &State, Instant Now);
 
+/// @brief Asks for looks at workers whose answer to a start is overdue; a list
+/// without the start makes it doubtful.
+void lookForStarts(Dispatcher &Lead, Instant Now);
+
 /// @brief Stops what was given up, until workers confirm it.
 void stopAbandoned(Dispatcher &Lead, const CellState &State, Instant Now);
 
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t LeastTellingTasks = 3;
 /// Time until a moved task runs again.
 constexpr Millis MoveTime{400};
+/// While orders get lost, an end that has not come so long after it was due is
+/// looked for, since the hold that waits for it may be lost.
+constexpr Millis LookSlack{100};
 /// Listings closer to the start tell too little.
 constexpr Millis LeastTellingRun{600};
 /// A tail over its limit for this long is taken as lasting.
@@ -71,6 +74,7 @@
   const JobStep &Step;
   std::vector<Launch *> Items;
   std::optional<Millis> Usual; ///< Time that its tasks take, if it shows.
+  Millis Expected{0};          ///< Time that its tasks took, or the estimate.
 };
 
 bool isGangBroken(const StepLaunches &Gang) {
@@ -133,6 +137,16 @@
   return Spec.IsLasting || Needed > std::max(Left, Millis{0});
 }
 
+bool wantsLook(const Dispatcher &Lead, const Launch &Item,
+               const StepLaunches &Like, const WorkerSession &Session,
+               Instant Now) {
+  return Lead.LostAt != Instant{} && Now - Lead.LostAt < LossTellsFor &&
+         !Like.Spec.IsLasting && !Item.IsLookedFor && !Item.IsEndProposed &&
+         Item.Phase == LaunchPhase::Confirmed && Session.HoldOrder != 0 &&
+         Now - Session.HoldSentAt >= LookSlack &&
+         Now - Item.StartedAt >= Like.Expected + LookSlack;
+}
+
 void reviewLaunch(Dispatcher &Lead, const CellState &State, Launch &Item,
                   const StepLaunches &Like, Instant Now) {
   const JobPhase Phase = Like.Owner.Phase;
@@ -149,6 +163,10 @@
   } else if (isWorthMoving(Item, Like, Now)) {
     Session.AvoidUntil = Now + AvoidAfterStop;
     sendStop(Lead, State, Item, "slow", Now);
+  } else if (wantsLook(Lead, Item, Like, Session, Now)) {
+    Item.IsLookedFor = true;
+    Session.WantsLook = true;
+    Lead.Touched.insert(Item.Item.Worker);
   }
 }
 
@@ -174,9 +192,17 @@
   if (Run == nullptr) {
     return Item;
   }
-  StepLaunches Like{*Owner, Owner->Spec.Steps[Key.Step], Run->Steps[Key.Step],
-                    std::move(Items), std::nullopt};
+  StepLaunches Like{*Owner,
+                    Owner->Spec.Steps[Key.Step],
+                    Run->Steps[Key.Step],
+                    std::move(Items),
+                    std::nullopt,
+                    {}};
   Like.Usual = usualTime(Lead, Key, Like);
+  Like.Expected = Like.Spec.Estimate;
+  if (const auto Took = Lead.Times.find(Key); Took != Lead.Times.end()) {
+    Like.Expected = Took->second.Total / Took->second.Count;
+  }
   const bool AreServing =
       Like.Spec.IsLasting && Like.Spec.TailLimit.count() != 0;
   for (Launch *Each : Like.Items) {
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/start_planner.hpp"
 
 #include "mulberryramp/cell/advice.hpp"
+#include "mulberryramp/cell/orders.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -29,9 +30,6 @@
 constexpr double FailedThere = 3;
 constexpr double BesideLasting = 0.6;
 constexpr double LostAnOrder = 2;
-/// An order without an answer speaks against a worker for so long; paths that
-/// lose some orders do so for seconds.
-constexpr Millis LossTellsFor{3000};
 /// A job this many objectives late is served last.
 constexpr int HopelessFactor = 3;
 
--- a/test/cell/planner_test.cpp
+++ b/test/cell/planner_test.cpp
@@ -125,3 +125,25 @@
   Of.submit("two");
   STRCMP_EQUAL("a", Of.place().c_str());
 }
+
+TEST(CellPlanner, AStartWithoutAnAnswerIsLookedForBeforeItTimesOut) {
+  Pair Of;
+  Of.submit("one");
+  STRCMP_EQUAL("a", Of.place().c_str());
+  Of.Lead.Orders.clear();
+  Of.Now += Millis{140};
+  lookForStarts(Of.Lead, Of.Now);
+  holdTouched(Of.Lead, Of.State, Of.Now);
+  CHECK(Of.Lead.Orders.empty());
+  Of.Now += Millis{20};
+  lookForStarts(Of.Lead, Of.Now);
+  holdTouched(Of.Lead, Of.State, Of.Now);
+  CHECK_FALSE(Of.Lead.Orders.empty());
+  CHECK(WorkerOrderKind::Hold == Of.Lead.Orders.front().Kind);
+  // The list does not show it: it is stopped before it is placed elsewhere.
+  Of.Now += Millis{10};
+  Of.answer(WorkerOrderKind::Hold, OrderVerdict::Done);
+  CHECK_EQUAL(1, Of.Lead.Orders.size());
+  CHECK(WorkerOrderKind::Stop == Of.Lead.Orders.front().Kind);
+  CHECK(Of.Lead.Commands.empty());
+}
