--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
+#include "mulberryramp/cell/answers.hpp"
+
 #include <algorithm>
 #include <utility>
 
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -233,10 +233,6 @@
 void noteReport(Dispatcher &Lead, LifeId Worker, const WorkerReport &Report,
                 Instant Now);
 
-/// @brief Takes the answer of a worker in.
-void noteOrderResult(Dispatcher &Lead, const CellState &State,
-                     const OrderResult &Result, Instant Now, WallTime Wall);
-
 /// @brief Takes the answer of the advisor in.
 void noteAdvice(Dispatcher &Lead, const CellState &State,
                 const AdviceAnswer &Answer, Instant Now);
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -3,7 +3,7 @@
 #include "mulberryramp/cell/dispatcher.hpp"
 
 /// @file
-/// @brief Orders of the leader to workers, and what is learned from answers.
+/// @brief Orders of the leader to workers.
 
 namespace mulberryramp {
 
@@ -14,6 +14,16 @@
 /// lose some do so for seconds.
 inline constexpr Millis LossTellsFor{3000};
 
+/// @brief Answers to starts take less, unless they or the orders got lost.
+inline constexpr Millis StartPatience{150};
+
+/// @brief Between holds of a worker that does not answer.
+inline constexpr Millis HoldRetryEvery{300};
+
+/// @brief Names a worker for the log; "-" if it is not known any more.
+[[nodiscard]] const std::string &workerName(const CellState &State,
+                                            LifeId Worker);
+
 /// @brief Names a task as workers know it.
 [[nodiscard]] TaskName nameTask(const CellState &State, const TaskKey &Key);
 
@@ -30,6 +40,11 @@
 void sendStop(Dispatcher &Lead, const CellState &State, Launch &Item,
               std::string_view Why, Instant Now);
 
+/// @brief Sends the order to stop a run that a worker lists and that is none of
+/// the leader's.
+void sendStopOfUnknown(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
+                       const RunningTask &Listed, Instant Now);
+
 /// @brief Sends the order to let a task work at a share.
 void sendPace(Dispatcher &Lead, const CellState &State, Launch &Item,
               std::uint32_t Percent, Instant Now);
--- a/test/cell/planner_test.cpp
+++ b/test/cell/planner_test.cpp
@@ -1,3 +1,4 @@
+#include "mulberryramp/cell/answers.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/start_planner.hpp"
 
