--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint32_t MaxAttempts = 3;
 constexpr std::int64_t TaskCpus = 1000;
 constexpr int MaxLastingJobs = 2;
+/// How long members of a gang wait for the others.
+constexpr Millis GangTimeout{3000};
 
 struct Voter {
   MemoryFiles Files;
@@ -75,6 +77,12 @@
   std::map<std::uint64_t, std::pair<NodeId, std::uint64_t>> Holds;
 };
 
+/// One run of a gang, as its workers see it.
+struct GangRun {
+  Instant Since;
+  std::optional<Instant> DoneAt; ///< Set once all members were there.
+};
+
 struct JobSeen {
   JobSpec Spec;
   bool IsAccepted = false;
@@ -333,7 +341,7 @@
     std::uint64_t Form = Draw.below(12);
     Form = Form == 0 && LastingJobs == MaxLastingJobs ? 1 : Form;
     LastingJobs += Form == 0 ? 1 : 0;
-    Spec.Payload = Form == 0 ? "lasting" : "work";
+    Spec.Payload = Form == 0 ? "lasting" : Form == 3 ? "gang" : "work";
     const std::uint64_t Steps = Form == 0 ? 1 : 1 + Draw.below(3);
     for (std::uint64_t Index = 0; Index < Steps; ++Index) {
       StepSpec Step;
@@ -345,6 +353,7 @@
       if (Form == 2) {
         Step.MaxPerWorker = 1;
       }
+      Step.IsGang = Form == 3;
       if (Index > 0) {
         Step.After.push_back(static_cast<std::uint32_t>(Index - 1));
       }
@@ -587,7 +596,52 @@
     collect(Id, Lives.at(Id), std::move(Output));
   }
 
+  using GangKey = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+  using GangMembers = std::vector<std::pair<FakeWorker *, TaskName>>;
+
+  /// Members of a gang work from when all of one run are there, and end
+  /// together.
+  void stepGangs() {
+    std::map<GangKey, GangMembers> Present;
+    for (auto &[Name, Item] : Workers) {
+      for (const auto &[Task, Attempt] : Item.Worker->running()) {
+        if (stepOf(Task).IsGang) {
+          Present[{Task.Job, Task.Step, Attempt}].emplace_back(
+              Item.Worker.get(), Task);
+        }
+      }
+    }
+    for (const auto &[Key, Members] : Present) {
+      stepGang(Key, Members);
+    }
+    std::erase_if(Gangs, [&Present](const auto &Item) {
+      return !Present.contains(Item.first);
+    });
+  }
+
+  void stepGang(const GangKey &Key, const GangMembers &Members) {
+    GangRun &Run = Gangs.try_emplace(Key, GangRun{Now, {}}).first->second;
+    const StepSpec &Step = stepOf(Members.front().second);
+    const bool IsWhole = Members.size() == Step.Tasks;
+    if (IsWhole && !Run.DoneAt) {
+      Run.DoneAt = Now + FakeWorker::WorkTime;
+    } else if (IsWhole && Now >= *Run.DoneAt) {
+      const bool HasFailed = Draw.percent(5);
+      for (const auto &[Worker, Task] : Members) {
+        const bool IsCulprit = HasFailed && Task == Members.front().second;
+        Worker->endRun(Task, IsCulprit   ? EndKind::Failed
+                             : HasFailed ? EndKind::Broken
+                                         : EndKind::Done);
+      }
+    } else if (!IsWhole && (Run.DoneAt || Now - Run.Since > GangTimeout)) {
+      for (const auto &[Worker, Task] : Members) {
+        Worker->endRun(Task, Run.DoneAt ? EndKind::Broken : EndKind::Alone);
+      }
+    }
+  }
+
   void stepWorkers() {
+    stepGangs();
     for (auto &[Name, Item] : Workers) {
       if (Now >= Item.ReportAt && Now >= Item.CutUntil) {
         Item.ReportAt = Now + ReportEvery;
@@ -657,6 +711,9 @@
         !IsExempt) {
       violate("start after its end was acknowledged: " + Text);
     }
+    if (Step.IsGang) {
+      checkGangStart(Deed, Step, Text);
+    }
     if (AckedFailures[Deed.Task] >= MaxAttempts && !IsExempt) {
       violate("start beyond the attempts: " + Text);
     }
@@ -674,6 +731,25 @@
     }
   }
 
+  /// One end of a member stands for all, and two runs are never mixed.
+  void checkGangStart(const WorkerDeed &Deed, const StepSpec &Step,
+                      const std::string &Text) {
+    TaskName Member = Deed.Task;
+    for (Member.Task = 0; Member.Task < Step.Tasks; ++Member.Task) {
+      if (AckedDone.contains(Member)) {
+        violate("start of a gang that is done: " + Text);
+      }
+    }
+    for (const auto &[Name, Item] : Workers) {
+      for (const auto &[Task, Attempt] : Item.Worker->running()) {
+        if (Task.Job == Deed.Task.Job && Task.Step == Deed.Task.Step &&
+            Attempt != Deed.Attempt) {
+          violate("two runs of a gang at once: " + Text);
+        }
+      }
+    }
+  }
+
   void check() {
     std::map<TaskName, std::string> Running;
     for (const auto &[Name, Item] : Workers) {
@@ -759,6 +835,7 @@
   int LastingJobs = 0;
   std::uint64_t ConfigureId = 0;
   NodeId LeaderSeen = 0;
+  std::map<GangKey, GangRun> Gangs;
   std::set<TaskName> DoneTasks;
   std::map<TaskName, Instant> AckedDone;
   std::map<TaskName, std::uint32_t> AckedFailures;
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -102,7 +102,8 @@
     return Refuse(RefusalReason::Late);
   }
   extend(Order.Expires, Now);
-  const bool IsLasting = Order.Payload == "lasting";
+  // Members of a gang end when all of them do, which is not known here.
+  const bool IsLasting = Order.Payload == "lasting" || Order.Payload == "gang";
   const auto Extra = static_cast<std::int64_t>(Draw.below(400));
   Runs[Order.Task] = {Order.Attempt, Now,
                       Now + workTime(Order.Payload) + Millis{Extra}, false,
@@ -171,6 +172,12 @@
   Runs.erase(Found);
 }
 
+void FakeWorker::endRun(const TaskName &Task, EndKind How) {
+  if (Runs.contains(Task)) {
+    end(Task, How);
+  }
+}
+
 std::vector<OrderResult> FakeWorker::pass(Instant Now) {
   if (clock(Now) >= Expires) {
     LapsedUpTo = LastEnd;
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -45,6 +45,9 @@
   /// @brief Takes what happened since the last call.
   [[nodiscard]] std::vector<WorkerDeed> takeDeeds();
 
+  /// @brief Ends a run, as members of a gang do together.
+  void endRun(const TaskName &Task, EndKind How);
+
   /// @brief Lists what runs.
   [[nodiscard]] std::vector<std::pair<TaskName, std::uint32_t>> running() const;
 
