--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -38,8 +38,9 @@
 constexpr Millis ReloadEvery{1000};
 /// A balancer sends no new connections this long after the request to end.
 constexpr Millis LingerCallers{2500};
-/// Connections to one worker: one for the open hold, others for orders.
-constexpr long MaxConnectionsPerWorker = 3;
+/// Connections to one worker: one for the open hold, others for orders, of
+/// which some may hang until their time-out.
+constexpr long MaxConnectionsPerWorker = 6;
 /// Entries of the log between snapshots, and kept behind one.
 constexpr std::size_t SnapshotEvery = 2000;
 constexpr std::size_t KeepEntries = 500;
