Make one piece serve where the cell's code and tests had written twins

Found on reading the whole change again: - Three functions built, counted and sent a stop; sendStopOrder does, and send() notes worker and time for all orders. - The mean of run times was computed in two places: StepTimes::mean. - Three fixtures and the explorer wrote the same queue and report: test/support/cell_parts. - The two load tools had the kinds of jobs, the admission and the advisor's time each; cell/load_shapes has them, and answerTime of the product is called. - A set named HasServing also held workers with paced tasks: NeedsPacing. A comment of the emulator was false, two includes were not used.

Left as they are: cell_node proposes and ticks twice a step, since merging the two changes what is batched; the stand-in's reading of the wire, since it checks the adapter's.

--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -136,6 +136,9 @@
 struct StepTimes {
   std::uint32_t Count = 0;
   Millis Total{0};
+
+  /// @brief Computes the mean; undefined without run times.
+  [[nodiscard]] constexpr Millis mean() const noexcept { return Total / Count; }
 };
 
 /// @brief A node that can ask the advisor, which answers each node in turn.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -52,13 +52,32 @@
 }
 
 /// Sends an order; `Open` says what its answer will be needed for.
-void send(Dispatcher &Lead, WorkerOrder Order, OpenOrder Open) {
+void send(Dispatcher &Lead, WorkerOrder Order, OpenOrder Open, LifeId Worker,
+          Instant Now) {
+  Open.Worker = Worker;
+  Open.SentAt = Now;
   Open.Kind = Order.Kind;
   Open.Attempt = Order.Attempt;
   Lead.Sent[Order.Id] = Open;
   Lead.Orders.push_back(std::move(Order));
 }
 
+/// Sends the order to stop a run.
+/// @param Key The task, if the answer matters for it.
+/// @return Number of the order.
+std::uint64_t sendStopOrder(Dispatcher &Lead, const WorkerLife &Worker,
+                            LifeId Id, const TaskKey &Key, TaskName Task,
+                            std::uint32_t Attempt, Instant Now) {
+  WorkerOrder Order = makeTaskOrder(Lead, Worker, WorkerOrderKind::Stop,
+                                    std::move(Task), Attempt);
+  const std::uint64_t Number = Order.Id;
+  OpenOrder Open;
+  Open.Key = Key;
+  Lead.Counters.Stops += 1;
+  send(Lead, std::move(Order), Open, Id, Now);
+  return Number;
+}
+
 bool isOverdue(const WorkerSession &Session, Instant Now) {
   return Session.HoldOrder != 0 &&
          Now - Session.HoldSentAt > Session.HoldTimeout - HoldGrace / 2;
@@ -87,14 +106,12 @@
     Open.HasLease = true;
   }
   Order.Timeout = Order.Wait + HoldGrace;
-  Open.Worker = Id;
-  Open.SentAt = Now;
   Open.AckedEnds = Order.AckedEnds;
   Session.HoldOrder = Order.Id;
   Session.HoldSentAt = Now;
   Session.HoldTimeout = Order.Timeout;
   Lead.Counters.Holds += 1;
-  send(Lead, std::move(Order), Open);
+  send(Lead, std::move(Order), Open, Id, Now);
 }
 
 /// Looks at once, since an open hold may wait for long. It acknowledges
@@ -103,13 +120,10 @@
 void sendLook(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
               WorkerSession &Session, Instant Now) {
   WorkerOrder Order = makeOrder(Lead, Worker, WorkerOrderKind::Hold);
-  OpenOrder Open;
-  Open.Worker = Id;
-  Open.SentAt = Now;
   Session.LookOrder = Order.Id;
   Session.WantsLook = false;
   Lead.Counters.Holds += 1;
-  send(Lead, std::move(Order), Open);
+  send(Lead, std::move(Order), {}, Id, Now);
 }
 
 void holdIfDue(Dispatcher &Lead, const CellState &State, LifeId Id,
@@ -181,12 +195,10 @@
       "event=start " + describeStart(Order.Task, Order.Attempt) +
       " worker=" + Order.Worker + " fence=" + std::to_string(Lead.Fence));
   OpenOrder Open;
-  Open.Worker = Item.Worker;
   Open.Key = Item.Key;
-  Open.SentAt = Now;
   Open.HasLease = true;
   Lead.Counters.Starts += 1;
-  send(Lead, std::move(Order), Open);
+  send(Lead, std::move(Order), Open, Item.Worker, Now);
   if (Session.HoldOrder == 0) {
     Session.NextHoldAt = std::min(Session.NextHoldAt, Now + HoldRetryEvery);
   }
@@ -201,36 +213,24 @@
       Item.IsEndProposed) {
     return;
   }
-  WorkerOrder Order =
-      makeTaskOrder(Lead, *Worker, WorkerOrderKind::Stop,
-                    nameTask(State, Item.Item.Key), Item.Item.Attempt);
+  const Grant &Run = Item.Item;
+  const TaskName Task = nameTask(State, Run.Key);
   if (Item.StopSentAt == Instant{}) {
-    Lead.Events.push_back(
-        "event=stop " + describeStart(Order.Task, Order.Attempt) +
-        " worker=" + Order.Worker + " why=" + std::string{Why});
+    Lead.Events.push_back("event=stop " + describeStart(Task, Run.Attempt) +
+                          " worker=" + Worker->Report.Name +
+                          " why=" + std::string{Why});
   }
   Item.StopSentAt = Now;
-  Item.StopOrder = Order.Id;
-  OpenOrder Open;
-  Open.Worker = Item.Item.Worker;
-  Open.Key = Item.Item.Key;
-  Open.SentAt = Now;
-  Lead.Counters.Stops += 1;
-  send(Lead, std::move(Order), Open);
+  Item.StopOrder =
+      sendStopOrder(Lead, *Worker, Run.Worker, Run.Key, Task, Run.Attempt, Now);
 }
 
 void sendStopOfUnknown(Dispatcher &Lead, const WorkerLife &Worker, LifeId Id,
                        const RunningTask &Listed, Instant Now) {
-  WorkerOrder Order = makeTaskOrder(Lead, Worker, WorkerOrderKind::Stop,
-                                    Listed.Task, Listed.Attempt);
   Lead.Events.push_back("event=stop " +
                         describeStart(Listed.Task, Listed.Attempt) +
                         " worker=" + Worker.Report.Name + " why=unknown-there");
-  OpenOrder Open;
-  Open.Worker = Id;
-  Open.SentAt = Now;
-  Lead.Counters.Stops += 1;
-  send(Lead, std::move(Order), Open);
+  sendStopOrder(Lead, Worker, Id, {}, Listed.Task, Listed.Attempt, Now);
 }
 
 void sendPace(Dispatcher &Lead, const CellState &State, Launch &Item,
@@ -249,10 +249,8 @@
   Item.Pace = Percent;
   Item.PaceAt = Now;
   OpenOrder Open;
-  Open.Worker = Item.Item.Worker;
   Open.Key = Item.Item.Key;
-  Open.SentAt = Now;
-  send(Lead, std::move(Order), Open);
+  send(Lead, std::move(Order), Open, Item.Item.Worker, Now);
 }
 
 void sendHolds(Dispatcher &Lead, const CellState &State, Instant Now) {
@@ -297,16 +295,9 @@
       if (Left.StopOrder != 0 || IsRecent) {
         continue;
       }
-      WorkerOrder Order = makeTaskOrder(Lead, *Worker, WorkerOrderKind::Stop,
-                                        Left.Name, Left.Attempt);
-      Left.StopOrder = Order.Id;
+      Left.StopOrder = sendStopOrder(Lead, *Worker, Id, Left.Key, Left.Name,
+                                     Left.Attempt, Now);
       Left.StopSentAt = Now;
-      OpenOrder Open;
-      Open.Worker = Id;
-      Open.Key = Left.Key;
-      Open.SentAt = Now;
-      Lead.Counters.Stops += 1;
-      send(Lead, std::move(Order), Open);
     }
   }
 }
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -96,8 +96,7 @@
   }
   const auto Done = Lead.Times.find(Key);
   if (Done != Lead.Times.end()) {
-    Times.insert(Times.end(), Done->second.Count,
-                 Done->second.Total / Done->second.Count);
+    Times.insert(Times.end(), Done->second.Count, Done->second.mean());
   }
   if (Times.size() < LeastTellingTasks) {
     return std::nullopt;
@@ -172,10 +171,10 @@
 
 /// Reviews the launches of one step.
 /// @param First Launch of the step with the lowest key.
-/// @param HasServing Receives workers where tails matter or work is paced.
+/// @param NeedsPacing Receives workers where tails matter or work is paced.
 /// @return The first launch behind the step.
 LaunchIterator reviewStep(Dispatcher &Lead, const CellState &State,
-                          LaunchIterator First, std::set<LifeId> &HasServing,
+                          LaunchIterator First, std::set<LifeId> &NeedsPacing,
                           Instant Now) {
   const StepKey Key{First->first.Job, First->first.Run, First->first.Step};
   const Job *Owner = State.Jobs.find(Key.Job);
@@ -201,14 +200,14 @@
   Like.Usual = usualTime(Lead, Key, Like);
   Like.Expected = Like.Spec.Estimate;
   if (const auto Took = Lead.Times.find(Key); Took != Lead.Times.end()) {
-    Like.Expected = Took->second.Total / Took->second.Count;
+    Like.Expected = Took->second.mean();
   }
   const bool AreServing =
       Like.Spec.IsLasting && Like.Spec.TailLimit.count() != 0;
   for (Launch *Each : Like.Items) {
     reviewLaunch(Lead, State, *Each, Like, Now);
     if (AreServing || Each->Pace < 100) {
-      HasServing.insert(Each->Item.Worker);
+      NeedsPacing.insert(Each->Item.Worker);
     }
   }
   return Item;
@@ -264,12 +263,12 @@
 } // namespace
 
 void reviewLaunches(Dispatcher &Lead, const CellState &State, Instant Now) {
-  std::set<LifeId> HasServing;
+  std::set<LifeId> NeedsPacing;
   for (auto Item = Lead.Launches.begin(); Item != Lead.Launches.end();) {
-    Item = reviewStep(Lead, State, Item, HasServing, Now);
+    Item = reviewStep(Lead, State, Item, NeedsPacing, Now);
   }
   for (auto &[Id, Session] : Lead.Sessions) {
-    if (Session.IsDisturbed || HasServing.contains(Id)) {
+    if (Session.IsDisturbed || NeedsPacing.contains(Id)) {
       paceFillers(Lead, State, Session, Now);
     }
   }
--- a/test/cell/cell_load.cpp
+++ b/test/cell/cell_load.cpp
@@ -1,7 +1,9 @@
 #include "cell/cell_load.hpp"
 
 #include "cell/fake_worker.hpp"
+#include "cell/load_shapes.hpp"
 #include "cell/wire_standin.hpp"
+#include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/cell/message.hpp"
 #include "platform/gateway.hpp"
@@ -10,7 +12,6 @@
 #include <ctime>
 #include <map>
 #include <memory>
-#include <set>
 
 namespace mulberryramp::test {
 
@@ -21,9 +22,6 @@
 constexpr Millis Way{1}; ///< To a worker or a node, one way.
 constexpr NodeId Leader = 1;
 constexpr NodeId FirstHelper = 100;
-constexpr std::int64_t WorkerCpus = 32000;
-constexpr double AdmittedPercent = 40;
-constexpr int MaxAttempts = 4;
 
 double processorTime() {
   timespec Spent{};
@@ -32,41 +30,14 @@
          static_cast<double>(Spent.tv_nsec) / 1e9;
 }
 
-/// Kinds of jobs of the load, with what their queues ask of the advisor.
-struct JobKind {
-  const char *Prefix;
-  std::uint32_t Tasks;
-  std::int64_t WorkMs;
-  std::int64_t MilliCpus;
-  std::uint32_t Priority;
-  double DecisionMs;
-  double PerWorkerMs;
-};
-
-constexpr JobKind ShortJob{"/short/", 8, 640, 4500, 0, 22, 0.32};
-constexpr JobKind LongJob{"/long/", 17, 4800, 9000, 2, 430, 6.1};
-
-JobQueue queueFor(const JobKind &Kind) {
-  JobQueue Queue;
-  Queue.Host = "host";
-  Queue.Prefix = Kind.Prefix;
-  Queue.Pool = "pool";
-  Queue.Priority = Kind.Priority;
-  Queue.MaxAttempts = MaxAttempts;
-  Queue.SlackFactor = 2;
-  Queue.Target = Millis{1000};
-  Queue.Advice = AdviceRules{Kind.DecisionMs, Kind.PerWorkerMs, Millis{2000}};
-  return Queue;
-}
-
-JobSpec specFor(const JobKind &Kind) {
+JobSpec specFor(const LoadKind &Kind) {
   JobSpec Spec;
-  Spec.Payload = "work " + std::to_string(Kind.WorkMs) + std::string(200, 'x');
+  Spec.Payload = loadPayload(Kind);
   for (std::uint32_t Index = 0; Index < 2; ++Index) {
     StepSpec Step;
     Step.Tasks = Kind.Tasks;
     Step.Need.MilliCpus = Kind.MilliCpus;
-    Step.Need.MemoryMb = 100;
+    Step.Need.MemoryMb = LoadTaskMemoryMb;
     Step.Estimate = Millis{Kind.WorkMs};
     if (Index != 0) {
       Step.After.push_back(Index - 1);
@@ -95,8 +66,8 @@
     for (std::size_t Index = 0; Index < Options.Workers; ++Index) {
       const std::string Name = "w" + std::to_string(Index);
       Resources Capacity;
-      Capacity.MilliCpus = WorkerCpus;
-      Capacity.MemoryMb = 128000;
+      Capacity.MilliCpus = LoadWorkerCpus;
+      Capacity.MemoryMb = LoadWorkerMemoryMb;
       Workers.emplace(Name, FakeWorker{Name, Capacity, Index, Now});
       const auto Offset = static_cast<std::int64_t>(Index) *
                           ReportEvery.count() /
@@ -169,12 +140,12 @@
     }
     CellConfiguration Rules;
     Rules.Version = 1;
-    Rules.Queues = {queueFor(ShortJob), queueFor(LongJob)};
+    Rules.Queues = {loadQueue(ShortJob), loadQueue(LongJob)};
     call(ConfigureCall{Rules});
     IsConfigured = true;
   }
 
-  void submitDue(const JobKind &Kind, double PerSecond, Instant &At) {
+  void submitDue(const LoadKind &Kind, double PerSecond, Instant &At) {
     if (PerSecond <= 0) {
       return;
     }
@@ -302,20 +273,17 @@
     AdviceAnswer Answer;
     Answer.Id = Question.Id;
     Answer.IsAnswered = true;
+    const std::string Step =
+        Question.Step.Job + std::to_string(Question.Step.Step);
     for (const std::string &Worker : Question.Workers) {
-      const std::size_t Hash = std::hash<std::string>{}(
-          Question.Step.Job + std::to_string(Question.Step.Step) + Worker);
-      if (Hash % 100 < static_cast<std::size_t>(AdmittedPercent)) {
+      if (isLoadAdmitted(Step, Worker)) {
         Answer.Admitted.push_back({Worker, "ticket"});
       }
     }
     const bool IsShort = Question.Timeout < Millis{1400};
-    const JobKind &Kind = IsShort ? ShortJob : LongJob;
-    const auto Takes = static_cast<std::int64_t>(
-        Kind.DecisionMs +
-        Kind.PerWorkerMs * static_cast<double>(Question.Workers.size()));
-    Advice.emplace(Now + Millis{Takes},
-                   CellMessage{Node, Leader, std::move(Answer)});
+    const JobQueue Queue = loadQueue(IsShort ? ShortJob : LongJob);
+    const Millis Takes = answerTime(*Queue.Advice, Question.Workers.size());
+    Advice.emplace(Now + Takes, CellMessage{Node, Leader, std::move(Answer)});
   }
 
   void noteEvent(const std::string &Line) {
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -4,6 +4,7 @@
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/core/random.hpp"
 #include "mulberryramp/storage/group_store.hpp"
+#include "support/cell_parts.hpp"
 #include "support/memory_files.hpp"
 
 #include <algorithm>
@@ -179,15 +180,8 @@
   }
 
   void configure() {
-    CellConfiguration Rules;
-    Rules.Version = 1;
-    JobQueue Queue;
-    Queue.Host = "host";
-    Queue.Prefix = "/q/";
-    Queue.Pool = "pool";
-    Queue.MaxAttempts = MaxAttempts;
-    Queue.Target = Millis{500};
-    Rules.Queues.push_back(Queue);
+    CellConfiguration Rules = plainRules(1, MaxAttempts);
+    Rules.Queues.front().Target = Millis{500};
     Front->call(NextCall, ConfigureCall{Rules}, Now);
     ConfigureId = NextCall;
     NextCall += 1;
--- a/test/cell/emulator_main.cpp
+++ b/test/cell/emulator_main.cpp
@@ -2,8 +2,9 @@
 // real time, and puts a load on it.
 
 #include "cell/fake_worker.hpp"
+#include "cell/load_shapes.hpp"
 #include "cell/wire_standin.hpp"
-#include "mulberryramp/config/ini.hpp"
+#include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/http/async_client.hpp"
 #include "mulberryramp/http/server.hpp"
@@ -29,9 +30,6 @@
 constexpr Millis ReportEvery{1500};
 constexpr Millis ReadEvery{700};
 constexpr Millis RetryEvery{300};
-constexpr std::int64_t WorkerCpus = 32000;
-constexpr std::int64_t WorkerMemoryMb = 128000;
-constexpr std::size_t AdmittedPercent = 40;
 constexpr const char *QueueHost = "jobs.example";
 
 struct Options {
@@ -44,15 +42,9 @@
   std::int64_t Seconds = 20;
 };
 
-/// A queue of the load with the jobs that it gets: two steps of equal tasks.
-struct Kind {
-  std::string Prefix;
-  std::uint32_t Tasks = 0;
-  std::int64_t WorkMs = 0;
-  std::int64_t MilliCpus = 0;
-  std::uint32_t Priority = 0;
-  double DecisionMs = 0;
-  double PerWorkerMs = 0;
+/// A kind of jobs with how many come.
+struct Flow {
+  LoadKind Kind;
   double PerSecond = 0;
   Instant NextAt;
 };
@@ -68,10 +60,8 @@
 public:
   explicit Emulator(const Options &Wanted)
       : Wanted{Wanted}, Client{Loop, 16},
-        Kinds{
-            {"/short/", 8, 640, 4500, 0, 22, 0.32, Wanted.ShortPerSecond, {}},
-            {"/long/", 17, 4800, 9000, 2, 430, 6.1, Wanted.LongPerSecond, {}}} {
-  }
+        Flows{{ShortJob, Wanted.ShortPerSecond, {}},
+              {LongJob, Wanted.LongPerSecond, {}}} {}
 
   int run() {
     auto Listening = HttpServer::listen(
@@ -91,7 +81,7 @@
     const Instant Begin = now();
     Instant Traffic = Begin + Millis{5000};
     const Instant End = Traffic + Millis{Wanted.Seconds * 1000};
-    for (Kind &Each : Kinds) {
+    for (Flow &Each : Flows) {
       Each.NextAt = Traffic;
     }
     while (now() < End) {
@@ -125,8 +115,8 @@
 
   void openWorkers() {
     Resources Capacity;
-    Capacity.MilliCpus = WorkerCpus;
-    Capacity.MemoryMb = WorkerMemoryMb;
+    Capacity.MilliCpus = LoadWorkerCpus;
+    Capacity.MemoryMb = LoadWorkerMemoryMb;
     for (std::size_t Index = 0; Index < Wanted.Workers; ++Index) {
       const std::string Host =
           addressOf(Index) + ":" + std::to_string(Wanted.Port);
@@ -169,16 +159,13 @@
     Json Told{{"eligible", Json::array()}};
     const Json Named = Body.value("workers", Json::array());
     for (const Json &Name : Named) {
-      const std::size_t Hash =
-          std::hash<std::string>{}(Step + Name.get<std::string>());
-      if (Hash % 100 < AdmittedPercent) {
+      if (isLoadAdmitted(Step, Name.get<std::string>())) {
         Told["eligible"].push_back({Name, "ticket"});
       }
     }
-    // Jobs of the second kind have odd numbers.
-    const Kind &Of = Kinds[static_cast<std::size_t>(Step.at(0) - '0')];
-    const auto Takes = Millis{static_cast<std::int64_t>(
-        Of.DecisionMs + Of.PerWorkerMs * static_cast<double>(Named.size()))};
+    // Names of jobs begin with the number of their flow.
+    const Flow &Of = Flows[static_cast<std::size_t>(Step.at(0) - '0')];
+    const Millis Takes = answerTime(*loadQueue(Of.Kind).Advice, Named.size());
     Advice.emplace(now() + Takes, std::make_pair(Id, Told.dump()));
   }
 
@@ -203,7 +190,7 @@
       ConfigureAt = Now + RetryEvery;
       configure();
     }
-    for (std::size_t Index = 0; Index < Kinds.size(); ++Index) {
+    for (std::size_t Index = 0; Index < Flows.size(); ++Index) {
       submitDue(Index, Now);
     }
     readJobs(Now);
@@ -244,21 +231,22 @@
 
   void configure() {
     Json Routes = Json::array();
-    for (const Kind &Each : Kinds) {
-      Routes.push_back({{"name", Each.Prefix},
+    for (const Flow &Each : Flows) {
+      const JobQueue Queue = loadQueue(Each.Kind);
+      Routes.push_back({{"name", Queue.Prefix},
                         {"host", QueueHost},
-                        {"path_prefix", Each.Prefix},
+                        {"path_prefix", Queue.Prefix},
                         {"kind", "non_idempotent"},
                         {"timeout_ms", 3000},
-                        {"target_latency_ms", 1000},
-                        {"priority", Each.Priority},
-                        {"service", "pool"},
-                        {"max_attempts", 4},
-                        {"slack_factor", 2.0},
+                        {"target_latency_ms", Queue.Target.count()},
+                        {"priority", Queue.Priority},
+                        {"service", Queue.Pool},
+                        {"max_attempts", Queue.MaxAttempts},
+                        {"slack_factor", Queue.SlackFactor},
                         {"advisor",
-                         {{"decision_ms", Each.DecisionMs},
-                          {"per_worker_ms", Each.PerWorkerMs},
-                          {"valid_ms", 2000}}}});
+                         {{"decision_ms", Queue.Advice->DecisionMs},
+                          {"per_worker_ms", Queue.Advice->PerWorkerMs},
+                          {"valid_ms", Queue.Advice->TicketLife.count()}}}});
     }
     const Json Body{{"version", 1},
                     {"routes", Routes},
@@ -282,22 +270,21 @@
   }
 
   void submitDue(std::size_t Index, Instant Now) {
-    Kind &Of = Kinds[Index];
+    Flow &Of = Flows[Index];
     while (IsConfigured && Of.PerSecond > 0 && Now >= Of.NextAt) {
       Of.NextAt += Millis{static_cast<std::int64_t>(1000 / Of.PerSecond)};
       const std::string Name = std::to_string(Index) + "0000000" +
                                std::to_string(10000000 + Submitted);
-      Json Step{{"count", Of.Tasks},
-                {"cpu", Of.MilliCpus},
-                {"mem_mb", 100},
-                {"estimate_ms", Of.WorkMs}};
+      Json Step{{"count", Of.Kind.Tasks},
+                {"cpu", Of.Kind.MilliCpus},
+                {"mem_mb", LoadTaskMemoryMb},
+                {"estimate_ms", Of.Kind.WorkMs}};
       Json Next = Step;
       Next["after"] = Json::array({0});
-      const Json Body{
-          {"spec", "work " + std::to_string(Of.WorkMs) + std::string(200, 'x')},
-          {"phases", Json::array({Step, Next})}};
+      const Json Body{{"spec", loadPayload(Of.Kind)},
+                      {"phases", Json::array({Step, Next})}};
       JobSeen &Item = Jobs[Name];
-      Item.Path = Of.Prefix + Name;
+      Item.Path = Of.Kind.Prefix + Name;
       Item.SubmittedAt = Now;
       Item.ReadAt = Now + ReadEvery;
       Submitted += 1;
@@ -342,7 +329,7 @@
   AsyncHttpClient Client;
   std::unique_ptr<HttpServer> Http;
   std::unique_ptr<ReadableHandler> Waker;
-  std::vector<Kind> Kinds;
+  std::vector<Flow> Flows;
   std::map<std::string, Worker> Workers;
   std::multimap<Instant, std::pair<std::uint64_t, std::string>> Advice;
   std::map<std::string, JobSeen> Jobs;
--- /dev/null
+++ b/test/cell/load_shapes.cpp
@@ -0,0 +1,37 @@
+#include "cell/load_shapes.hpp"
+
+#include <functional>
+
+namespace mulberryramp::test {
+
+namespace {
+
+constexpr std::size_t AdmittedPercent = 40;
+constexpr std::uint32_t MaxAttempts = 4;
+constexpr std::size_t PayloadPadding = 200;
+
+} // namespace
+
+JobQueue loadQueue(const LoadKind &Kind) {
+  JobQueue Queue;
+  Queue.Host = "host";
+  Queue.Prefix = Kind.Prefix;
+  Queue.Pool = "pool";
+  Queue.Priority = Kind.Priority;
+  Queue.MaxAttempts = MaxAttempts;
+  Queue.SlackFactor = 2;
+  Queue.Target = Millis{1000};
+  Queue.Advice = AdviceRules{Kind.DecisionMs, Kind.PerWorkerMs, Millis{2000}};
+  return Queue;
+}
+
+std::string loadPayload(const LoadKind &Kind) {
+  return "work " + std::to_string(Kind.WorkMs) +
+         std::string(PayloadPadding, 'x');
+}
+
+bool isLoadAdmitted(const std::string &Step, const std::string &Worker) {
+  return std::hash<std::string>{}(Step + Worker) % 100 < AdmittedPercent;
+}
+
+} // namespace mulberryramp::test
--- a/test/cell/planner_test.cpp
+++ b/test/cell/planner_test.cpp
@@ -1,10 +1,12 @@
 #include "mulberryramp/cell/answers.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/start_planner.hpp"
+#include "support/cell_parts.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace mulberryramp;
+using namespace mulberryramp::test;
 
 namespace {
 
@@ -15,15 +17,7 @@
   Instant Now{Millis{100000}};
 
   Pair() {
-    CellConfiguration Rules;
-    Rules.Version = 1;
-    JobQueue Queue;
-    Queue.Host = "h";
-    Queue.Prefix = "/q/";
-    Queue.Pool = "pool";
-    Queue.MaxAttempts = 3;
-    Rules.Queues.push_back(Queue);
-    applyCommand(State, ConfigureCommand{Rules});
+    applyCommand(State, ConfigureCommand{plainRules(1, 3)});
     beginDispatch(Lead, State, 1, Now, wall());
     join("a");
     join("b");
@@ -34,14 +28,7 @@
   }
 
   void join(const std::string &Name) {
-    WorkerReport Report;
-    Report.Name = Name;
-    Report.Born = 1;
-    Report.Pool = "pool";
-    Report.Address = Name + ":1";
-    Report.Capacity.MilliCpus = 4000;
-    Report.Clock = 1000;
-    Report.Sequence = 1;
+    const WorkerReport Report = plainReport(Name, 4000);
     noteChange(Lead, State, applyCommand(State, WorkerJoinCommand{Report}),
                Now);
     noteReport(Lead, findWorker(State, Name), Report, Now);
@@ -53,7 +40,7 @@
     Step.Need.MilliCpus = 1000;
     Step.Estimate = Millis{1000};
     Spec.Steps.push_back(Step);
-    applyCommand(State, SubmitJobCommand{Name, "h", "/q/", Spec, wall()});
+    applyCommand(State, SubmitJobCommand{Name, "host", "/q/", Spec, wall()});
   }
 
   /// Plans and starts; tells the worker of the first start.
@@ -66,6 +53,16 @@
     return State.Workers[Grants.front().Worker].Report.Name;
   }
 
+  /// Loses the order to start a job on the first worker; a look then shows
+  /// that the worker lives.
+  void loseAnOrder() {
+    submit("one");
+    STRCMP_EQUAL("a", place().c_str());
+    answer(WorkerOrderKind::Start, OrderVerdict::Unanswered);
+    holdTouched(Lead, State, Now);
+    answer(WorkerOrderKind::Hold, OrderVerdict::Done);
+  }
+
   void answer(WorkerOrderKind Kind, OrderVerdict Verdict) {
     for (const WorkerOrder &Order : std::exchange(Lead.Orders, {})) {
       if (Order.Kind != Kind) {
@@ -98,12 +95,7 @@
 
 TEST(CellPlanner, AWorkerThatLostAnOrderIsTheSecondChoiceForAWhile) {
   Pair Of;
-  Of.submit("one");
-  STRCMP_EQUAL("a", Of.place().c_str());
-  Of.answer(WorkerOrderKind::Start, OrderVerdict::Unanswered);
-  // A look shows that it lives.
-  holdTouched(Of.Lead, Of.State, Of.Now);
-  Of.answer(WorkerOrderKind::Hold, OrderVerdict::Done);
+  Of.loseAnOrder();
   Of.submit("two");
   STRCMP_EQUAL("b", Of.place().c_str());
   Of.answer(WorkerOrderKind::Start, OrderVerdict::Done);
@@ -117,11 +109,7 @@
 
 TEST(CellPlanner, AWorkerThatLostAnOrderIsStillUsedIfThereIsNoOther) {
   Pair Of;
-  Of.submit("one");
-  STRCMP_EQUAL("a", Of.place().c_str());
-  Of.answer(WorkerOrderKind::Start, OrderVerdict::Unanswered);
-  holdTouched(Of.Lead, Of.State, Of.Now);
-  Of.answer(WorkerOrderKind::Hold, OrderVerdict::Done);
+  Of.loseAnOrder();
   Of.Lead.Sessions.at(findWorker(Of.State, "b")).IsSettled = false;
   Of.submit("two");
   STRCMP_EQUAL("a", Of.place().c_str());
--- a/test/cell/review_test.cpp
+++ b/test/cell/review_test.cpp
@@ -1,8 +1,10 @@
 #include "mulberryramp/cell/review.hpp"
+#include "support/cell_parts.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace mulberryramp;
+using namespace mulberryramp::test;
 
 namespace {
 
@@ -17,23 +19,8 @@
   TaskKey Filler;
 
   Shared() {
-    CellConfiguration Rules;
-    Rules.Version = 1;
-    JobQueue Queue;
-    Queue.Host = "h";
-    Queue.Prefix = "/q/";
-    Queue.Pool = "pool";
-    Queue.MaxAttempts = 3;
-    Rules.Queues.push_back(Queue);
-    applyCommand(State, ConfigureCommand{Rules});
-    WorkerReport Report;
-    Report.Name = "w";
-    Report.Born = 1;
-    Report.Pool = "pool";
-    Report.Address = "w:1";
-    Report.Capacity.MilliCpus = 4000;
-    Report.Clock = 1000;
-    Report.Sequence = 1;
+    applyCommand(State, ConfigureCommand{plainRules(1, 3)});
+    const WorkerReport Report = plainReport("w", 4000);
     applyCommand(State, WorkerJoinCommand{Report});
     const LifeId Worker = findWorker(State, "w");
     beginDispatch(Lead, State, 1, Now, WallTime{Millis{100000}});
@@ -51,7 +38,8 @@
   TaskKey begin(const std::string &Name, const StepSpec &Step, LifeId Worker) {
     JobSpec Spec;
     Spec.Steps.push_back(Step);
-    applyCommand(State, SubmitJobCommand{Name, "h", "/q/", Spec, WallTime{}});
+    applyCommand(State,
+                 SubmitJobCommand{Name, "host", "/q/", Spec, WallTime{}});
     const TaskKey Key{findJob(State, Name), 0, 0, 0};
     noteChange(Lead, State,
                applyCommand(State, StartCommand{{{Key, 1, Worker}}}), Now);
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -1,10 +1,13 @@
 #include "mulberryramp/job/state.hpp"
 
+#include "support/cell_parts.hpp"
+
 #include <string>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace mulberryramp;
+using namespace mulberryramp::test;
 
 namespace {
 
@@ -24,26 +27,15 @@
 struct Cell {
   CellState State;
 
-  Cell() {
-    CellConfiguration Rules;
-    Rules.Version = 3;
-    JobQueue Queue;
-    Queue.Host = "host";
-    Queue.Prefix = "/q/";
-    Queue.Pool = "pool";
-    Queue.MaxAttempts = 2;
-    Rules.Queues.push_back(Queue);
-    applyCommand(State, ConfigureCommand{Rules});
-  }
+  Cell() { applyCommand(State, ConfigureCommand{plainRules(3, 2)}); }
 
   LifeId join(const std::string &Name, std::int64_t Born,
               const std::string &Address = "") {
-    WorkerReport Report;
-    Report.Name = Name;
+    WorkerReport Report = plainReport(Name, 4 * TaskCpus);
     Report.Born = Born;
-    Report.Pool = "pool";
-    Report.Address = Address.empty() ? Name : Address;
-    Report.Capacity.MilliCpus = 4 * TaskCpus;
+    if (!Address.empty()) {
+      Report.Address = Address;
+    }
     applyCommand(State, WorkerJoinCommand{Report});
     return findWorker(State, Name);
   }
--- /dev/null
+++ b/test/support/cell_parts.cpp
@@ -0,0 +1,33 @@
+#include "support/cell_parts.hpp"
+
+namespace mulberryramp::test {
+
+JobQueue plainQueue(std::uint32_t MaxAttempts) {
+  JobQueue Queue;
+  Queue.Host = "host";
+  Queue.Prefix = "/q/";
+  Queue.Pool = "pool";
+  Queue.MaxAttempts = MaxAttempts;
+  return Queue;
+}
+
+CellConfiguration plainRules(std::uint64_t Version, std::uint32_t MaxAttempts) {
+  CellConfiguration Rules;
+  Rules.Version = Version;
+  Rules.Queues.push_back(plainQueue(MaxAttempts));
+  return Rules;
+}
+
+WorkerReport plainReport(const std::string &Name, std::int64_t MilliCpus) {
+  WorkerReport Report;
+  Report.Name = Name;
+  Report.Born = 1;
+  Report.Pool = "pool";
+  Report.Address = Name + ":1";
+  Report.Capacity.MilliCpus = MilliCpus;
+  Report.Clock = 1000;
+  Report.Sequence = 1;
+  return Report;
+}
+
+} // namespace mulberryramp::test
