--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -20,6 +20,7 @@
 #include <iterator>
 #include <map>
 #include <thread>
+#include <unistd.h>
 
 namespace mulberryramp {
 
@@ -111,7 +112,7 @@
   Impl(std::string SettingsFile, CellSettings Settings,
        std::unique_ptr<Gateway> Protocol)
       : SettingsFile{std::move(SettingsFile)}, Settings{std::move(Settings)},
-        Protocol{std::move(Protocol)}, Log{this->Settings.Name},
+        Protocol{std::move(Protocol)}, Log{this->Settings.Name, STDOUT_FILENO},
         Client{Loop, MaxConnectionsPerWorker} {}
 
   std::string SettingsFile;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -254,9 +254,7 @@
                               " phase=" + std::string{nameOf(JobRow.Phase)});
     Dispatch.NextReviewAt = Now;
   }
-  for (const TaskAssignment &Assigned : Change.Started) {
-    sendStart(Dispatch, State, Assigned, Now);
-  }
+  sendStarts(Dispatch, State, Change.Started, Now);
 }
 
 void onWorkerReport(DispatchState &Dispatch, WorkerInstanceId Worker,
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -156,27 +156,7 @@
   }
 }
 
-} // namespace
-
-const std::string &workerName(const CellState &State, WorkerInstanceId Worker) {
-  static const std::string None = "-";
-  const WorkerInstance *Instance = State.Workers.find(Worker);
-  return Instance == nullptr ? None : Instance->Report.Name;
-}
-
-std::string describeStart(const TaskName &Task, std::uint32_t Attempt) {
-  return "job=" + Task.Job + " run=" + std::to_string(Task.Run) +
-         " step=" + std::to_string(Task.Step) +
-         " task=" + std::to_string(Task.Task) +
-         " attempt=" + std::to_string(Attempt);
-}
-
-TaskName nameTask(const CellState &State, const TaskKey &Key) {
-  const Job *Owner = State.Jobs.find(Key.Job);
-  return {Owner == nullptr ? "-" : Owner->Name, Key.Run, Key.Step, Key.Task};
-}
-
-void sendStart(DispatchState &Dispatch, const CellState &State,
+bool sendStart(DispatchState &Dispatch, const CellState &State,
                const TaskAssignment &Assigned, Instant Now) {
   WorkerSession &Session = Dispatch.Sessions[Assigned.Worker];
   TaskLaunch &Launch = Dispatch.Launches[Assigned.Key];
@@ -188,7 +168,7 @@
   const WorkerInstance *Worker = State.Workers.find(Assigned.Worker);
   if (Worker == nullptr || !Session.Clock) {
     Launch.Phase = LaunchPhase::Recovered;
-    return;
+    return false;
   }
   const Job &Owner = State.Jobs[Assigned.Key.Job];
   WorkerOrder Order =
@@ -202,10 +182,6 @@
   if (AdviceIt != Dispatch.Advice.end()) {
     Order.Ticket = AdviceIt->second.Admitted[Assigned.Worker].Token;
   }
-  Dispatch.Events.push_back("event=start " +
-                            describeStart(Order.Task, Order.Attempt) +
-                            " worker=" + Order.Worker +
-                            " fence=" + std::to_string(Dispatch.FencingToken));
   OpenOrder Open;
   Open.Key = Assigned.Key;
   Open.HasLease = true;
@@ -215,6 +191,66 @@
     Session.NextRenewalAt =
         std::min(Session.NextRenewalAt, Now + RenewalRetryInterval);
   }
+  return true;
+}
+
+/// Tells whether two assignments are reported in one log line.
+bool hasSameLogLine(const TaskAssignment &First, const TaskAssignment &Second) {
+  return First.Key.Job == Second.Key.Job && First.Key.Run == Second.Key.Run &&
+         First.Key.Step == Second.Key.Step && First.Attempt == Second.Attempt;
+}
+
+/// Logs starts that were sent, with one line for consecutive attempts of the
+/// tasks of a step.
+void logStarts(DispatchState &Dispatch, const CellState &State,
+               const std::vector<TaskAssignment> &Sent) {
+  for (std::size_t Index = 0; Index < Sent.size();) {
+    const TaskAssignment &First = Sent[Index];
+    std::string Line = "event=start job=" + nameTask(State, First.Key).Job +
+                       " run=" + std::to_string(First.Key.Run) +
+                       " step=" + std::to_string(First.Key.Step) +
+                       " attempt=" + std::to_string(First.Attempt) +
+                       " fence=" + std::to_string(Dispatch.FencingToken) +
+                       " tasks=";
+    for (const char *Separator = "";
+         Index < Sent.size() && hasSameLogLine(First, Sent[Index]); ++Index) {
+      Line += Separator + std::to_string(Sent[Index].Key.Task) + "@" +
+              workerName(State, Sent[Index].Worker);
+      Separator = ",";
+    }
+    Dispatch.Events.push_back(std::move(Line));
+  }
+}
+
+} // namespace
+
+const std::string &workerName(const CellState &State, WorkerInstanceId Worker) {
+  static const std::string None = "-";
+  const WorkerInstance *Instance = State.Workers.find(Worker);
+  return Instance == nullptr ? None : Instance->Report.Name;
+}
+
+std::string describeStart(const TaskName &Task, std::uint32_t Attempt) {
+  return "job=" + Task.Job + " run=" + std::to_string(Task.Run) +
+         " step=" + std::to_string(Task.Step) +
+         " task=" + std::to_string(Task.Task) +
+         " attempt=" + std::to_string(Attempt);
+}
+
+TaskName nameTask(const CellState &State, const TaskKey &Key) {
+  const Job *Owner = State.Jobs.find(Key.Job);
+  return {Owner == nullptr ? "-" : Owner->Name, Key.Run, Key.Step, Key.Task};
+}
+
+void sendStarts(DispatchState &Dispatch, const CellState &State,
+                const std::vector<TaskAssignment> &Assignments, Instant Now) {
+  std::vector<TaskAssignment> Sent;
+  for (const TaskAssignment &Assigned : Assignments) {
+    if (sendStart(Dispatch, State, Assigned, Now)) {
+      Sent.push_back(Assigned);
+    }
+  }
+  logStarts(Dispatch, State, Sent);
 }
 
 void sendStop(DispatchState &Dispatch, const CellState &State,
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -36,11 +36,11 @@
 [[nodiscard]] std::string describeStart(const TaskName &Task,
                                         std::uint32_t Attempt);
 
-/// @brief Records the launch of a committed assignment and sends its start
-/// order. Without a worker or its clock the order is not sent and the launch
+/// @brief Records the launches of committed assignments and sends their start
+/// orders. Without a worker or its clock the order is not sent and the launch
 /// counts as recovered.
-void sendStart(DispatchState &Dispatch, const CellState &State,
-               const TaskAssignment &Assigned, Instant Now);
+void sendStarts(DispatchState &Dispatch, const CellState &State,
+                const std::vector<TaskAssignment> &Assignments, Instant Now);
 
 /// @brief Sends a stop order for a launch, unless one is open or was sent
 /// recently, or the end of the launch is already proposed.
