Reserve workers for gangs and large tasks, and plan late runs after those in time

Change: a step that needs several large parts of workers at once reserves those that are expected to be free first; later steps may use them only if they end before (backfilling). Tickets of reserved workers are renewed together, shortly before the step has room. Half of a pool stays unreserved. Accelerators count in the score of a worker, so that free ones stay together. A run that can no longer meet its soft deadline is planned after those that can.

--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -152,6 +152,13 @@
   Instant RetryAt;           ///< No query before this time.
 };
 
+/// @brief Workers that are kept for a step which cannot be placed yet.
+struct StepReservation {
+  std::set<WorkerInstanceId> Workers;
+  Instant StartsAt;  ///< When all its tasks are expected to have room.
+  Instant PlannedAt; ///< When it was last planned.
+};
+
 /// @brief Run times of the finished tasks of a step. They predict the other
 /// tasks of the step better than its estimate, which may be far off.
 struct StepTimes {
@@ -218,6 +225,7 @@
   std::map<std::uint64_t, OpenOrder> UnansweredOrders;
   std::map<StepKey, StepAdvice> Advice;
   std::map<StepKey, StepTimes> Times;
+  std::map<StepKey, StepReservation> Reservations;
   std::map<NodeId, AdviceNode> Nodes;
   std::map<std::uint64_t, PendingQuery> PendingQueries;
   std::uint64_t NextId = 1;
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/reservation.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -27,6 +28,20 @@
 constexpr Millis AdvicePrefetchTime{150};
 /// Pause of queries for a step after no candidate was found.
 constexpr Millis NoCandidateBackoff{60};
+/// A reservation is planned again after this time.
+constexpr Millis ReservationInterval{100};
+/// Slots on admitted workers that the planner looks for before it reserves, as
+/// a multiple of the unplaced tasks.
+constexpr std::size_t ReservationSlotFactor = 2;
+/// Tickets of reserved workers are renewed this long before the step is
+/// expected to have room, in addition to the answer time of the advisor.
+constexpr Millis TicketRenewalLead{100};
+/// At most one in this many workers of a pool is reserved, so that later steps
+/// still progress.
+constexpr std::size_t WorkersPerReservedWorker = 2;
+/// Expected run times are extended by this percentage before a task is
+/// backfilled, as estimates are often too short.
+constexpr int BackfillMarginPercent = 50;
 /// Score penalties. On the same scale the fraction of CPUs that a worker has
 /// left counts up to 1. The lowest score is chosen.
 constexpr double DataLocalityPenalty = 4;
@@ -37,6 +52,10 @@
 /// the time from its due time to its soft deadline.
 constexpr int FarOverdueFactor = 3;
 
+/// A run is late if this percentage of its estimated remaining time does not
+/// fit before its soft deadline; estimates may be twice too long.
+constexpr int LateEstimatePercent = 70;
+
 constexpr std::size_t NoIndex = std::numeric_limits<std::size_t>::max();
 
 /// Resources and state of a schedulable worker during one planning pass.
@@ -50,6 +69,8 @@
   /// A service there exceeds its tail latency limit.
   bool HasLatencyViolation = false;
   bool HadRecentMiss = false; ///< An order went unanswered recently.
+  /// When a step that was planned before needs the worker, if one reserved it.
+  std::optional<Instant> ReservedFrom;
 };
 
 /// A step with unassigned tasks. The order of `operator<` is the planning
@@ -58,12 +79,14 @@
   StepKey Key;
   std::uint32_t Priority = 0;
   bool IsFarOverdue = false;
+  bool IsLate = false; ///< It can no longer meet its soft deadline.
   WallTime SoftDeadline;
 };
 
 bool operator<(const PendingStep &Lhs, const PendingStep &Rhs) {
-  return std::tie(Lhs.IsFarOverdue, Lhs.Priority, Lhs.SoftDeadline, Lhs.Key) <
-         std::tie(Rhs.IsFarOverdue, Rhs.Priority, Rhs.SoftDeadline, Rhs.Key);
+  return std::tie(Lhs.IsFarOverdue, Lhs.Priority, Lhs.IsLate, Lhs.SoftDeadline,
+                  Lhs.Key) < std::tie(Rhs.IsFarOverdue, Rhs.Priority,
+                                      Rhs.IsLate, Rhs.SoftDeadline, Rhs.Key);
 }
 
 /// One planning pass.
@@ -77,7 +100,7 @@
     snapshotWorkers();
     collectSteps();
     for (const PendingStep &Pending : Ready) {
-      planStep(Pending.Key);
+      planStep(Pending);
     }
     for (const PendingStep &Pending : SoonReady) {
       prefetchAdvice(Pending.Key);
@@ -111,9 +134,19 @@
       }
       SnapshotIndexBySlot[Id.Slot] = WorkerSnapshots.size();
       WorkerSnapshots.push_back(Snapshot);
+      addToPool(Snapshot.Instance->Report);
     }
   }
 
+  void addToPool(const WorkerReport &Report) {
+    PoolSizes[Report.Pool] += 1;
+    Resources &Largest = LargestWorkers[Report.Pool];
+    Largest.MilliCpus = std::max(Largest.MilliCpus, Report.Capacity.MilliCpus);
+    Largest.MemoryMb = std::max(Largest.MemoryMb, Report.Capacity.MemoryMb);
+    Largest.Accelerators =
+        std::max(Largest.Accelerators, Report.Capacity.Accelerators);
+  }
+
   /// Finds the snapshot of a worker instance, or null.
   WorkerSnapshot *findSnapshot(WorkerInstanceId Worker) {
     if (Worker.Slot >= SnapshotIndexBySlot.size() ||
@@ -144,6 +177,10 @@
     Pending.IsFarOverdue =
         !JobRow.Spec.Steps.front().IsLongRunning &&
         WallNow > Due + (Pending.SoftDeadline - Due) * FarOverdueFactor;
+    Pending.IsLate =
+        !JobRow.Spec.Steps.front().IsLongRunning &&
+        WallNow + remainingPathTime(JobRow, Run) * LateEstimatePercent / 100 >
+            Pending.SoftDeadline;
     for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
       const JobStep &StepRow = Run.Steps[Step];
       if (StepRow.Assigned + StepRow.Done == StepRow.Tasks.size()) {
@@ -183,10 +220,20 @@
     return true;
   }
 
+  /// Tells whether a worker is reserved by a step that was planned before and
+  /// a task of the current step would delay that step.
+  bool isReserved(const WorkerSnapshot &Snapshot, const StepSpec &Step) const {
+    return Snapshot.ReservedFrom &&
+           (Step.IsLongRunning ||
+            Now + Step.Estimate * (100 + BackfillMarginPercent) / 100 >
+                *Snapshot.ReservedFrom);
+  }
+
   bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
                   const StepSpec &Step) const {
     const auto &Labels = Snapshot.Instance->Report.Labels;
     return Snapshot.Instance->Report.Pool == Owner.Queue.Pool &&
+           !isReserved(Snapshot, Step) &&
            (Step.IsLongRunning || !Snapshot.HasLatencyViolation) &&
            (Step.Label.empty() || std::find(Labels.begin(), Labels.end(),
                                             Step.Label) != Labels.end());
@@ -204,7 +251,8 @@
     };
     const Resources &Capacity = Snapshot.Instance->Report.Capacity;
     double Score = Share(Remaining.MilliCpus, Capacity.MilliCpus) +
-                   Share(Remaining.MemoryMb, Capacity.MemoryMb) / 2;
+                   Share(Remaining.MemoryMb, Capacity.MemoryMb) / 2 +
+                   Share(Remaining.Accelerators, Capacity.Accelerators);
     if (!Step.DataRack.empty() &&
         Step.DataRack != Snapshot.Instance->Report.Rack) {
       Score += DataLocalityPenalty;
@@ -290,7 +338,8 @@
     return Counts;
   }
 
-  void planStep(const StepKey &Key) {
+  void planStep(const PendingStep &Pending) {
+    const StepKey &Key = Pending.Key;
     const Job &Owner = State.Jobs[Key.Job];
     const StepSpec &Spec = Owner.Spec.Steps[Key.Step];
     const JobStep &Step = findRun(Owner, Key.Run)->Steps[Key.Step];
@@ -301,11 +350,133 @@
     const std::size_t Unplaced =
         Spec.IsGang ? planGang(Key, Owner, Spec, Step, Advice)
                     : planTasks(Key, Owner, Spec, Step, Advice);
-    if (Unplaced != 0 && Advice != nullptr) {
+    if (Unplaced == 0) {
+      Dispatch.Reservations.erase(Key);
+      return;
+    }
+    if (!Pending.IsFarOverdue &&
+        needsReservation(Spec, LargestWorkers[Owner.Queue.Pool])) {
+      reserveWorkers(Key, Owner, Spec, Advice, Unplaced);
+    } else if (Advice != nullptr) {
       queryWorkers(Key, Owner, Spec, Step, Unplaced);
     }
   }
 
+  /// Returns the slots of a worker for tasks of a step.
+  std::vector<ExpectedSlot> slotsOn(const WorkerSnapshot &Snapshot,
+                                    const StepSpec &Spec,
+                                    std::size_t MaxTasks) {
+    const auto [ReleasesIt, IsNew] = Releases.try_emplace(Snapshot.Worker);
+    if (IsNew) {
+      ReleasesIt->second = expectedReleases(
+          Dispatch, State, Dispatch.Sessions.at(Snapshot.Worker), Now);
+    }
+    if (Spec.MaxPerWorker != 0) {
+      MaxTasks = std::min<std::size_t>(MaxTasks, Spec.MaxPerWorker);
+    }
+    return expectedSlots(Snapshot.Worker, Snapshot.Available,
+                         ReleasesIt->second, requiredResources(Spec), MaxTasks,
+                         Now);
+  }
+
+  /// Keeps workers for a step that cannot be placed now, and queries the
+  /// advisor about them.
+  /// @param Advice Advice on the step, or null if it needs none.
+  void reserveWorkers(const StepKey &Key, const Job &Owner,
+                      const StepSpec &Spec, const StepAdvice *Advice,
+                      std::size_t Unplaced) {
+    StepReservation &Reservation = Dispatch.Reservations[Key];
+    if (Now - Reservation.PlannedAt >= ReservationInterval) {
+      planReservation(Reservation, Key, Owner, Spec, Advice, Unplaced);
+    }
+    std::size_t &Reserved = ReservedWorkers[Owner.Queue.Pool];
+    const std::size_t Limit =
+        PoolSizes[Owner.Queue.Pool] / WorkersPerReservedWorker;
+    if (Reserved + Reservation.Workers.size() <= Limit) {
+      Reserved += Reservation.Workers.size();
+      for (const WorkerInstanceId Worker : Reservation.Workers) {
+        if (WorkerSnapshot *Snapshot = findSnapshot(Worker)) {
+          Snapshot->ReservedFrom = Reservation.StartsAt;
+        }
+      }
+    }
+    if (Advice != nullptr) {
+      renewTickets(Key, Owner, *Advice, Reservation);
+    }
+  }
+
+  void planReservation(StepReservation &Reservation, const StepKey &Key,
+                       const Job &Owner, const StepSpec &Spec,
+                       const StepAdvice *Advice, std::size_t Unplaced) {
+    std::vector<ExpectedSlot> Slots;
+    std::vector<ExpectedSlot> UnknownSlots;
+    for (const WorkerSnapshot &Snapshot : WorkerSnapshots) {
+      if (!isFeasible(Snapshot, Owner, Spec) ||
+          (Advice != nullptr && Advice->Denied.contains(Snapshot.Worker))) {
+        continue;
+      }
+      const bool IsUnknown =
+          Advice != nullptr && !Advice->Admitted.contains(Snapshot.Worker);
+      const auto OnWorker = slotsOn(Snapshot, Spec, Unplaced);
+      auto &Target = IsUnknown ? UnknownSlots : Slots;
+      Target.insert(Target.end(), OnWorker.begin(), OnWorker.end());
+    }
+    if (Advice != nullptr && Slots.size() < Unplaced * ReservationSlotFactor) {
+      queryUnknown(Key, Owner, std::move(UnknownSlots),
+                   Unplaced * ReservationSlotFactor - Slots.size());
+    }
+    // The tasks of a gang need their slots at the same time. Other steps take
+    // what there is.
+    const std::size_t Tasks =
+        Spec.IsGang ? Unplaced : std::min(Unplaced, Slots.size());
+    Reservation =
+        chooseReservation(std::move(Slots), Tasks, Reservation.Workers);
+    Reservation.PlannedAt = Now;
+  }
+
+  /// Queries the advisor about workers that it has not decided on, those with
+  /// the earliest slots first.
+  /// @param Wanted Number of slots that the step lacks.
+  void queryUnknown(const StepKey &Key, const Job &Owner,
+                    std::vector<ExpectedSlot> Slots, std::size_t Wanted) {
+    std::sort(Slots.begin(), Slots.end());
+    std::vector<WorkerInstanceId> Workers;
+    double ExpectedSlots = 0;
+    for (const ExpectedSlot &Slot : Slots) {
+      const bool IsEnough = ExpectedSlots >= static_cast<double>(Wanted) &&
+                            Workers.size() >= MinUnknownWorkers;
+      if (IsEnough || Workers.size() >= MaxQueryWorkers) {
+        break;
+      }
+      ExpectedSlots += ExpectedAdmissionRate;
+      if (std::find(Workers.begin(), Workers.end(), Slot.Worker) ==
+          Workers.end()) {
+        Workers.push_back(Slot.Worker);
+      }
+    }
+    queryAdvisor(Dispatch, State, Key, *Owner.Queue.Advice, Workers, Now);
+  }
+
+  /// Renews the tickets of reserved workers once the step is expected to have
+  /// room soon, so that all of them are valid when it starts.
+  void renewTickets(const StepKey &Key, const Job &Owner,
+                    const StepAdvice &Advice,
+                    const StepReservation &Reservation) {
+    const Instant AnswerAt =
+        Now +
+        expectedAnswerTime(*Owner.Queue.Advice, Reservation.Workers.size());
+    if (Reservation.StartsAt > AnswerAt + TicketRenewalLead) {
+      return;
+    }
+    std::vector<WorkerInstanceId> Workers;
+    for (const WorkerInstanceId Worker : Reservation.Workers) {
+      if (!isAdmitted(Advice, Worker, AnswerAt)) {
+        Workers.push_back(Worker);
+      }
+    }
+    queryAdvisor(Dispatch, State, Key, *Owner.Queue.Advice, Workers, Now);
+  }
+
   /// Assigns as many tasks of a step as possible.
   /// @return Number of unplaced tasks.
   std::size_t planTasks(const StepKey &Key, const Job &Owner,
@@ -487,6 +658,13 @@
   WallTime WallNow;
   std::vector<WorkerSnapshot> WorkerSnapshots;
   std::vector<std::size_t> SnapshotIndexBySlot; ///< Index by worker slot.
+  /// Expected ends of the tasks on a worker; computed when first needed.
+  std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
+  /// By pool: number of schedulable workers, how many are reserved, and the
+  /// largest capacity.
+  std::map<std::string, std::size_t> PoolSizes;
+  std::map<std::string, std::size_t> ReservedWorkers;
+  std::map<std::string, Resources> LargestWorkers;
   std::vector<PendingStep> Ready;
   std::vector<PendingStep> SoonReady;
   std::vector<TaskAssignment> Assignments;
--- a/src/mulberryramp/job/job.cpp
+++ b/src/mulberryramp/job/job.cpp
@@ -36,18 +36,38 @@
                      });
 }
 
-Millis criticalPathTime(const JobSpec &Spec) {
+namespace {
+
+/// @param TimeOf Returns the run time of the step with a given index.
+template <typename TimeOfStep>
+Millis longestPathTime(const JobSpec &Spec, TimeOfStep TimeOf) {
   std::vector<Millis> Ends;
   Millis Longest{0};
-  for (const StepSpec &Step : Spec.Steps) {
+  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
     Millis Begin{0};
-    for (const std::uint32_t Earlier : Step.DependsOn) {
+    for (const std::uint32_t Earlier : Spec.Steps[Step].DependsOn) {
       Begin = std::max(Begin, Ends[Earlier]);
     }
-    Ends.push_back(Begin + Step.Estimate);
+    Ends.push_back(Begin + TimeOf(Step));
     Longest = std::max(Longest, Ends.back());
   }
   return Longest;
 }
 
+} // namespace
+
+Millis criticalPathTime(const JobSpec &Spec) {
+  return longestPathTime(
+      Spec, [&Spec](std::size_t Step) { return Spec.Steps[Step].Estimate; });
+}
+
+Millis remainingPathTime(const Job &JobRow, const JobRun &Run) {
+  return longestPathTime(JobRow.Spec, [&](std::size_t Step) {
+    const JobStep &StepRow = Run.Steps[Step];
+    return StepRow.Done == StepRow.Tasks.size()
+               ? Millis{0}
+               : JobRow.Spec.Steps[Step].Estimate;
+  });
+}
+
 } // namespace mulberryramp
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -136,4 +136,8 @@
 /// @param Spec A valid job; each step may depend only on earlier ones.
 [[nodiscard]] Millis criticalPathTime(const JobSpec &Spec);
 
+/// @brief Computes the estimated run time of the critical path of the steps of
+/// a run that are not done.
+[[nodiscard]] Millis remainingPathTime(const Job &JobRow, const JobRun &Run);
+
 } // namespace mulberryramp
