Elect a new leader of a cell after 240 to 400 ms; keep orphans of a restarted worker

Cause: after a loss of the leader a cell stood still for some 650 ms more than it takes to elect the next one. Ruled out: no vote-free time after a start, since a restarted voter may have acknowledged a lease just before.

They move to the new instance and are stopped there; ARestartedWorkerGetsNoStartsUntilAnOrphanIsStoppedThere failed first.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -46,10 +46,6 @@
 /// Connections to one worker: one for the pending renewal, the others for
 /// orders, some of which may hang until their timeout.
 constexpr long MaxConnectionsPerWorker = 6;
-/// Number of log entries after which a snapshot is taken.
-constexpr std::size_t SnapshotThreshold = 2000;
-/// Number of log entries before a snapshot that are kept.
-constexpr std::size_t TrailingEntries = 500;
 constexpr const char *GroupFolder = "cell";
 
 volatile std::sig_atomic_t StopRequested = 0;
@@ -93,11 +89,7 @@
   Options.Seeds = seedNodes(Settings);
   Options.IsVoter = Settings.IsVoter;
   Options.Incarnation = Incarnation;
-  Options.ReplicaParameters.HasDynamicMembership = true;
-  Options.ReplicaParameters.AllowsUnsafeRecovery = false;
-  Options.ReplicaParameters.TargetVoters = 2 * Settings.MaxVoterFailures + 1;
-  Options.ReplicaParameters.SnapshotThreshold = SnapshotThreshold;
-  Options.ReplicaParameters.TrailingEntries = TrailingEntries;
+  Options.ReplicaParameters = makeCellReplicaOptions(Settings.MaxVoterFailures);
   Options.Dispatch.Lease = Settings.Lease;
   Options.Dispatch.MaxLease = Settings.MaxLease;
   Options.Dispatch.ReportInterval = Settings.ReportInterval;
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -11,6 +11,18 @@
 
 constexpr const char *GroupName = "cell";
 
+/// Timing of elections. While there is no leader no task starts, and jobs with
+/// a latency target of 400 ms become late, so the timeouts are short. They
+/// exceed a heartbeat interval plus a round trip between regions, a sync of a
+/// disk and a pause of a CPU-limited process of 100 ms.
+constexpr Millis HeartbeatInterval{60};
+constexpr Millis ElectionTimeoutMin{240};
+constexpr Millis ElectionTimeoutMax{400};
+/// Number of log entries after which a snapshot is taken.
+constexpr std::size_t SnapshotThreshold = 2000;
+/// Number of log entries before a snapshot that are kept.
+constexpr std::size_t TrailingEntries = 500;
+
 /// Tells whether a message may only be sent once the state that it asserts is
 /// synced on this node.
 bool needsSync(const ReplicaBody &Body) {
@@ -28,6 +40,19 @@
 
 } // namespace
 
+ReplicaOptions makeCellReplicaOptions(std::size_t MaxVoterFailures) {
+  ReplicaOptions Options;
+  Options.HeartbeatInterval = HeartbeatInterval;
+  Options.ElectionTimeoutMin = ElectionTimeoutMin;
+  Options.ElectionTimeoutMax = ElectionTimeoutMax;
+  Options.HasDynamicMembership = true;
+  Options.AllowsUnsafeRecovery = false;
+  Options.TargetVoters = 2 * MaxVoterFailures + 1;
+  Options.SnapshotThreshold = SnapshotThreshold;
+  Options.TrailingEntries = TrailingEntries;
+  return Options;
+}
+
 CellNode::CellNode(const CellNodeOptions &Options, StoredGroup Stored,
                    Instant Now)
     : Options{Options}, Relay{Options.Self, Options.Seeds, Now}, CurrentTime{
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -18,6 +18,11 @@
 
 namespace mulberryramp {
 
+/// @brief Builds the replica parameters of a cell.
+/// @param MaxVoterFailures Number of voters that may be lost at the same time.
+[[nodiscard]] ReplicaOptions
+makeCellReplicaOptions(std::size_t MaxVoterFailures);
+
 /// @brief Start parameters of a node of a cell.
 struct CellNodeOptions {
   NodeId Self = 0;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -122,6 +122,9 @@
                      leaseBound(Dispatch.Options, Dispatch.Options.MaxLease);
 }
 
+/// Moves the launches and orphans of a worker to its new instance. An order
+/// that was sent to the previous instance may still start there, so its orphans
+/// are stopped again on the new one.
 void transferLaunches(DispatchState &Dispatch, WorkerInstanceId From,
                       WorkerInstanceId To, Instant Now) {
   const auto PreviousSession = Dispatch.Sessions.find(From);
@@ -131,6 +134,12 @@
   WorkerSession &Session = Dispatch.Sessions[To];
   Dispatch.TouchedWorkers.insert(To);
   Session.Tasks = std::move(PreviousSession->second.Tasks);
+  Session.Orphans = std::move(PreviousSession->second.Orphans);
+  for (OrphanedStart &Orphan : Session.Orphans) {
+    Orphan.StopOrder = 0;
+    Orphan.StopSentAt = Instant{};
+    Orphan.StopAckedAt.reset();
+  }
   extendLeaseForPreviousInstance(Dispatch, Session, Now);
   for (const TaskKey &Key : Session.Tasks) {
     Dispatch.Launches.at(Key).Assignment.Worker = To;
--- a/test/cell/planner_test.cpp
+++ b/test/cell/planner_test.cpp
@@ -141,3 +141,31 @@
   CHECK(WorkerOrderKind::Stop == Fixture.Dispatch.Orders.front().Kind);
   CHECK(Fixture.Dispatch.Commands.empty());
 }
+
+/// The first attempt of a speculative task was presumed lost on a worker, which
+/// then restarts under its name. The start order may arrive late and reach the
+/// new instance, which runs it beside the tasks that the leader knows of.
+TEST(CellPlanner, ARestartedWorkerGetsNoStartsUntilAnOrphanIsStoppedThere) {
+  TwoWorkerFixture Fixture;
+  const WorkerInstanceId Former = findWorker(Fixture.State, "a");
+  OrphanedStart Orphan;
+  Orphan.Key.Task = 3;
+  Orphan.Name = {"job", 0, 0, 3};
+  Orphan.Attempt = 2;
+  Orphan.StopAckedAt = Fixture.Now;
+  Fixture.Dispatch.Sessions.at(Former).Orphans.push_back(Orphan);
+  WorkerReport Restarted = makeTestReport("a", 4000);
+  Restarted.StartTimeMs = 2;
+  onStateChange(Fixture.Dispatch, Fixture.State,
+                applyCommand(Fixture.State, RegisterWorkerCommand{Restarted}),
+                Fixture.Now);
+  const WorkerInstanceId Current = findWorker(Fixture.State, "a");
+  onWorkerReport(Fixture.Dispatch, Current, Restarted, Fixture.Now);
+  Fixture.Dispatch.Sessions.at(Current).IsReconciled = true;
+  CHECK_FALSE(
+      isSchedulable(Fixture.Dispatch, Fixture.State, Current, Fixture.Now));
+  Fixture.Dispatch.Orders.clear();
+  stopOrphans(Fixture.Dispatch, Fixture.State, Fixture.Now);
+  CHECK_EQUAL(1, Fixture.Dispatch.Orders.size());
+  CHECK(WorkerOrderKind::Stop == Fixture.Dispatch.Orders.front().Kind);
+}
