Keep half of the descriptors of a leader for connections to workers

Cause: libcurl closed an idle connection for each that became idle beyond 1,200, those in use included. With 540 workers and a fifth of them silent, hanging orders and open renewals alone exceed that, so each answer closed the idle connection of some worker, whose next renewal found none to reuse: it was unsent, the instance unverified, and a further connection was opened.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -105,7 +105,8 @@
        std::unique_ptr<Gateway> Protocol)
       : SettingsFile{std::move(SettingsFile)}, Settings{std::move(Settings)},
         Protocol{std::move(Protocol)}, Log{this->Settings.Name, STDOUT_FILENO},
-        Client{Loop, MaxConnectionsPerWorker} {}
+        Client{Loop, MaxConnectionsPerWorker,
+               maxKeptConnections(this->Settings.Descriptors)} {}
 
   std::string SettingsFile;
   std::string SettingsText;
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -81,6 +81,7 @@
     addNumber("listen.peer-port", Config.PeerPort, std::uint16_t{1},
               std::uint16_t{65535});
     addNumber("cell.may-lose", Config.MaxVoterFailures, 0U, 100U);
+    addNumber("limits.descriptors", Config.Descriptors, 64U, 1U << 20U);
   }
 
   void addNumbers() {
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -27,6 +27,7 @@
   std::string DataFolder;   ///< Required of a voter.
   std::uint32_t MaxVoterFailures = 1; ///< Simultaneous losses to tolerate.
   std::optional<Endpoint> Advisor;
+  std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
   Millis Lease{4000};           ///< Lease that the leader requests of a worker.
   Millis MaxLease{6000};        ///< Maximum lease that a worker accepts.
   Millis ReportInterval{1500};  ///< Between reports of a worker.
@@ -34,6 +35,15 @@
   Millis ShutdownTimeout{5000}; ///< From the request to shut down to the exit.
 };
 
+/// @brief Returns how many connections to workers a leader keeps open: half of
+/// its descriptors; the others are for calls, peers and files. While workers
+/// are unresponsive, orders occupy several connections to each. If idle
+/// connections were closed then, renewals would find none to reuse.
+[[nodiscard]] constexpr long
+maxKeptConnections(std::uint32_t Descriptors) noexcept {
+  return static_cast<long>(Descriptors) / 2;
+}
+
 /// @brief Parses and validates the settings of a node.
 /// @param Source Name of the file, reported in findings.
 /// @param Text Content of the INI file.
--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -21,8 +21,6 @@
 /// Time that sent data may stay unacknowledged. After that the peer counts as
 /// unresponsive and the connection is closed.
 constexpr long TcpUserTimeoutMs = 1500;
-/// Maximum number of idle connections to all hosts that are kept open.
-constexpr long MaxIdleConnections = 1200;
 /// Maximum number of easy handles that are kept for reuse.
 constexpr std::size_t MaxIdleHandles = 64;
 /// Maximum number of socket events that are handled per call of the handler.
@@ -214,7 +212,8 @@
   std::vector<CURL *> IdleHandles;
 };
 
-AsyncHttpClient::AsyncHttpClient(ACE_Reactor &Loop, long MaxPerHost)
+AsyncHttpClient::AsyncHttpClient(ACE_Reactor &Loop, long MaxPerHost,
+                                 long MaxKept)
     : Pimpl{std::make_unique<Impl>(Loop)} {
   curl_global_init(CURL_GLOBAL_DEFAULT);
   Pimpl->Multi = curl_multi_init();
@@ -223,7 +222,7 @@
   curl_multi_setopt(Pimpl->Multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
   curl_multi_setopt(Pimpl->Multi, CURLMOPT_TIMERDATA, Pimpl.get());
   curl_multi_setopt(Pimpl->Multi, CURLMOPT_MAX_HOST_CONNECTIONS, MaxPerHost);
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+  curl_multi_setopt(Pimpl->Multi, CURLMOPT_MAXCONNECTS, MaxKept);
 }
 
 AsyncHttpClient::~AsyncHttpClient() {
--- a/src/mulberryramp/http/async_client.hpp
+++ b/src/mulberryramp/http/async_client.hpp
@@ -39,7 +39,9 @@
 
   /// @param Loop The event loop; must outlive the client.
   /// @param MaxPerHost Maximum number of connections to one host and port.
-  AsyncHttpClient(ACE_Reactor &Loop, long MaxPerHost);
+  /// @param MaxKept Number of connections, with those in use, beyond which an
+  /// idle one is closed for each that becomes idle.
+  AsyncHttpClient(ACE_Reactor &Loop, long MaxPerHost, long MaxKept);
   AsyncHttpClient(const AsyncHttpClient &) = delete;
   AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
   ~AsyncHttpClient();
--- a/test/cell/emulator_main.cpp
+++ b/test/cell/emulator_main.cpp
@@ -59,7 +59,7 @@
 class Emulator {
 public:
   explicit Emulator(const Options &Config)
-      : Config{Config}, Client{Reactor, 16},
+      : Config{Config}, Client{Reactor, 16, 64},
         Streams{{ShortJob, Config.ShortPerSecond, {}},
                 {LongJob, Config.LongPerSecond, {}}} {}
 
