Divide the connections to workers into 64 pools

Cause: before libcurl opens a connection it checks all idle ones of its pool, at most once a second, and begins again after each that the peer has closed.

Change: 64 curl handles, each with the connections to the hosts whose address hashes to it. The limit of idle connections is divided among them, with half as much again for uneven hashing.

--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string_view>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -23,24 +24,16 @@
 constexpr long TcpUserTimeoutMs = 1500;
 /// Maximum number of easy handles that are kept for reuse.
 constexpr std::size_t MaxIdleHandles = 64;
+/// Number of connection pools. Before libcurl opens a connection it checks all
+/// idle ones of its pool, and starts again after each that the server has
+/// closed. With one pool, the loss of some tens of workers at once stopped the
+/// event loop for 250 ms.
+constexpr std::size_t PoolCount = 64;
+/// A pool may keep more than its even share, as hosts are not spread evenly.
+constexpr long PoolSharePercent = 150;
 /// Maximum number of socket events that are handled per call of the handler.
 constexpr int MaxEvents = 64;
 
-/// A request in progress.
-struct HttpTransfer {
-  CURL *Handle = nullptr;
-  curl_slist *Headers = nullptr;
-  std::string Body;
-  std::string Received;
-  AsyncHttpClient::Handler OnDone;
-};
-
-/// A socket that is registered with the epoll instance.
-struct WatchedSocket {
-  unsigned Events = 0;  ///< Registered epoll events.
-  bool IsInUse = false; ///< libcurl waits for events of the socket.
-};
-
 std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
                        void *Output) {
   static_cast<std::string *>(Output)->append(Data, Size * Count);
@@ -63,6 +56,29 @@
 } // namespace
 
 struct AsyncHttpClient::Impl final : public ACE_Event_Handler {
+  /// Connections to some of the hosts, with the transfers on them.
+  struct ConnectionPool {
+    Impl *Client = nullptr;
+    CURLM *Multi = nullptr;
+    bool HasTimer = false;
+    Instant TimerAt;
+  };
+  /// A request in progress.
+  struct HttpTransfer {
+    CURL *Handle = nullptr;
+    ConnectionPool *Pool = nullptr;
+    curl_slist *Headers = nullptr;
+    std::string Body;
+    std::string Received;
+    AsyncHttpClient::Handler OnDone;
+  };
+  /// A socket that is registered with the epoll instance.
+  struct WatchedSocket {
+    ConnectionPool *Pool = nullptr;
+    unsigned Events = 0;  ///< Registered epoll events.
+    bool IsInUse = false; ///< libcurl waits for events of the socket.
+  };
+
   explicit Impl(ACE_Reactor &Loop)
       : ACE_Event_Handler{&Loop}, EpollDescriptor{
                                       ::epoll_create1(EPOLL_CLOEXEC)} {
@@ -92,14 +108,15 @@
       CurlEvents |= (Event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
       CurlEvents |=
           (Event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
-      notifySocket(Event.data.fd, CurlEvents);
+      notifySocket(*It->second.Pool, Event.data.fd, CurlEvents);
     }
     return 0;
   }
 
-  void notifySocket(curl_socket_t Socket, int Events) {
+  static void notifySocket(const ConnectionPool &Pool, curl_socket_t Socket,
+                           int Events) {
     int Running = 0;
-    curl_multi_socket_action(Multi, Socket, Events, &Running);
+    curl_multi_socket_action(Pool.Multi, Socket, Events, &Running);
   }
 
   /// Called by libcurl when the events that it waits for on a socket change.
@@ -107,8 +124,9 @@
   /// with the reactor, since libcurl may close a socket before it asks to
   /// remove it.
   static int onSocket(CURL * /*Handle*/, curl_socket_t Socket, int PollAction,
-                      void *Self, void * /*SocketData*/) {
-    auto &Client = *static_cast<Impl *>(Self);
+                      void *Context, void * /*SocketData*/) {
+    auto &Pool = *static_cast<ConnectionPool *>(Context);
+    Impl &Client = *Pool.Client;
     if (PollAction == CURL_POLL_REMOVE) {
       // The next request on the connection usually needs the same events, so
       // the socket stays registered. If an event occurs before that, the
@@ -122,12 +140,13 @@
     unsigned EpollEvents = 0;
     EpollEvents |= (PollAction & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
     EpollEvents |= (PollAction & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
-    Client.watch(Socket, EpollEvents);
+    Client.watch(Pool, Socket, EpollEvents);
     return 0;
   }
 
-  void watch(curl_socket_t Socket, unsigned EpollEvents) {
+  void watch(ConnectionPool &Pool, curl_socket_t Socket, unsigned EpollEvents) {
     const auto [It, Inserted] = WatchedSockets.try_emplace(Socket);
+    It->second.Pool = &Pool;
     It->second.IsInUse = true;
     if (!Inserted && It->second.Events == EpollEvents) {
       return;
@@ -152,13 +171,38 @@
     return ::close(Socket);
   }
 
-  static int onTimer(CURLM * /*Multi*/, long Ms, void *Self) {
-    auto &Client = *static_cast<Impl *>(Self);
-    Client.HasTimer = Ms >= 0;
-    Client.TimerAt = SuspendAwareClock::now() + Millis{std::max(Ms, 0L)};
+  static int onTimer(CURLM * /*Multi*/, long Ms, void *Context) {
+    auto &Pool = *static_cast<ConnectionPool *>(Context);
+    Pool.HasTimer = Ms >= 0;
+    Pool.TimerAt = SuspendAwareClock::now() + Millis{std::max(Ms, 0L)};
     return 0;
   }
 
+  void openPools(long MaxPerHost, long MaxKept) {
+    const auto Count = static_cast<long>(PoolCount);
+    const long MaxKeptPerPool =
+        std::max(MaxKept * PoolSharePercent / 100 / Count, 1L);
+    for (ConnectionPool &Pool : Pools) {
+      Pool.Client = this;
+      Pool.Multi = curl_multi_init();
+      curl_multi_setopt(Pool.Multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
+      curl_multi_setopt(Pool.Multi, CURLMOPT_SOCKETDATA, &Pool);
+      curl_multi_setopt(Pool.Multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
+      curl_multi_setopt(Pool.Multi, CURLMOPT_TIMERDATA, &Pool);
+      curl_multi_setopt(Pool.Multi, CURLMOPT_MAX_HOST_CONNECTIONS, MaxPerHost);
+      curl_multi_setopt(Pool.Multi, CURLMOPT_MAXCONNECTS, MaxKeptPerPool);
+    }
+  }
+
+  /// Returns the pool of the host and port of a URL.
+  ConnectionPool &poolOf(std::string_view Url) {
+    const std::size_t Scheme = Url.find("://");
+    const std::size_t Begin = Scheme == std::string_view::npos ? 0 : Scheme + 3;
+    const std::string_view Host =
+        Url.substr(Begin, Url.find('/', Begin) - Begin);
+    return Pools[std::hash<std::string_view>{}(Host) % PoolCount];
+  }
+
   CURL *acquireHandle() {
     if (IdleHandles.empty()) {
       return curl_easy_init();
@@ -183,7 +227,7 @@
     } else {
       Response.IsUnsent = Code == CURLE_COULDNT_CONNECT || SendStartTime == 0;
     }
-    curl_multi_remove_handle(Multi, Handle);
+    curl_multi_remove_handle(Transfer->Pool->Multi, Handle);
     curl_slist_free_all(Transfer->Headers);
     if (IdleHandles.size() < MaxIdleHandles) {
       curl_easy_reset(Handle);
@@ -194,9 +238,9 @@
     Transfer->OnDone(std::move(Response));
   }
 
-  void processCompletedTransfers() {
+  void processCompletedTransfers(ConnectionPool &Pool) {
     int Remaining = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi, &Remaining)) {
+    while (CURLMsg *Message = curl_multi_info_read(Pool.Multi, &Remaining)) {
       if (Message->msg == CURLMSG_DONE) {
         completeTransfer(Message->easy_handle, Message->data.result);
       }
@@ -204,9 +248,7 @@
   }
 
   int EpollDescriptor; ///< Readable when a registered socket has events.
-  CURLM *Multi = nullptr;
-  bool HasTimer = false;
-  Instant TimerAt;
+  std::array<ConnectionPool, PoolCount> Pools;
   std::unordered_map<curl_socket_t, WatchedSocket> WatchedSockets;
   std::unordered_map<CURL *, std::unique_ptr<HttpTransfer>> OpenTransfers;
   std::vector<CURL *> IdleHandles;
@@ -216,29 +258,25 @@
                                  long MaxKept)
     : Pimpl{std::make_unique<Impl>(Loop)} {
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  Pimpl->Multi = curl_multi_init();
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_SOCKETDATA, Pimpl.get());
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_TIMERDATA, Pimpl.get());
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_MAX_HOST_CONNECTIONS, MaxPerHost);
-  curl_multi_setopt(Pimpl->Multi, CURLMOPT_MAXCONNECTS, MaxKept);
+  Pimpl->openPools(MaxPerHost, MaxKept);
 }
 
 AsyncHttpClient::~AsyncHttpClient() {
   for (auto &[Handle, Transfer] : Pimpl->OpenTransfers) {
-    curl_multi_remove_handle(Pimpl->Multi, Handle);
+    curl_multi_remove_handle(Transfer->Pool->Multi, Handle);
     curl_slist_free_all(Transfer->Headers);
     curl_easy_cleanup(Handle);
   }
   for (CURL *Handle : Pimpl->IdleHandles) {
     curl_easy_cleanup(Handle);
   }
-  curl_multi_cleanup(Pimpl->Multi);
+  for (const Impl::ConnectionPool &Pool : Pimpl->Pools) {
+    curl_multi_cleanup(Pool.Multi);
+  }
 }
 
 void AsyncHttpClient::send(OutboundRequest Request, Handler OnDone) {
-  auto Transfer = std::make_unique<HttpTransfer>();
+  auto Transfer = std::make_unique<Impl::HttpTransfer>();
   Transfer->Body = std::move(Request.Body);
   Transfer->OnDone = std::move(OnDone);
   Transfer->Handle = Pimpl->acquireHandle();
@@ -268,24 +306,32 @@
   if (Request.NeedsOpenConnection) {
     curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &rejectNewConnection);
   }
+  Impl::ConnectionPool &Pool = Pimpl->poolOf(Request.Url);
+  Transfer->Pool = &Pool;
   Pimpl->OpenTransfers[Handle] = std::move(Transfer);
-  curl_multi_add_handle(Pimpl->Multi, Handle);
+  curl_multi_add_handle(Pool.Multi, Handle);
 }
 
 void AsyncHttpClient::run() {
-  if (Pimpl->HasTimer && SuspendAwareClock::now() >= Pimpl->TimerAt) {
-    Pimpl->HasTimer = false;
-    Pimpl->notifySocket(CURL_SOCKET_TIMEOUT, 0);
+  const Instant Now = SuspendAwareClock::now();
+  for (Impl::ConnectionPool &Pool : Pimpl->Pools) {
+    if (Pool.HasTimer && Now >= Pool.TimerAt) {
+      Pool.HasTimer = false;
+      Impl::notifySocket(Pool, CURL_SOCKET_TIMEOUT, 0);
+    }
+    Pimpl->processCompletedTransfers(Pool);
   }
-  Pimpl->processCompletedTransfers();
 }
 
 Millis AsyncHttpClient::waitTime(Millis MaxWait) const {
-  if (!Pimpl->HasTimer) {
-    return MaxWait;
+  const Instant Now = SuspendAwareClock::now();
+  Millis Wait = MaxWait;
+  for (const Impl::ConnectionPool &Pool : Pimpl->Pools) {
+    if (Pool.HasTimer) {
+      Wait = std::clamp(Pool.TimerAt - Now, Millis{0}, Wait);
+    }
   }
-  const Millis Remaining = Pimpl->TimerAt - SuspendAwareClock::now();
-  return std::clamp(Remaining, Millis{0}, MaxWait);
+  return Wait;
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/http/async_client.hpp
+++ b/src/mulberryramp/http/async_client.hpp
@@ -39,8 +39,9 @@
 
   /// @param Loop The event loop; must outlive the client.
   /// @param MaxPerHost Maximum number of connections to one host and port.
-  /// @param MaxKept Number of connections, with those in use, beyond which an
-  /// idle one is closed for each that becomes idle.
+  /// @param MaxKept Approximate number of connections, with those in use,
+  /// beyond which an idle one is closed for each that becomes idle. Hosts are
+  /// divided into pools, and the limit applies to the share of each pool.
   AsyncHttpClient(ACE_Reactor &Loop, long MaxPerHost, long MaxKept);
   AsyncHttpClient(const AsyncHttpClient &) = delete;
   AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
