--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -21,7 +21,9 @@
 
 /// @brief Timing parameters of the leader of a cell.
 struct DispatchOptions {
-  Millis Lease{4000}; ///< Length of the lease that a start or a renewal grants.
+  /// Length of the lease that a start or a renewal grants. Running tasks end
+  /// with it if the cell has no leader for that long.
+  Millis Lease{5400};
   Millis MaxLease{6000}; ///< Longest lease that a worker accepts.
   /// Longest delay after which an unanswered order may still be executed.
   Millis MaxOrderDelay{12000};
@@ -154,6 +156,7 @@
 
 /// @brief Workers that are kept for a step which cannot be placed yet.
 struct StepReservation {
+  bool IsNeeded = false; ///< There is too little room for the step now.
   std::set<WorkerInstanceId> Workers;
   Instant StartsAt;  ///< When all its tasks are expected to have room.
   Instant PlannedAt; ///< When it was last planned.
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -28,7 +28,7 @@
   std::uint32_t MaxVoterFailures = 1; ///< Simultaneous losses to tolerate.
   std::optional<Endpoint> Advisor;
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
-  Millis Lease{4000};           ///< Lease that the leader requests of a worker.
+  Millis Lease{5400};           ///< Lease that the leader requests of a worker.
   Millis MaxLease{6000};        ///< Maximum lease that a worker accepts.
   Millis ReportInterval{1500};  ///< Between reports of a worker.
   Millis Retention{125000};     ///< How long finished jobs are kept.
--- a/test/cell/election_test.cpp
+++ b/test/cell/election_test.cpp
@@ -1,4 +1,5 @@
 #include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/cell/dispatcher.hpp"
 #include "mulberryramp/replica/replica.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -39,3 +40,13 @@
       Options.ElectionTimeoutMin * (100 - Options.LeaseDriftPercent) / 100;
   CHECK(Options.HeartbeatInterval + Pause + RoundTrip < Lease);
 }
+
+/// All voters lose power for 3.5 s; the next leader renews the leases half a
+/// second later. Tasks whose renewal was due just when the power was lost must
+/// still run then.
+TEST(CellElection, RunningTasksSurviveACellWithoutPowerForSeconds) {
+  const Millis TimeWithoutLeader{4000};
+  const Millis AckDelay{400}; // A renewal waits for the commit of ends.
+  const DispatchOptions Options;
+  CHECK(Options.Lease >= TimeWithoutLeader + Options.RenewalWait + AckDelay);
+}
