Reserve workers only for steps that have no room now

Cause: steps that only lacked advice were reserved for too, which computed the expected ends of all tasks each 100 ms, and asked about workers in the order of their identifiers instead of their score (data locality, run times).

--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -355,13 +355,38 @@
       return;
     }
     if (!Pending.IsFarOverdue &&
-        needsReservation(Spec, LargestWorkers[Owner.Queue.Pool])) {
-      reserveWorkers(Key, Owner, Spec, Advice, Unplaced);
-    } else if (Advice != nullptr) {
+        needsReservation(Spec, LargestWorkers[Owner.Queue.Pool]) &&
+        reserveWorkers(Key, Owner, Spec, Advice, Unplaced)) {
+      return;
+    }
+    if (Advice != nullptr) {
       queryWorkers(Key, Owner, Spec, Step, Unplaced);
     }
   }
 
+  /// Tells whether the workers that may run a step are expected to have room
+  /// for its unplaced tasks now.
+  bool hasRoom(const Job &Owner, const StepSpec &Spec, const StepAdvice *Advice,
+               std::size_t Unplaced) const {
+    const Resources Need = requiredResources(Spec);
+    double Room = 0;
+    for (const WorkerSnapshot &Snapshot : WorkerSnapshots) {
+      if (!fitsIn(Need, Snapshot.Available) ||
+          !isFeasible(Snapshot, Owner, Spec) ||
+          (Advice != nullptr && Advice->Denied.contains(Snapshot.Worker))) {
+        continue;
+      }
+      const bool IsUnknown =
+          Advice != nullptr && !Advice->Admitted.contains(Snapshot.Worker);
+      Room += (IsUnknown ? ExpectedAdmissionRate : 1.0) *
+              taskCapacity(Snapshot, Spec);
+      if (Room >= static_cast<double>(Unplaced)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /// Returns the slots of a worker for tasks of a step.
   std::vector<ExpectedSlot> slotsOn(const WorkerSnapshot &Snapshot,
                                     const StepSpec &Spec,
@@ -379,15 +404,23 @@
                          Now);
   }
 
-  /// Keeps workers for a step that cannot be placed now, and queries the
-  /// advisor about them.
+  /// Keeps workers for a step that has no room now, and queries the advisor
+  /// about them.
   /// @param Advice Advice on the step, or null if it needs none.
-  void reserveWorkers(const StepKey &Key, const Job &Owner,
+  /// @return False if the step has room, so that only advice is missing.
+  bool reserveWorkers(const StepKey &Key, const Job &Owner,
                       const StepSpec &Spec, const StepAdvice *Advice,
                       std::size_t Unplaced) {
     StepReservation &Reservation = Dispatch.Reservations[Key];
     if (Now - Reservation.PlannedAt >= ReservationInterval) {
-      planReservation(Reservation, Key, Owner, Spec, Advice, Unplaced);
+      Reservation.PlannedAt = Now;
+      Reservation.IsNeeded = !hasRoom(Owner, Spec, Advice, Unplaced);
+      if (Reservation.IsNeeded) {
+        planReservation(Reservation, Key, Owner, Spec, Advice, Unplaced);
+      }
+    }
+    if (!Reservation.IsNeeded) {
+      return false;
     }
     std::size_t &Reserved = ReservedWorkers[Owner.Queue.Pool];
     const std::size_t Limit =
@@ -403,6 +436,7 @@
     if (Advice != nullptr) {
       renewTickets(Key, Owner, *Advice, Reservation);
     }
+    return true;
   }
 
   void planReservation(StepReservation &Reservation, const StepKey &Key,
@@ -429,9 +463,10 @@
     // what there is.
     const std::size_t Tasks =
         Spec.IsGang ? Unplaced : std::min(Unplaced, Slots.size());
-    Reservation =
+    StepReservation Chosen =
         chooseReservation(std::move(Slots), Tasks, Reservation.Workers);
-    Reservation.PlannedAt = Now;
+    Reservation.Workers = std::move(Chosen.Workers);
+    Reservation.StartsAt = Chosen.StartsAt;
   }
 
   /// Queries the advisor about workers that it has not decided on, those with
