--- /dev/null
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "mulberryramp/cell/dispatcher.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// @file
+/// @brief The workers that a planning pass may use, with their resources as the
+/// pass reserves them, and their ranking for a step.
+
+namespace mulberryramp {
+
+/// @brief Resources and state of a schedulable worker during one planning pass.
+struct WorkerSnapshot {
+  WorkerInstanceId Worker;
+  const WorkerInstance *Instance = nullptr;
+  Resources Available;
+  std::uint32_t LongRunningTasks = 0;
+  /// Average ratio of run times to those of peer tasks.
+  double RuntimeRatio = 1;
+  /// A service there exceeds its tail latency limit.
+  bool HasLatencyViolation = false;
+  bool HadRecentMiss = false; ///< An order went unanswered recently.
+  /// When a step that was planned before needs the worker, if one reserved it.
+  std::optional<Instant> ReservedFrom;
+};
+
+/// @brief Summary of the schedulable workers of a pool.
+struct PoolSummary {
+  std::size_t Workers = 0;
+  std::size_t Reserved = 0; ///< Workers that steps have reserved.
+  Resources Largest;        ///< Largest amount of each resource of a worker.
+};
+
+/// @brief All schedulable workers.
+struct SchedulableWorkers {
+  std::vector<WorkerSnapshot> Rows;
+  std::vector<std::size_t> IndexBySlot; ///< Index in `Rows` by worker slot.
+  std::map<std::string, PoolSummary> Pools;
+};
+
+/// @brief Collects the workers to which starts may be sent now.
+[[nodiscard]] SchedulableWorkers snapshotWorkers(const DispatchState &Dispatch,
+                                                 const CellState &State,
+                                                 Instant Now);
+
+/// @brief Finds the snapshot of a worker instance.
+/// @return The snapshot, or null if the worker is not schedulable.
+[[nodiscard]] WorkerSnapshot *findSnapshot(SchedulableWorkers &Workers,
+                                           WorkerInstanceId Worker);
+
+/// @brief Tells whether a worker may run a step, apart from its free resources.
+/// A worker that a step planned before has reserved may only run tasks that end
+/// before that step needs it.
+[[nodiscard]] bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
+                              const StepSpec &Step, Instant Now);
+
+/// @brief Computes the score of a worker for a step; lower is better.
+/// @param Need Resources of a task of the step.
+/// @param Task The task, or null if it is not yet chosen.
+[[nodiscard]] double scoreWorker(const WorkerSnapshot &Snapshot,
+                                 const StepSpec &Step, const Resources &Need,
+                                 const JobTask *Task);
+
+/// @brief Computes how many tasks of a step fit on a worker.
+[[nodiscard]] double taskCapacity(const WorkerSnapshot &Snapshot,
+                                  const StepSpec &Spec);
+
+} // namespace mulberryramp
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -3,6 +3,7 @@
 #include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/reservation.hpp"
+#include "mulberryramp/cell/schedulable_workers.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -21,8 +22,6 @@
 constexpr double QueryCapacityFactor = 1.5;
 /// A query that names unknown workers names at least this many, if available.
 constexpr std::size_t MinUnknownWorkers = 8;
-/// Weight of the runtime ratio of a worker in its score.
-constexpr double RuntimeRatioWeight = 0.8;
 /// The advisor is queried this long before a step is expected to be ready, in
 /// addition to its answer time.
 constexpr Millis AdvicePrefetchTime{150};
@@ -39,15 +38,6 @@
 /// At most one in this many workers of a pool is reserved, so that later steps
 /// still progress.
 constexpr std::size_t WorkersPerReservedWorker = 2;
-/// Expected run times are extended by this percentage before a task is
-/// backfilled, as estimates are often too short.
-constexpr int BackfillMarginPercent = 50;
-/// Score penalties. On the same scale the fraction of CPUs that a worker has
-/// left counts up to 1. The lowest score is chosen.
-constexpr double DataLocalityPenalty = 4;
-constexpr double PriorFailurePenalty = 3;
-constexpr double ServiceColocationPenalty = 0.6;
-constexpr double RecentMissPenalty = 2;
 /// A run is far overdue, and planned last, if it is late by this multiple of
 /// the time from its due time to its soft deadline.
 constexpr int FarOverdueFactor = 3;
@@ -56,23 +46,6 @@
 /// fit before its soft deadline; estimates may be twice too long.
 constexpr int LateEstimatePercent = 70;
 
-constexpr std::size_t NoIndex = std::numeric_limits<std::size_t>::max();
-
-/// Resources and state of a schedulable worker during one planning pass.
-struct WorkerSnapshot {
-  WorkerInstanceId Worker;
-  const WorkerInstance *Instance = nullptr;
-  Resources Available;
-  std::uint32_t LongRunningTasks = 0;
-  /// Average ratio of run times to those of peer tasks.
-  double RuntimeRatio = 1;
-  /// A service there exceeds its tail latency limit.
-  bool HasLatencyViolation = false;
-  bool HadRecentMiss = false; ///< An order went unanswered recently.
-  /// When a step that was planned before needs the worker, if one reserved it.
-  std::optional<Instant> ReservedFrom;
-};
-
 /// A step with unassigned tasks. The order of `operator<` is the planning
 /// order.
 struct PendingStep {
@@ -97,7 +70,7 @@
       : Dispatch{Dispatch}, State{State}, Now{Now}, WallNow{WallNow} {}
 
   std::vector<TaskAssignment> plan() {
-    snapshotWorkers();
+    Schedulable = snapshotWorkers(Dispatch, State, Now);
     collectSteps();
     for (const PendingStep &Pending : Ready) {
       planStep(Pending);
@@ -109,55 +82,6 @@
   }
 
 private:
-  void snapshotWorkers() {
-    for (const WorkerInstanceId Id : State.Workers.ids()) {
-      if (!isSchedulable(Dispatch, State, Id, Now)) {
-        continue;
-      }
-      WorkerSnapshot Snapshot;
-      Snapshot.Worker = Id;
-      Snapshot.Instance = &State.Workers[Id];
-      Snapshot.Available = availableResources(*Snapshot.Instance);
-      const WorkerSession &Session = Dispatch.Sessions.at(Id);
-      Snapshot.RuntimeRatio = Session.RuntimeRatio;
-      Snapshot.HasLatencyViolation = Session.HasLatencyViolation;
-      Snapshot.HadRecentMiss = Session.LastMissAt != Instant{} &&
-                               Now - Session.LastMissAt < OrderLossWindow;
-      for (const TaskKey &Key : Session.Tasks) {
-        const Job *Owner = State.Jobs.find(Key.Job);
-        Snapshot.LongRunningTasks +=
-            Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLongRunning ? 1
-                                                                          : 0;
-      }
-      if (SnapshotIndexBySlot.size() <= Id.Slot) {
-        SnapshotIndexBySlot.resize(Id.Slot + 1, NoIndex);
-      }
-      SnapshotIndexBySlot[Id.Slot] = WorkerSnapshots.size();
-      WorkerSnapshots.push_back(Snapshot);
-      addToPool(Snapshot.Instance->Report);
-    }
-  }
-
-  void addToPool(const WorkerReport &Report) {
-    PoolSizes[Report.Pool] += 1;
-    Resources &Largest = LargestWorkers[Report.Pool];
-    Largest.MilliCpus = std::max(Largest.MilliCpus, Report.Capacity.MilliCpus);
-    Largest.MemoryMb = std::max(Largest.MemoryMb, Report.Capacity.MemoryMb);
-    Largest.Accelerators =
-        std::max(Largest.Accelerators, Report.Capacity.Accelerators);
-  }
-
-  /// Finds the snapshot of a worker instance, or null.
-  WorkerSnapshot *findSnapshot(WorkerInstanceId Worker) {
-    if (Worker.Slot >= SnapshotIndexBySlot.size() ||
-        SnapshotIndexBySlot[Worker.Slot] == NoIndex) {
-      return nullptr;
-    }
-    WorkerSnapshot &Snapshot =
-        WorkerSnapshots[SnapshotIndexBySlot[Worker.Slot]];
-    return Snapshot.Worker == Worker ? &Snapshot : nullptr;
-  }
-
   void collectSteps() {
     for (const JobId Id : State.UnfinishedJobs) {
       const Job &JobRow = State.Jobs[Id];
@@ -220,57 +144,6 @@
     return true;
   }
 
-  /// Tells whether a worker is reserved by a step that was planned before and
-  /// a task of the current step would delay that step.
-  bool isReserved(const WorkerSnapshot &Snapshot, const StepSpec &Step) const {
-    return Snapshot.ReservedFrom &&
-           (Step.IsLongRunning ||
-            Now + Step.Estimate * (100 + BackfillMarginPercent) / 100 >
-                *Snapshot.ReservedFrom);
-  }
-
-  bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
-                  const StepSpec &Step) const {
-    const auto &Labels = Snapshot.Instance->Report.Labels;
-    return Snapshot.Instance->Report.Pool == Owner.Queue.Pool &&
-           !isReserved(Snapshot, Step) &&
-           (Step.IsLongRunning || !Snapshot.HasLatencyViolation) &&
-           (Step.Label.empty() || std::find(Labels.begin(), Labels.end(),
-                                            Step.Label) != Labels.end());
-  }
-
-  /// Computes the score of a worker for a step; lower is better.
-  /// @param Task The task, or null if it is not yet chosen.
-  double scoreWorker(const WorkerSnapshot &Snapshot, const StepSpec &Step,
-                     const Resources &Need, const JobTask *Task) const {
-    const Resources Remaining = Snapshot.Available - Need;
-    const auto Share = [](std::int64_t Part, std::int64_t Total) {
-      return Total == 0
-                 ? 0.0
-                 : static_cast<double>(Part) / static_cast<double>(Total);
-    };
-    const Resources &Capacity = Snapshot.Instance->Report.Capacity;
-    double Score = Share(Remaining.MilliCpus, Capacity.MilliCpus) +
-                   Share(Remaining.MemoryMb, Capacity.MemoryMb) / 2 +
-                   Share(Remaining.Accelerators, Capacity.Accelerators);
-    if (!Step.DataRack.empty() &&
-        Step.DataRack != Snapshot.Instance->Report.Rack) {
-      Score += DataLocalityPenalty;
-    }
-    if (Task != nullptr && Task->Failures != 0 &&
-        Task->Worker == Snapshot.Worker) {
-      Score += PriorFailurePenalty;
-    }
-    Score += Snapshot.RuntimeRatio * RuntimeRatioWeight;
-    if (Snapshot.HadRecentMiss) {
-      Score += RecentMissPenalty;
-    }
-    if (!Step.IsLongRunning && Snapshot.LongRunningTasks != 0) {
-      Score += ServiceColocationPenalty;
-    }
-    return Score;
-  }
-
   using TaskCounts = std::map<WorkerInstanceId, std::uint32_t>;
 
   static bool isAtMaxPerWorker(const StepSpec &Step,
@@ -296,7 +169,7 @@
     double BestScore = std::numeric_limits<double>::max();
     const auto Consider = [&](WorkerSnapshot &Snapshot) {
       if (!fitsIn(Need, Snapshot.Available) ||
-          !isFeasible(Snapshot, Owner, Step) ||
+          !isFeasible(Snapshot, Owner, Step, Now) ||
           (Rack != nullptr && Snapshot.Instance->Report.Rack != *Rack) ||
           isAtMaxPerWorker(Step, Snapshot, Counts)) {
         return;
@@ -308,12 +181,13 @@
       }
     };
     if (Advice == nullptr) {
-      std::for_each(WorkerSnapshots.begin(), WorkerSnapshots.end(), Consider);
+      std::for_each(Schedulable.Rows.begin(), Schedulable.Rows.end(), Consider);
       return Best;
     }
     for (const auto &[Worker, Admission] : Advice->Admitted) {
-      WorkerSnapshot *Snapshot =
-          Now < Admission.ExpiresAt ? findSnapshot(Worker) : nullptr;
+      WorkerSnapshot *Snapshot = Now < Admission.ExpiresAt
+                                     ? findSnapshot(Schedulable, Worker)
+                                     : nullptr;
       if (Snapshot != nullptr) {
         Consider(*Snapshot);
       }
@@ -355,7 +229,7 @@
       return;
     }
     if (!Pending.IsFarOverdue &&
-        needsReservation(Spec, LargestWorkers[Owner.Queue.Pool]) &&
+        needsReservation(Spec, Schedulable.Pools[Owner.Queue.Pool].Largest) &&
         reserveWorkers(Key, Owner, Spec, Advice, Unplaced)) {
       return;
     }
@@ -370,9 +244,9 @@
                std::size_t Unplaced) const {
     const Resources Need = requiredResources(Spec);
     double Room = 0;
-    for (const WorkerSnapshot &Snapshot : WorkerSnapshots) {
+    for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
       if (!fitsIn(Need, Snapshot.Available) ||
-          !isFeasible(Snapshot, Owner, Spec) ||
+          !isFeasible(Snapshot, Owner, Spec, Now) ||
           (Advice != nullptr && Advice->Denied.contains(Snapshot.Worker))) {
         continue;
       }
@@ -422,13 +296,12 @@
     if (!Reservation.IsNeeded) {
       return false;
     }
-    std::size_t &Reserved = ReservedWorkers[Owner.Queue.Pool];
-    const std::size_t Limit =
-        PoolSizes[Owner.Queue.Pool] / WorkersPerReservedWorker;
-    if (Reserved + Reservation.Workers.size() <= Limit) {
-      Reserved += Reservation.Workers.size();
+    PoolSummary &Pool = Schedulable.Pools[Owner.Queue.Pool];
+    const std::size_t Limit = Pool.Workers / WorkersPerReservedWorker;
+    if (Pool.Reserved + Reservation.Workers.size() <= Limit) {
+      Pool.Reserved += Reservation.Workers.size();
       for (const WorkerInstanceId Worker : Reservation.Workers) {
-        if (WorkerSnapshot *Snapshot = findSnapshot(Worker)) {
+        if (WorkerSnapshot *Snapshot = findSnapshot(Schedulable, Worker)) {
           Snapshot->ReservedFrom = Reservation.StartsAt;
         }
       }
@@ -444,8 +317,8 @@
                        const StepAdvice *Advice, std::size_t Unplaced) {
     std::vector<ExpectedSlot> Slots;
     std::vector<ExpectedSlot> UnknownSlots;
-    for (const WorkerSnapshot &Snapshot : WorkerSnapshots) {
-      if (!isFeasible(Snapshot, Owner, Spec) ||
+    for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
+      if (!isFeasible(Snapshot, Owner, Spec, Now) ||
           (Advice != nullptr && Advice->Denied.contains(Snapshot.Worker))) {
         continue;
       }
@@ -550,7 +423,7 @@
     }
     if (Spec.PrefersSameRack) {
       std::set<std::string> Racks;
-      for (const WorkerSnapshot &Snapshot : WorkerSnapshots) {
+      for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
         Racks.insert(Snapshot.Instance->Report.Rack);
       }
       for (const std::string &Rack : Racks) {
@@ -569,7 +442,7 @@
   bool tryPlanGang(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
                    const JobStep &Step, const StepAdvice *Advice,
                    const std::string *Rack) {
-    const std::vector<WorkerSnapshot> SavedSnapshots = WorkerSnapshots;
+    const std::vector<WorkerSnapshot> SavedSnapshots = Schedulable.Rows;
     const std::size_t AssignmentCount = Assignments.size();
     std::uint32_t Attempt = 0;
     for (const JobTask &Task : Step.Tasks) {
@@ -580,7 +453,7 @@
       WorkerSnapshot *Chosen =
           pickBestWorker(Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts);
       if (Chosen == nullptr) {
-        WorkerSnapshots = SavedSnapshots;
+        Schedulable.Rows = SavedSnapshots;
         Assignments.resize(AssignmentCount);
         return false;
       }
@@ -613,9 +486,9 @@
       }
     };
     std::vector<Candidate> Candidates;
-    for (const WorkerSnapshot &Snapshot : WorkerSnapshots) {
+    for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
       if (!fitsIn(Need, Snapshot.Available) ||
-          !isFeasible(Snapshot, Owner, Spec) ||
+          !isFeasible(Snapshot, Owner, Spec, Now) ||
           Advice.Denied.contains(Snapshot.Worker) ||
           isAdmitted(Advice, Snapshot.Worker, Now) ||
           isAtMaxPerWorker(Spec, Snapshot, Counts)) {
@@ -658,23 +531,6 @@
     queryAdvisor(Dispatch, State, Key, *Owner.Queue.Advice, Workers, Now);
   }
 
-  /// Computes how many tasks of a step fit on a worker.
-  static double taskCapacity(const WorkerSnapshot &Snapshot,
-                             const StepSpec &Spec) {
-    const Resources Need = requiredResources(Spec);
-    std::int64_t Count = Spec.Tasks;
-    const auto Limit = [&Count](std::int64_t Available, std::int64_t Required) {
-      Count = Required == 0 ? Count : std::min(Count, Available / Required);
-    };
-    Limit(Snapshot.Available.MilliCpus, Need.MilliCpus);
-    Limit(Snapshot.Available.MemoryMb, Need.MemoryMb);
-    Limit(Snapshot.Available.Accelerators, Need.Accelerators);
-    if (Spec.MaxPerWorker != 0) {
-      Count = std::min<std::int64_t>(Count, Spec.MaxPerWorker);
-    }
-    return static_cast<double>(Count);
-  }
-
   /// Queries the advisor about a step that will be ready soon.
   void prefetchAdvice(const StepKey &Key) {
     const Job &Owner = State.Jobs[Key.Job];
@@ -691,15 +547,9 @@
   const CellState &State;
   Instant Now;
   WallTime WallNow;
-  std::vector<WorkerSnapshot> WorkerSnapshots;
-  std::vector<std::size_t> SnapshotIndexBySlot; ///< Index by worker slot.
+  SchedulableWorkers Schedulable;
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
-  /// By pool: number of schedulable workers, how many are reserved, and the
-  /// largest capacity.
-  std::map<std::string, std::size_t> PoolSizes;
-  std::map<std::string, std::size_t> ReservedWorkers;
-  std::map<std::string, Resources> LargestWorkers;
   std::vector<PendingStep> Ready;
   std::vector<PendingStep> SoonReady;
   std::vector<TaskAssignment> Assignments;
