Take a cut-off frontend out of rotation sooner; review only jobs that still run tasks

Cause: a frontend that is cut off from the voters stayed in rotation for 3 s and the two checks of the balancer; calls to it wait for a leader and come back unknown or refused. Each end of a job made the leader review all its launches in the same step, also if nothing of the job ran any more.

Change: not ready after 1.5 s without contact, which is longer than finding a new leader takes; the review is advanced only if tasks of the job still run.

--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -262,7 +262,9 @@
     const Job &JobRow = State.Jobs[Id];
     Dispatch.Events.push_back("event=job-over job=" + JobRow.Name +
                               " phase=" + std::string{nameOf(JobRow.Phase)});
-    Dispatch.NextReviewAt = Now;
+    if (JobRow.AssignedTasks != 0) {
+      Dispatch.NextReviewAt = Now; // Stops the tasks that still run.
+    }
   }
   sendStarts(Dispatch, State, Change.Started, Now);
 }
--- a/src/mulberryramp/cell/fwd.hpp
+++ b/src/mulberryramp/cell/fwd.hpp
@@ -32,7 +32,9 @@
 /// the leader again.
 inline constexpr Millis LeaderTimeout{800};
 /// @brief Time without contact to the leader after which a node is not ready.
-inline constexpr Millis ReadinessTimeout{3000};
+/// It exceeds the time until a new leader is found, so that an election takes
+/// no node out of rotation.
+inline constexpr Millis ReadinessTimeout{1500};
 
 struct CellMessage;
 struct CellReply;
--- a/test/cell/election_test.cpp
+++ b/test/cell/election_test.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/cell/dispatcher.hpp"
+#include "mulberryramp/cell/fwd.hpp"
 #include "mulberryramp/replica/replica.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -50,3 +51,11 @@
   const DispatchOptions Options;
   CHECK(Options.Lease >= TimeWithoutLeader + Options.RenewalWait + AckDelay);
 }
+
+/// A frontend that is cut off from the voters leaves the rotation soon, but an
+/// election takes none out of it.
+TEST(CellElection, AFrontendStaysReadyThroughAnElection) {
+  const ReplicaOptions Options = makeCellReplicaOptions(2);
+  CHECK(ReadinessTimeout >= LeaderTimeout + Options.ElectionTimeoutMax);
+  CHECK(ReadinessTimeout <= RelayTimeout);
+}
