Share the estimates of run times and the check of candidates for a step

Review and reservation each computed the total run time from the progress of a task and the expected time of a step; both are now in cell/run_time.hpp. The planner asked in three places whether a worker may run a step and whether the advisor has decided on it.

--- a/src/mulberryramp/cell/reservation.cpp
+++ b/src/mulberryramp/cell/reservation.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/cell/reservation.hpp"
 
+#include "mulberryramp/cell/run_time.hpp"
+
 #include <algorithm>
 
 namespace mulberryramp {
@@ -17,14 +19,9 @@
 
 Millis expectedRunTime(const DispatchState &Dispatch, const TaskLaunch &Launch,
                        const TaskKey &Key, const StepSpec &Spec) {
-  if (Launch.ProgressPercent >= MinProgressPercent) {
-    return (Launch.ProgressAt - Launch.PhaseSince) * 100 /
-           static_cast<std::int64_t>(Launch.ProgressPercent);
-  }
-  const auto TimesIt = Dispatch.Times.find({Key.Job, Key.Run, Key.Step});
-  return TimesIt != Dispatch.Times.end() && TimesIt->second.Count != 0
-             ? TimesIt->second.mean()
-             : Spec.Estimate;
+  return Launch.ProgressPercent >= MinProgressPercent
+             ? estimateTotalTime(Launch)
+             : expectedStepTime(Dispatch, {Key.Job, Key.Run, Key.Step}, Spec);
 }
 
 Instant expectedEnd(const DispatchState &Dispatch, const TaskLaunch &Launch,
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/review.hpp"
 
 #include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/run_time.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -60,12 +61,6 @@
          Now - Launch.ProgressAt > StallTimeout + Spec.Estimate / 20;
 }
 
-/// Estimates the total run time of a task from its progress.
-Millis estimateTotalTime(const TaskLaunch &Launch) {
-  return (Launch.ProgressAt - Launch.PhaseSince) * 100 /
-         std::max<std::int64_t>(Launch.ProgressPercent, 1);
-}
-
 Millis estimateRemainingTime(const TaskLaunch &Launch, Instant Now) {
   return estimateTotalTime(Launch) - (Now - Launch.PhaseSince);
 }
@@ -222,11 +217,7 @@
                         std::nullopt,
                         {}};
   Siblings.MedianTime = medianTime(Dispatch, Key, Siblings);
-  Siblings.Expected = Siblings.Spec.Estimate;
-  if (const auto TimesIt = Dispatch.Times.find(Key);
-      TimesIt != Dispatch.Times.end()) {
-    Siblings.Expected = TimesIt->second.mean();
-  }
+  Siblings.Expected = expectedStepTime(Dispatch, Key, Siblings.Spec);
   const bool HasTailLimit = Siblings.Spec.IsLongRunning &&
                             Siblings.Spec.TailLatencyLimit.count() != 0;
   for (TaskLaunch *Launch : Siblings.Launches) {
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -238,6 +238,19 @@
     }
   }
 
+  /// Tells whether a worker may run a step, as far as the advisor has decided.
+  /// @param Advice Advice on the step, or null if it needs none.
+  bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
+                   const StepSpec &Spec, const StepAdvice *Advice) const {
+    return isFeasible(Snapshot, Owner, Spec, Now) &&
+           (Advice == nullptr || !Advice->Denied.contains(Snapshot.Worker));
+  }
+
+  /// Tells whether the advisor has not yet decided on a worker.
+  static bool isUnknown(const StepAdvice *Advice, WorkerInstanceId Worker) {
+    return Advice != nullptr && !Advice->Admitted.contains(Worker);
+  }
+
   /// Tells whether the workers that may run a step are expected to have room
   /// for its unplaced tasks now.
   bool hasRoom(const Job &Owner, const StepSpec &Spec, const StepAdvice *Advice,
@@ -246,14 +259,12 @@
     double Room = 0;
     for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
       if (!fitsIn(Need, Snapshot.Available) ||
-          !isFeasible(Snapshot, Owner, Spec, Now) ||
-          (Advice != nullptr && Advice->Denied.contains(Snapshot.Worker))) {
+          !isCandidate(Snapshot, Owner, Spec, Advice)) {
         continue;
       }
-      const bool IsUnknown =
-          Advice != nullptr && !Advice->Admitted.contains(Snapshot.Worker);
-      Room += (IsUnknown ? ExpectedAdmissionRate : 1.0) *
-              taskCapacity(Snapshot, Spec);
+      Room +=
+          (isUnknown(Advice, Snapshot.Worker) ? ExpectedAdmissionRate : 1.0) *
+          taskCapacity(Snapshot, Spec);
       if (Room >= static_cast<double>(Unplaced)) {
         return true;
       }
@@ -318,14 +329,11 @@
     std::vector<ExpectedSlot> Slots;
     std::vector<ExpectedSlot> UnknownSlots;
     for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
-      if (!isFeasible(Snapshot, Owner, Spec, Now) ||
-          (Advice != nullptr && Advice->Denied.contains(Snapshot.Worker))) {
+      if (!isCandidate(Snapshot, Owner, Spec, Advice)) {
         continue;
       }
-      const bool IsUnknown =
-          Advice != nullptr && !Advice->Admitted.contains(Snapshot.Worker);
       const auto OnWorker = slotsOn(Snapshot, Spec, Unplaced);
-      auto &Target = IsUnknown ? UnknownSlots : Slots;
+      auto &Target = isUnknown(Advice, Snapshot.Worker) ? UnknownSlots : Slots;
       Target.insert(Target.end(), OnWorker.begin(), OnWorker.end());
     }
     if (Advice != nullptr && Slots.size() < Unplaced * ReservationSlotFactor) {
@@ -488,13 +496,12 @@
     std::vector<Candidate> Candidates;
     for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
       if (!fitsIn(Need, Snapshot.Available) ||
-          !isFeasible(Snapshot, Owner, Spec, Now) ||
-          Advice.Denied.contains(Snapshot.Worker) ||
+          !isCandidate(Snapshot, Owner, Spec, &Advice) ||
           isAdmitted(Advice, Snapshot.Worker, Now) ||
           isAtMaxPerWorker(Spec, Snapshot, Counts)) {
         continue;
       }
-      const bool IsUnknown = !Advice.Admitted.contains(Snapshot.Worker);
+      const bool IsUnknown = isUnknown(&Advice, Snapshot.Worker);
       Candidates.push_back({IsUnknown,
                             scoreWorker(Snapshot, Spec, Need, nullptr),
                             Snapshot.Worker,
