Log how many bytes of a failed start were sent

The lines of the duplicate run show verdict=unsent for an order that the worker executed, and cannot tell an order that the leader held back from one that was sent and repeated by the HTTP client. The answer of the client now carries the number of bytes written to sockets, and event=start-failed shows it.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -125,7 +125,8 @@
       describeStart(nameTask(State, Order.Key), Order.Attempt) +
       " worker=" + workerName(State, Order.Worker) +
       " verdict=" + std::string{nameOf(Result.Verdict)} +
-      " reason=" + std::string{nameOf(Result.Reason)});
+      " reason=" + std::string{nameOf(Result.Reason)} +
+      " sent_bytes=" + std::to_string(Result.SentBytes));
   const bool MayBeExecuted =
       Result.Verdict == OrderVerdict::Unanswered ||
       (Result.Verdict == OrderVerdict::Refused &&
--- a/src/mulberryramp/cell/order.hpp
+++ b/src/mulberryramp/cell/order.hpp
@@ -117,6 +117,7 @@
   std::uint64_t Id = 0;
   OrderVerdict Verdict = OrderVerdict::Unanswered;
   RefusalReason Reason = RefusalReason::None;
+  std::int64_t SentBytes = 0; ///< Bytes of the order written to a socket.
   std::optional<std::int64_t> Clock; ///< Clock of the worker, ms.
   std::int64_t StartTimeMs = 0;      ///< Identifies the instance; 0 if unknown.
   std::vector<RunningTask> Running;  ///< All running tasks; only for a renewal.
--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -218,9 +218,12 @@
     OpenTransfers.erase(It);
     OutboundResponse Response;
     long Status = 0;
+    long SentBytes = 0;
     curl_off_t SendStartTime = 0;
     curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+    curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &SentBytes);
     curl_easy_getinfo(Handle, CURLINFO_PRETRANSFER_TIME_T, &SendStartTime);
+    Response.SentBytes = SentBytes;
     if (Code == CURLE_OK) {
       Response.Status = static_cast<int>(Status);
       Response.Body = std::move(Transfer->Received);
--- a/src/mulberryramp/http/async_client.hpp
+++ b/src/mulberryramp/http/async_client.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/core/fwd.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,7 @@
   /// No part of the request was sent, so the server cannot have acted on it.
   bool IsUnsent = false;
   std::string Body;
+  std::int64_t SentBytes = 0; ///< Bytes of the request written to a socket.
 };
 
 /// @brief Non-blocking HTTP client that is driven by an event loop. It keeps
