Send each request to a worker at most once and report it as unsent by bytes

Callers saw a task run twice at the same time. libcurl repeats a request on a new connection if a reused one ends without an answer. The client took the refusal of the second connection for the result of the request and reported it as unsent, although a worker had received it; the leader freed the attempt and started the next one 30 ms later. A refusal of the second transmission (busy, unhealthy) would have hidden the first one in the same way.

The client now forbids the second transmission before a connection is opened or reused for it, and a failed request is unsent only if no byte was written. libcurl may still change connections while nothing was written.

Shown by unit_http, which failed before. Ruled out: the age limit of the leader, as it sends no bytes.

--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/http/async_client.hpp"
 
 #include "mulberryramp/core/time.hpp"
+#include "mulberryramp/http/transmission.hpp"
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
@@ -218,17 +219,13 @@
     OpenTransfers.erase(It);
     OutboundResponse Response;
     long Status = 0;
-    long SentBytes = 0;
-    curl_off_t SendStartTime = 0;
     curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
-    curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &SentBytes);
-    curl_easy_getinfo(Handle, CURLINFO_PRETRANSFER_TIME_T, &SendStartTime);
-    Response.SentBytes = SentBytes;
+    Response.SentBytes = sentBytes(Handle);
     if (Code == CURLE_OK) {
       Response.Status = static_cast<int>(Status);
       Response.Body = std::move(Transfer->Received);
     } else {
-      Response.IsUnsent = Code == CURLE_COULDNT_CONNECT || SendStartTime == 0;
+      Response.IsUnsent = Response.SentBytes == 0;
     }
     curl_multi_remove_handle(Transfer->Pool->Multi, Handle);
     curl_slist_free_all(Transfer->Headers);
@@ -306,6 +303,7 @@
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, &Impl::onClose);
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, Pimpl.get());
+  sendAtMostOnce(Handle);
   if (Request.NeedsOpenConnection) {
     curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &rejectNewConnection);
   }
--- a/src/mulberryramp/http/async_client.hpp
+++ b/src/mulberryramp/http/async_client.hpp
@@ -33,7 +33,8 @@
 };
 
 /// @brief Non-blocking HTTP client that is driven by an event loop. It keeps
-/// idle connections open and reuses them.
+/// idle connections open and reuses them. It sends each request at most once:
+/// if the connection ends, the request fails.
 class AsyncHttpClient {
 public:
   /// @brief Called with the result of a request.
