--- a/test/support/resetting_server.cpp
+++ b/test/support/resetting_server.cpp
@@ -37,8 +37,8 @@
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t Size = sizeof(Address);
   auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-  ::bind(Listener, Generic, Size);
-  ::listen(Listener, 8);
+  (void)::bind(Listener, Generic, Size);
+  (void)::listen(Listener, 8);
   ::getsockname(Listener, Generic, &Size);
   Port = ntohs(Address.sin_port);
   Server = std::thread{[this] { serve(); }};
