Read stored records that lack fields which were added later

A struct is stored as an array of its fields, and an array of another length was rejected, so a build that adds a field to a record refused the disk of the former one. A struct may now name how many leading fields it needs; the others keep their defaults. unit_wire: a record with two of three fields was 'malformed value' before. No stored struct uses it yet.

--- a/src/mulberryramp/wire/codec.hpp
+++ b/src/mulberryramp/wire/codec.hpp
@@ -31,6 +31,17 @@
   T::fields();
 };
 
+/// Number of leading fields that an encoded struct must have. A struct that
+/// gained fields since its first release keeps the former number, so that
+/// records which an older build has stored are still read.
+template <typename T> consteval std::size_t mandatoryFieldCount() {
+  if constexpr (requires { T::MandatoryFields; }) {
+    return T::MandatoryFields;
+  } else {
+    return std::tuple_size_v<decltype(T::fields())>;
+  }
+}
+
 template <typename T>
 concept NamedEnum = std::is_enum_v<T> && requires(T Value) {
   nameTable(Value);
@@ -113,11 +124,18 @@
 void unpackFields(const msgpack::object_array &Elements, T &Value) {
   std::apply(
       [&](auto... Field) {
-        if (Elements.size != sizeof...(Field)) {
+        if (Elements.size < mandatoryFieldCount<T>() ||
+            Elements.size > sizeof...(Field)) {
           throw msgpack::type_error{};
         }
         std::size_t Index = 0;
-        (unpackValue(Elements.ptr[Index++], Value.*Field), ...);
+        const auto UnpackNext = [&](auto &Member) {
+          if (Index < Elements.size) {
+            unpackValue(Elements.ptr[Index], Member);
+          }
+          Index += 1;
+        };
+        (UnpackNext(Value.*Field), ...);
       },
       T::fields());
 }
@@ -168,7 +186,8 @@
 /// @tparam T A number, string, duration, time point, enumeration with a name
 /// table, or a vector, optional, variant or struct with `fields()` of such
 /// types. A struct is an array of its fields without their names, so their
-/// order is part of the format.
+/// order is part of the format. Fields are only added at the end; those beyond
+/// `T::MandatoryFields` keep their defaults if they are missing.
 template <typename T> [[nodiscard]] std::string encode(const T &Value) {
   msgpack::sbuffer Buffer;
   internal::Packer Out{Buffer};
