Log and count workers that end without notice under their tasks

The log of a task that crashes its workers shows only worker-silent, end how=lost and worker-joined: a crash cannot be told from a cut that ended. event=worker-crashed names the next worker at the address, the rack and the number of attempts, and a counter serves the sum; instances that announced their exit are not counted.

--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -62,6 +62,9 @@
           Counters.Queries);
   Out.set("mulberryramp_orders_unanswered_total",
           "Orders that the worker did not answer", Counters.Unanswered);
+  Out.set("mulberryramp_worker_crashes_total",
+          "Workers that ended without notice while tasks were assigned to them",
+          Counters.WorkerCrashes);
   Out.set("mulberryramp_link_bytes_out_total", "Bytes sent to other nodes",
           Links.BytesOut);
   Out.set("mulberryramp_link_messages_dropped_total",
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -31,6 +31,7 @@
                            const WorkerInstance &Instance, Instant Now) {
   WorkerSession &Session = Dispatch.Sessions[Worker];
   Session.EndsProposed = Instance.LastAckedEnd;
+  Session.IsDraining = Instance.Report.IsDraining;
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
   Session.LeaseEnd = Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease);
@@ -153,6 +154,23 @@
   });
 }
 
+/// Logs the crashes of the instances that a registered worker follows. An
+/// instance that has announced its exit did not crash.
+void logCrashes(DispatchState &Dispatch, const CellState &State,
+                const CellChange &Change) {
+  const WorkerReport &Next = State.Workers[Change.Worker].Report;
+  for (const auto &[Id, Session] : Dispatch.Sessions) {
+    const std::size_t Attempts = Session.Tasks.size() + Session.Orphans.size();
+    if (State.Workers.contains(Id) || Session.IsDraining || Attempts == 0) {
+      continue;
+    }
+    Dispatch.Counters.WorkerCrashes += 1;
+    Dispatch.Events.push_back("event=worker-crashed next=" + Next.Name +
+                              " rack=" + Next.Rack +
+                              " attempts=" + std::to_string(Attempts));
+  }
+}
+
 void purgeObsolete(DispatchState &Dispatch, const CellState &State, Instant Now,
                    WallTime WallNow) {
   PurgeJobsCommand Purge;
@@ -234,6 +252,9 @@
 void onStateChange(DispatchState &Dispatch, const CellState &State,
                    const CellChange &Change, Instant Now) {
   Dispatch.NeedsPlan = true;
+  if (Change.Worker.isSet()) {
+    logCrashes(Dispatch, State, Change);
+  }
   for (const TaskEnd &End : Change.Ended) {
     Dispatch.Counters.Ends += 1;
     removeLaunch(Dispatch, State, End, Change);
@@ -277,6 +298,7 @@
   }
   Session.Sequence = Report.Sequence;
   Session.Remaining = Report.Remaining;
+  Session.IsDraining = Report.IsDraining;
   Session.ReportedAt = Now;
   if (!Session.Clock) {
     Dispatch.NeedsPlan = true;
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -123,7 +123,8 @@
   /// Average ratio of run times to those of peer tasks.
   double RuntimeRatio = 1;
   Millis Remaining{0}; ///< Time until a draining worker exits, at `ReportedAt`.
-  Instant BackoffUntil; ///< No starts are sent before this time.
+  bool IsDraining = false; ///< It announced its exit.
+  Instant BackoffUntil;    ///< No starts are sent before this time.
   /// A service there exceeds its tail latency limit.
   bool HasLatencyViolation = false;
   std::set<TaskKey> Tasks; ///< Keys of its launches.
@@ -214,6 +215,7 @@
   std::uint64_t Stops = 0;
   std::uint64_t Queries = 0;
   std::uint64_t Unanswered = 0;
+  std::uint64_t WorkerCrashes = 0;
 };
 
 /// @brief Volatile scheduling state of the leader of a cell: orders, leases and
