Send each call of the command line tool at most once

Callers saw: none reported it; found in review of the duplicate run after a reset. A call of the tool (a job, a cancel) could be executed by a daemon that reset the reused connection, be reported as unsent and be repeated at the next daemon.

Cause: the blocking client took CURLE_COULDNT_CONNECT for unsent. libcurl repeats a request on a new connection when a reused one ends without an answer, and the refusal of that one was taken for the result of the whole.

Posts are now sent at most once, and a request counts as unsent if none of its bytes were written. That also covers a connection that is not made in time: the tool then tries the next daemon. Reads may still be repeated by libcurl.

The tests failed before: Http, ABlockingPostOnAResetConnectionIsNotReportedAsUnsent CHECK_FALSE(Response.error().IsUnsent) failed Http, ABlockingPostOnAResetConnectionIsSentOnce expected <2> but was <3>

--- a/src/mulberryramp/http/client.cpp
+++ b/src/mulberryramp/http/client.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/http/client.hpp"
 
+#include "mulberryramp/http/transmission.hpp"
+
 #include <algorithm>
 #include <curl/curl.h>
 
@@ -15,6 +17,16 @@
   return Size * Count;
 }
 
+/// Describes why a transfer failed. After a transmission these two codes only
+/// mean that no second one was made.
+ClientError describeFailure(CURL *Handle, CURLcode Code) {
+  const bool IsUnsent = sentBytes(Handle) == 0;
+  const bool IsSecondRefused = !IsUnsent && (Code == CURLE_COULDNT_CONNECT ||
+                                             Code == CURLE_ABORTED_BY_CALLBACK);
+  return {curl_easy_strerror(IsSecondRefused ? CURLE_GOT_NOTHING : Code),
+          IsUnsent};
+}
+
 } // namespace internal
 
 struct HttpClient::Impl {
@@ -34,8 +46,7 @@
     curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Response.Body);
     const CURLcode Code = curl_easy_perform(Handle);
     if (Code != CURLE_OK) {
-      return tl::make_unexpected(
-          ClientError{curl_easy_strerror(Code), Code == CURLE_COULDNT_CONNECT});
+      return tl::make_unexpected(internal::describeFailure(Handle, Code));
     }
     long Status = 0;
     curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
@@ -65,6 +76,7 @@
   curl_easy_setopt(Pimpl->Handle, CURLOPT_POSTFIELDSIZE,
                    static_cast<long>(Body.size()));
   curl_easy_setopt(Pimpl->Handle, CURLOPT_POSTFIELDS, Body.c_str());
+  sendAtMostOnce(Pimpl->Handle);
   auto Response = Pimpl->run(Url, Timeout);
   curl_easy_setopt(Pimpl->Handle, CURLOPT_HTTPHEADER, nullptr);
   curl_slist_free_all(Headers);
--- a/src/mulberryramp/http/client.hpp
+++ b/src/mulberryramp/http/client.hpp
@@ -19,7 +19,7 @@
 /// @brief Reason that a client received no response.
 struct ClientError {
   std::string Text;
-  /// No connection could be made, so the server has not seen the request.
+  /// No part of the request was sent, so the server cannot have acted on it.
   bool IsUnsent = false;
 };
 
@@ -40,6 +40,7 @@
   get(const std::string &Url, Millis Timeout);
 
   /// @brief Sends a POST request with a JSON body and waits for the response.
+  /// The request is sent at most once: if the connection ends, it fails.
   /// @param Url URL of the resource.
   /// @param Body The JSON text.
   /// @param Timeout Maximum time until the response is complete.
--- a/test/http/connection_reset_test.cpp
+++ b/test/http/connection_reset_test.cpp
@@ -1,4 +1,5 @@
 #include "mulberryramp/http/async_client.hpp"
+#include "mulberryramp/http/client.hpp"
 #include "support/resetting_server.hpp"
 
 #include <ace/Dev_Poll_Reactor.h>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr int MaxLoops = 2000;
+constexpr Millis BlockingTimeout{10000};
 
 /// Event loop with a client, used like a blocking one.
 class LoopClient {
@@ -79,3 +81,38 @@
   LoopClient Client;
   CHECK(Client.post(Url).IsUnsent);
 }
+
+/// Guards against the blocking client reporting an executed call as unsent,
+/// upon which its caller repeats the call at another daemon.
+TEST(Http, ABlockingPostOnAResetConnectionIsNotReportedAsUnsent) {
+  ResettingServer Server{1, ResettingServer::AfterReset::Refuse};
+  HttpClient Client;
+  CHECK_EQUAL(200, Client.post(Server.url(), "{}", BlockingTimeout)->Status);
+  const auto Response = Client.post(Server.url(), "{}", BlockingTimeout);
+  CHECK_EQUAL(2, Server.received());
+  CHECK_FALSE(Response.has_value());
+  CHECK_FALSE(Response.error().IsUnsent);
+}
+
+/// Guards against a second transmission of a call that may have been executed.
+TEST(Http, ABlockingPostOnAResetConnectionIsSentOnce) {
+  ResettingServer Server{1, ResettingServer::AfterReset::Accept};
+  HttpClient Client;
+  CHECK_EQUAL(200, Client.post(Server.url(), "{}", BlockingTimeout)->Status);
+  const auto Response = Client.post(Server.url(), "{}", BlockingTimeout);
+  CHECK_EQUAL(2, Server.received());
+  CHECK_FALSE(Response.has_value());
+  CHECK_FALSE(Response.error().IsUnsent);
+}
+
+TEST(Http, ABlockingPostToAClosedPortIsUnsent) {
+  std::string Url;
+  {
+    ResettingServer Server{0, ResettingServer::AfterReset::Refuse};
+    Url = Server.url();
+  }
+  HttpClient Client;
+  const auto Response = Client.post(Url, "{}", BlockingTimeout);
+  CHECK_FALSE(Response.has_value());
+  CHECK(Response.error().IsUnsent);
+}
