Add failing schedules with tasks that crash their workers

The cell simulation gets two faults: crashing-task makes callers submit up to three jobs of which one task, or all, end the process of the worker 50 to 400 ms after they start there; crash-rack ends half of the workers at once. Such a worker breaks its open polls, refuses connections for 2 to 5 s and starts again as a new instance, in 30 % of the cases under another name.

New invariants: after three workers have crashed under a crashing task it is started at most twice more; a job is only shown as failed if a task failed as often as its queue allows, or if two workers crashed under one of its tasks. Counted, not checked: worker crashes by tasks, and jobs without a crashing task that end as failed.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -32,6 +32,12 @@
 constexpr std::uint32_t MaxAttempts = 3;
 constexpr std::int64_t TaskCpus = 1000;
 constexpr int MaxLongRunningJobs = 2;
+constexpr std::size_t MaxCrashingJobs = 3;
+/// Crashes under a task after which it may be given up.
+constexpr std::uint32_t MinCrashesToGiveUp = 2;
+/// Crashes under a crashing task after which its starts are limited.
+constexpr std::uint32_t MaxCrashes = 3;
+constexpr std::uint32_t MaxStartsAfterCrashes = 2;
 /// Time for which members of a gang wait for the other members.
 constexpr Millis GangTimeout{3000};
 
@@ -75,6 +81,8 @@
 struct WorkerState {
   std::unique_ptr<FakeWorker> Worker;
   Instant PartitionedUntil;
+  Instant DownUntil; ///< The process has crashed and starts again then.
+  bool IsDown = false;
   Instant ReportAt;
   std::uint64_t ProcessGeneration = 0;
   /// Generation of this worker that last answered each process of a node. The
@@ -149,6 +157,10 @@
   }
 
 private:
+  [[nodiscard]] std::int64_t sinceStart() const {
+    return (Now - Instant{Millis{100000}}).count();
+  }
+
   [[nodiscard]] WallTime wallNow() const {
     return WallTime{Now.time_since_epoch()};
   }
@@ -250,7 +262,8 @@
     if (shouldInject(CellFault::PartitionWorker, 1200)) {
       State.PartitionedUntil = Now + randomDuration(300, 7000);
     }
-    if (shouldInject(CellFault::RestartWorker, 1500)) {
+    if (shouldInject(CellFault::RestartWorker, 1500) && !State.IsDown) {
+      countCrash(State);
       State.Worker->restart(Now);
       State.ProcessGeneration += 1;
       State.PendingRenewals.clear();
@@ -262,6 +275,76 @@
     if (shouldInject(CellFault::LoseMessages, 600)) {
       LoseMessagesUntil = Now + randomDuration(200, 1500);
     }
+    if (shouldInject(CellFault::CrashRack, 1200)) {
+      const std::uint64_t FirstOfRack = Rng.below(2) * (WorkerCount / 2);
+      for (std::uint64_t Index = 0; Index < WorkerCount / 2; ++Index) {
+        const std::string Member = "w" + std::to_string(FirstOfRack + Index);
+        if (!Workers.at(Member).IsDown) {
+          crashWorker(Member, "rack");
+        }
+      }
+    }
+  }
+
+  void countCrash(const WorkerState &State) {
+    for (const auto &[Task, Attempt] : State.Worker->running()) {
+      Crashes[Task] += 1;
+    }
+  }
+
+  /// Ends the process of a worker: its connections break, and connections to
+  /// its address are refused until it starts again.
+  void crashWorker(const std::string &Name, const std::string &Cause) {
+    WorkerState &State = Workers.at(Name);
+    countCrash(State);
+    if (Options.IsTraced) {
+      std::cout << sinceStart() << " worker crashed " << Name << " by " << Cause
+                << ", running " << State.Worker->running().size() << '\n';
+    }
+    State.Worker->restart(Now);
+    State.ProcessGeneration += 1;
+    State.IsDown = true;
+    State.DownUntil = Now + randomDuration(2000, 5000);
+    if (Now >= State.PartitionedUntil) {
+      for (const auto &[Order, Waiting] : State.PendingRenewals) {
+        OrderResult Broken;
+        Broken.Id = Order;
+        sendAnswer(Waiting.first, Waiting.second, std::move(Broken));
+      }
+    }
+    State.PendingRenewals.clear();
+  }
+
+  void crashIfDue(const std::string &Name, const WorkerState &State) {
+    const auto Culprit = State.Worker->findDueCrash(Now);
+    if (!Culprit) {
+      return;
+    }
+    Result.TaskCrashes += 1;
+    std::uint64_t &CrashesOfJob = TaskCrashesByJob[Culprit->Job];
+    CrashesOfJob += 1;
+    Result.MaxTaskCrashesOfJob =
+        std::max(Result.MaxTaskCrashesOfJob, CrashesOfJob);
+    crashWorker(Name, Culprit->Job + "." + std::to_string(Culprit->Step) + "." +
+                          std::to_string(Culprit->Task));
+  }
+
+  void startCrashedWorker(const std::string &Name, WorkerState &State) {
+    State.IsDown = false;
+    if (Rng.percent(30)) {
+      State.Worker->rename(Name + "-" +
+                           std::to_string(State.ProcessGeneration));
+    }
+    State.Worker->restart(Now);
+    State.ReportAt = Now + randomDuration(0, 300);
+  }
+
+  bool isCrashingTask(const TaskName &Task) const {
+    return FakeWorker::crashesWorker(Jobs.at(Task.Job).Spec.Payload, Task);
+  }
+
+  bool isCrashingJob(const TrackedJob &Job) const {
+    return Job.Spec.Payload.starts_with("crash");
   }
 
   void injectNodeFaults() {
@@ -352,6 +435,9 @@
     // Further long-running tasks would leave no capacity for the other jobs.
     JobKind =
         JobKind == 0 && LongRunningJobs == MaxLongRunningJobs ? 1 : JobKind;
+    const bool IsCrashing = CrashingJobs < MaxCrashingJobs &&
+                            shouldInject(CellFault::CrashingTask, 8);
+    JobKind = IsCrashing ? 4 : JobKind;
     LongRunningJobs += JobKind == 0 ? 1 : 0;
     Spec.Payload = JobKind == 0 ? "lasting" : JobKind == 3 ? "gang" : "work";
     const std::uint64_t Steps = JobKind == 0 ? 1 : 1 + Rng.below(3);
@@ -371,6 +457,15 @@
       }
       Spec.Steps.push_back(Step);
     }
+    if (IsCrashing) {
+      CrashingJobs += 1;
+      const std::uint64_t Step = Rng.below(Steps);
+      Spec.Payload =
+          Rng.percent(50)
+              ? "crash"
+              : "crash " + std::to_string(Step) + "." +
+                    std::to_string(Rng.below(Spec.Steps[Step].Tasks));
+    }
     Jobs[Name].Spec = Spec;
     Result.Submitted += 1;
     call(JobVerb::Submit, Name, Spec);
@@ -432,7 +527,28 @@
     Job.Phase = Reply.Phase;
     if (Reply.Phase == JobPhase::Completed) {
       checkCompleted(Name, Job);
+    } else if (Reply.Phase == JobPhase::Failed) {
+      checkFailed(Name, Job);
+    }
+  }
+
+  /// Checks that a failed job has a task that failed as often as its queue
+  /// allows, or under which workers have crashed.
+  void checkFailed(const std::string &Name, const TrackedJob &Job) {
+    for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
+      std::uint32_t FailuresOfStep = 0;
+      for (std::uint32_t Task = 0; Task < Job.Spec.Steps[Step].Tasks; ++Task) {
+        const TaskName Key{Name, 0, Step, Task};
+        // The failures of a gang count for all of its members.
+        FailuresOfStep = (Job.Spec.Steps[Step].IsGang ? FailuresOfStep : 0) +
+                         FailedEnds[Key];
+        if (FailuresOfStep >= MaxAttempts ||
+            Crashes[Key] >= MinCrashesToGiveUp) {
+          return;
+        }
+      }
     }
+    recordViolation("job " + Name + " is failed without failures or crashes");
   }
 
   void checkCompleted(const std::string &Name, const TrackedJob &Job) {
@@ -542,6 +658,16 @@
       if (Now < Target.PartitionedUntil || IsDiscarded) {
         continue;
       }
+      if (Target.IsDown) {
+        OrderResult Failed;
+        Failed.Id = InFlight.Order.Id;
+        Failed.Verdict = InFlight.WorkerGeneration == Target.ProcessGeneration
+                             ? OrderVerdict::Unsent
+                             : OrderVerdict::Unanswered;
+        sendAnswer(InFlight.From, InFlight.ProcessGeneration,
+                   std::move(Failed));
+        continue;
+      }
       auto Answer =
           Target.Worker->handleOrder(InFlight.Order, Now, !InFlight.IsAnswered);
       if (!InFlight.IsAnswered) {
@@ -683,7 +809,12 @@
   void stepWorkers() {
     stepGangs();
     for (auto &[Name, State] : Workers) {
-      if (Now >= State.ReportAt && Now >= State.PartitionedUntil) {
+      crashIfDue(Name, State);
+      if (State.IsDown && Now >= State.DownUntil) {
+        startCrashedWorker(Name, State);
+      }
+      if (!State.IsDown && Now >= State.ReportAt &&
+          Now >= State.PartitionedUntil) {
         State.ReportAt = Now + ReportInterval;
         Frontend->call(NextCall, WorkerReportCall{State.Worker->report(Now)},
                        Now);
@@ -733,6 +864,8 @@
     case WorkerEvent::Type::Ended:
       if (Event.EndedAs == EndKind::Done) {
         DoneTasks.insert(Event.Task);
+      } else if (Event.EndedAs == EndKind::Failed) {
+        FailedEnds[Event.Task] += 1;
       }
       break;
     case WorkerEvent::Type::AckedDone:
@@ -762,6 +895,14 @@
     if (AckedFailures[Event.Task] >= MaxAttempts && !IsExempt) {
       recordViolation("start beyond the attempts: " + Text);
     }
+    if (Crashes[Event.Task] >= MaxCrashes && !Event.IsLate &&
+        isCrashingTask(Event.Task)) {
+      StartsAfterCrashes[Event.Task] += 1;
+      if (StartsAfterCrashes[Event.Task] > MaxStartsAfterCrashes) {
+        recordViolation("start after " + std::to_string(Crashes[Event.Task]) +
+                        " workers crashed under it: " + Text);
+      }
+    }
     for (const std::uint32_t Earlier : Step.DependsOn) {
       const auto &EarlierStep = Jobs.at(Event.Task.Job).Spec.Steps[Earlier];
       for (std::uint32_t Task = 0; Task < EarlierStep.Tasks; ++Task) {
@@ -834,6 +975,10 @@
       const bool IsTerminal = Job.Phase && isTerminal(*Job.Phase);
       Result.Completed +=
           Job.Phase && *Job.Phase == JobPhase::Completed ? 1 : 0;
+      Result.FailedBystanders +=
+          Job.Phase && !isCrashingJob(Job) && *Job.Phase == JobPhase::Failed
+              ? 1
+              : 0;
       if (!IsTerminal && !IsLongRunning && !Job.CancelledAt) {
         recordViolation("job " + Name + " is not done");
       }
@@ -890,6 +1035,12 @@
   std::set<TaskName> DoneTasks;
   std::map<TaskName, Instant> AckedDone;
   std::map<TaskName, std::uint32_t> AckedFailures;
+  std::map<TaskName, std::uint32_t> FailedEnds;
+  std::size_t CrashingJobs = 0;
+  /// Workers that crashed while the task ran there.
+  std::map<TaskName, std::uint32_t> Crashes;
+  std::map<TaskName, std::uint32_t> StartsAfterCrashes;
+  std::map<std::string, std::uint64_t> TaskCrashesByJob;
   CellScheduleResult Result;
 };
 
@@ -900,6 +1051,8 @@
   for (std::size_t Index = 0; Index < nameTable(CellFault{}).size(); ++Index) {
     Faults.insert(static_cast<CellFault>(Index));
   }
+  Faults.erase(CellFault::CrashingTask);
+  Faults.erase(CellFault::CrashRack);
   return Faults;
 }
 
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -27,15 +27,18 @@
   DelayOrders,     ///< Orders get no answer and are executed seconds later.
   LoseMessages,    ///< Some messages between nodes are lost.
   PowerLoss,       ///< All voters lose power at once.
-  Cancel           ///< Callers cancel jobs.
+  Cancel,          ///< Callers cancel jobs.
+  CrashingTask,    ///< Callers submit jobs with tasks that crash workers.
+  CrashRack        ///< Half of the workers crash at once.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 12>
+constexpr std::array<std::string_view, 14>
 nameTable(CellFault /*Kind*/) noexcept {
-  return {"kill-node",   "wipe-node",     "replace-node", "pause-node",
-          "cut-node",    "stall-disk",    "cut-worker",   "restart-worker",
-          "late-orders", "lose-messages", "power-off",    "cancel"};
+  return {"kill-node",     "wipe-node",     "replace-node", "pause-node",
+          "cut-node",      "stall-disk",    "cut-worker",   "restart-worker",
+          "late-orders",   "lose-messages", "power-off",    "cancel",
+          "crashing-task", "crash-rack"};
 }
 
 /// @brief Seed and faults of a schedule.
@@ -53,9 +56,15 @@
   std::uint64_t Completed = 0;
   std::uint64_t Starts = 0;
   std::uint64_t LeaderChanges = 0;
+  std::uint64_t TaskCrashes = 0; ///< Crashes of workers by tasks.
+  /// Highest number of worker crashes by tasks of one job.
+  std::uint64_t MaxTaskCrashesOfJob = 0;
+  /// Jobs without a crashing task that ended as failed.
+  std::uint64_t FailedBystanders = 0;
 };
 
-/// @brief Lists all faults.
+/// @brief Lists the faults of a default schedule: all except `CrashingTask` and
+/// `CrashRack`.
 [[nodiscard]] std::set<CellFault> allCellFaults();
 
 /// @brief Runs a schedule. The same options give the same result.
--- a/test/cell/explore_main.cpp
+++ b/test/cell/explore_main.cpp
@@ -20,6 +20,8 @@
   std::uint64_t Completed = 0;
   std::uint64_t Starts = 0;
   std::uint64_t LeaderChanges = 0;
+  std::uint64_t TaskCrashes = 0;
+  std::uint64_t FailedBystanders = 0;
 };
 
 std::set<CellFault> readFaults(const std::string &Text) {
@@ -45,6 +47,15 @@
   Total.Completed += Result.Completed;
   Total.Starts += Result.Starts;
   Total.LeaderChanges += Result.LeaderChanges;
+  Total.TaskCrashes += Result.TaskCrashes;
+  Total.FailedBystanders += Result.FailedBystanders;
+  if (Result.TaskCrashes != 0) {
+    std::cout << "seed " << Options.Seed << ": workers crashed by tasks "
+              << Result.TaskCrashes << ", by tasks of one job at most "
+              << Result.MaxTaskCrashesOfJob
+              << ", failed jobs without a crashing task "
+              << Result.FailedBystanders << '\n';
+  }
   if (Result.Violations.empty()) {
     return;
   }
@@ -102,6 +113,9 @@
     std::cout << "submitted " << Total.Submitted << ", completed "
               << Total.Completed << ", starts " << Total.Starts
               << ", leader changes " << Total.LeaderChanges << '\n'
+              << "workers crashed by tasks " << Total.TaskCrashes
+              << ", failed jobs without a crashing task "
+              << Total.FailedBystanders << '\n'
               << "schedules " << (EndSeed - FirstSeed) << ", violations "
               << Total.Violations << '\n';
     return Total.Violations == 0 ? 0 : 1;
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -7,7 +7,8 @@
 
 FakeWorker::FakeWorker(std::string Name, Resources Capacity, std::uint64_t Seed,
                        Instant Now)
-    : Name{std::move(Name)}, Capacity{Capacity}, Rng{Seed} {
+    : Name{std::move(Name)}, Address{this->Name + ":1"}, Capacity{Capacity},
+      Rng{Seed} {
   ClockPercent = Rng.percent(50) ? 100 : 98;
   restart(Now);
 }
@@ -33,6 +34,21 @@
              : DefaultRunTime;
 }
 
+bool FakeWorker::crashesWorker(const std::string &Payload,
+                               const TaskName &Task) {
+  return Payload == "crash" || Payload == "crash " + std::to_string(Task.Step) +
+                                              "." + std::to_string(Task.Task);
+}
+
+std::optional<TaskName> FakeWorker::findDueCrash(Instant Now) const {
+  for (const auto &[Task, Running] : RunningAttempts) {
+    if (Running.CrashesAt && Now >= *Running.CrashesAt) {
+      return Task;
+    }
+  }
+  return std::nullopt;
+}
+
 std::int64_t FakeWorker::clockMs(Instant Now) const {
   return 1000 + (Now - ProcessStartedAt).count() * ClockPercent / 100;
 }
@@ -110,9 +126,17 @@
   const bool IsLongRunning =
       Order.Payload == "lasting" || Order.Payload == "gang";
   const auto Extra = static_cast<std::int64_t>(Rng.below(400));
-  RunningAttempts[Order.Task] = {Order.Attempt, Now,
+  RunningAttempts[Order.Task] = {Order.Attempt,
+                                 Now,
                                  Now + runTimeOf(Order.Payload) + Millis{Extra},
-                                 false, IsLongRunning};
+                                 false,
+                                 IsLongRunning,
+                                 std::nullopt};
+  if (crashesWorker(Order.Payload, Order.Task)) {
+    RunningAttempts[Order.Task].CrashesAt =
+        Now + MinTimeToCrash +
+        Millis{static_cast<std::int64_t>(Rng.below(350))};
+  }
   Events.push_back({WorkerEvent::Type::Started, Order.Task, Order.Attempt,
                     EndKind::Done, IsLate});
   return Result;
@@ -226,7 +250,7 @@
   Report.Name = Name;
   Report.StartTimeMs = StartTimeMs;
   Report.Pool = "pool";
-  Report.Address = Name + ":1";
+  Report.Address = Address;
   Report.Centre = "centre";
   Report.Rack = "rack";
   Report.Labels = {"kind", "rack"};
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -5,7 +5,9 @@
 #include "mulberryramp/job/worker.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// @file
@@ -49,6 +51,18 @@
   /// has no attempts, ends, lease or fencing token.
   void restart(Instant Now);
 
+  /// @brief Sets the name of the next instance. The address stays the same.
+  void rename(std::string NewName) { Name = std::move(NewName); }
+
+  /// @brief Finds a running task that crashes this worker now. The simulation
+  /// then ends the process.
+  [[nodiscard]] std::optional<TaskName> findDueCrash(Instant Now) const;
+
+  /// @brief Checks whether a task with this payload crashes its worker: every
+  /// task for the payload "crash", one task for "crash STEP.TASK".
+  [[nodiscard]] static bool crashesWorker(const std::string &Payload,
+                                          const TaskName &Task);
+
   /// @brief Builds the next report.
   [[nodiscard]] WorkerReport report(Instant Now);
 
@@ -69,6 +83,7 @@
   /// Time after which a task has ended once it was ordered to stop.
   static constexpr Millis StopTime{150};
   static constexpr Millis MaxLease{6000};
+  static constexpr Millis MinTimeToCrash{50};
 
 private:
   struct TaskAttempt {
@@ -77,6 +92,7 @@
     Instant EndsAt;
     bool IsStopping = false;
     bool IsLongRunning = false;
+    std::optional<Instant> CrashesAt; ///< Set if it crashes the worker.
   };
   struct PendingRenewal {
     std::uint64_t Order = 0;
@@ -96,6 +112,7 @@
   void fillLists(OrderResult &Output, Instant Now) const;
 
   std::string Name;
+  std::string Address;
   Resources Capacity;
   Random Rng;
   Instant ProcessStartedAt;
