Crash simulated workers sooner and under speculative steps too

The simulated tasks crash their worker after 5 to 400 ms instead of 50 to 400, and half of their jobs have speculative steps.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -437,7 +437,9 @@
         JobKind == 0 && LongRunningJobs == MaxLongRunningJobs ? 1 : JobKind;
     const bool IsCrashing = CrashingJobs < MaxCrashingJobs &&
                             shouldInject(CellFault::CrashingTask, 8);
-    JobKind = IsCrashing ? 4 : JobKind;
+    if (IsCrashing) {
+      JobKind = Rng.percent(50) ? 1 : 4;
+    }
     LongRunningJobs += JobKind == 0 ? 1 : 0;
     Spec.Payload = JobKind == 0 ? "lasting" : JobKind == 3 ? "gang" : "work";
     const std::uint64_t Steps = JobKind == 0 ? 1 : 1 + Rng.below(3);
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -133,9 +133,11 @@
                                  IsLongRunning,
                                  std::nullopt};
   if (crashesWorker(Order.Payload, Order.Task)) {
+    const auto Spread = (MaxTimeToCrash - MinTimeToCrash).count();
     RunningAttempts[Order.Task].CrashesAt =
         Now + MinTimeToCrash +
-        Millis{static_cast<std::int64_t>(Rng.below(350))};
+        Millis{static_cast<std::int64_t>(
+            Rng.below(static_cast<std::uint64_t>(Spread)))};
   }
   Events.push_back({WorkerEvent::Type::Started, Order.Task, Order.Attempt,
                     EndKind::Done, IsLate});
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -83,7 +83,9 @@
   /// Time after which a task has ended once it was ordered to stop.
   static constexpr Millis StopTime{150};
   static constexpr Millis MaxLease{6000};
-  static constexpr Millis MinTimeToCrash{50};
+  /// Bounds of the time after which a task crashes its worker.
+  static constexpr Millis MinTimeToCrash{5};
+  static constexpr Millis MaxTimeToCrash{400};
 
 private:
   struct TaskAttempt {
