--- a/src/mulberryramp/wire/codec.hpp
+++ b/src/mulberryramp/wire/codec.hpp
@@ -129,7 +129,7 @@
           throw msgpack::type_error{};
         }
         std::size_t Index = 0;
-        const auto UnpackNext = [&](auto &Member) {
+        [[maybe_unused]] const auto UnpackNext = [&](auto &Member) {
           if (Index < Elements.size) {
             unpackValue(Elements.ptr[Index], Member);
           }
