Give up a task under which workers crash one after another

Cause: a crash ended its attempts as lost, which counts as nothing. The leader now attributes a crash to the attempts that were started shortly before it, keeps suspects apart from other starts, and the job fails once two workers crashed under one of its tasks, of which the last was caused by it alone, after three crashes, or after four with uncertain ones.

--- a/src/celld/event_log.cpp
+++ b/src/celld/event_log.cpp
@@ -23,11 +23,11 @@
 constexpr std::size_t MaxAtomicWrite = PIPE_BUF;
 
 /// Events about single attempts, workers and advisor queries.
-constexpr std::array<std::string_view, 11> DetailEvents = {
-    "event=start job=",     "event=end ",          "event=start-failed ",
-    "event=stop ",          "event=pace ",         "event=worker-silent ",
-    "event=worker-answers", "event=worker-joined", "event=lease-over ",
-    "event=advice-failed ", "event=advice-late "};
+constexpr std::array<std::string_view, 12> DetailEvents = {
+    "event=start job=",     "event=end ",           "event=start-failed ",
+    "event=stop ",          "event=pace ",          "event=worker-silent ",
+    "event=worker-answers", "event=worker-joined",  "event=lease-over ",
+    "event=crash-end ",     "event=advice-failed ", "event=advice-late "};
 
 bool isDetail(std::string_view Line) {
   return std::any_of(
--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/answers.hpp"
 
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 
 #include <algorithm>
@@ -34,12 +35,16 @@
 
 /// Presumes an attempt lost if its step is speculative, as such a step need not
 /// wait for the actual end of the attempt. The worker gets no new starts until
-/// its task list shows that the attempt is gone.
+/// its task list shows that the attempt is gone. A task that may crash its
+/// workers waits for the actual end.
 void presumeLostIfSpeculative(DispatchState &Dispatch, const CellState &State,
-                              TaskLaunch &Launch, WallTime WallNow) {
-  const Job *Owner = State.Jobs.find(Launch.Assignment.Key.Job);
-  if (Owner != nullptr &&
-      Owner->Spec.Steps[Launch.Assignment.Key.Step].IsSpeculative) {
+                              TaskLaunch &Launch, Instant Now,
+                              WallTime WallNow) {
+  const TaskKey &Key = Launch.Assignment.Key;
+  const Job *Owner = State.Jobs.find(Key.Job);
+  const JobTask *Task = findTask(State, Key);
+  if (Task != nullptr && Owner->Spec.Steps[Key.Step].IsSpeculative &&
+      !maySuspectCrash(collectUnresolvedTasks(Dispatch, Now), Key, *Task)) {
     Launch.IsPresumedLost = true;
     proposeEnd(Dispatch, Launch, EndKind::Lost, WallNow);
   }
@@ -47,8 +52,11 @@
 
 void onOrderMissed(DispatchState &Dispatch, const CellState &State,
                    WorkerInstanceId Worker, WorkerSession &Session,
-                   OrderVerdict Verdict, Instant Now, WallTime WallNow) {
+                   const OpenOrder &Order, OrderVerdict Verdict, Instant Now,
+                   WallTime WallNow) {
   if (Session.ConsecutiveMisses == 0) {
+    Session.SilentSince = Now;
+    Session.HasBrokenOff = Now - Order.SentAt < Order.Timeout;
     Dispatch.Events.push_back(
         "event=worker-silent worker=" + workerName(State, Worker) +
         " cause=" + std::string{nameOf(Verdict)});
@@ -63,7 +71,7 @@
     for (const TaskKey &Key : Session.Tasks) {
       TaskLaunch &Launch = Dispatch.Launches.at(Key);
       if (Launch.Phase != LaunchPhase::Sending) {
-        presumeLostIfSpeculative(Dispatch, State, Launch, WallNow);
+        presumeLostIfSpeculative(Dispatch, State, Launch, Now, WallNow);
       }
     }
   }
@@ -99,7 +107,7 @@
                         TaskLaunch &Launch, Instant Now, WallTime WallNow) {
   Launch.Phase = LaunchPhase::Unacknowledged;
   Launch.PhaseSince = Now;
-  presumeLostIfSpeculative(Dispatch, State, Launch, WallNow);
+  presumeLostIfSpeculative(Dispatch, State, Launch, Now, WallNow);
   sendStop(Dispatch, State, Launch, "doubtful", Now);
 }
 
@@ -312,11 +320,11 @@
     return;
   case LaunchPhase::Confirmed:
   case LaunchPhase::Recovered:
-    proposeEnd(Dispatch, Launch, EndKind::Lost, WallNow);
+    proposeEnd(Dispatch, Launch, Launch.EndIfUnlisted, WallNow);
     return;
   case LaunchPhase::Unacknowledged:
     if (Launch.StopAckedAt && *Launch.StopAckedAt < ListRequestedAt) {
-      proposeEnd(Dispatch, Launch, EndKind::Lost, WallNow);
+      proposeEnd(Dispatch, Launch, Launch.EndIfUnlisted, WallNow);
     } else if (!Launch.StopAckedAt) {
       sendStop(Dispatch, State, Launch, "doubtful", Now);
     }
@@ -360,6 +368,7 @@
     }
     TaskLaunch &Launch = LaunchIt->second;
     Listed.insert(*Key);
+    Launch.EndIfUnlisted = EndKind::Lost;
     if (Launch.Phase != LaunchPhase::Confirmed) {
       Launch.Phase = LaunchPhase::Confirmed;
       Launch.PhaseSince = Now;
@@ -420,8 +429,8 @@
       // A single order may get lost; a probe shows whether the worker is
       // unresponsive.
       Session->NeedsProbe = Order.Kind != WorkerOrderKind::Renew;
-      onOrderMissed(Dispatch, State, Order.Worker, *Session, Result.Verdict,
-                    Now, WallNow);
+      onOrderMissed(Dispatch, State, Order.Worker, *Session, Order,
+                    Result.Verdict, Now, WallNow);
     }
   }
   switch (Order.Kind) {
--- /dev/null
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -0,0 +1,193 @@
+#include "mulberryramp/cell/crash_attribution.hpp"
+
+#include "mulberryramp/cell/orders.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Workers of a rack that stop to answer within this time may have crashed for
+/// the same reason.
+constexpr Millis SameCauseWindow{1000};
+/// Crashes are kept for this long, as the workers of a rack return one by one.
+constexpr Millis MaxRestartTime{10000};
+
+/// An attempt that ran, or may have run, on the crashed worker.
+struct CrashedAttempt {
+  TaskKey Key;
+  std::uint32_t Attempt = 0;
+  bool IsCertain = false;       ///< It is known to have run at the crash.
+  bool IsRecent = false;        ///< It was started shortly before the crash.
+  TaskLaunch *Launch = nullptr; ///< Null for an orphan.
+};
+
+/// Members of a gang start together and count as one cause.
+TaskKey causeOf(const CellState &State, TaskKey Key) {
+  const Job *Owner = State.Jobs.find(Key.Job);
+  if (Owner != nullptr && Owner->Spec.Steps[Key.Step].IsGang) {
+    Key.Task = 0;
+  }
+  return Key;
+}
+
+bool isLongRunning(const CellState &State, const TaskKey &Key) {
+  const Job *Owner = State.Jobs.find(Key.Job);
+  return Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLongRunning;
+}
+
+/// Collects the attempts that may have caused a crash. A long-running task that
+/// was at work for some time did not. If the worker was silent before it
+/// crashed, for instance as it was partitioned, attempts may have ended first.
+std::vector<CrashedAttempt> collectAttempts(DispatchState &Dispatch,
+                                            const CellState &State,
+                                            const WorkerSession &Session,
+                                            Instant CrashedAt, Instant Now) {
+  const bool IsCrashSeen = Session.HasBrokenOff && Now < Session.LeaseEnd;
+  std::vector<CrashedAttempt> Attempts;
+  const auto Add = [&](CrashedAttempt Attempt, Instant StartedAt) {
+    Attempt.IsCertain = Attempt.IsCertain && IsCrashSeen;
+    Attempt.IsRecent = StartedAt + CrashWindow >= CrashedAt;
+    if (Attempt.IsRecent || !isLongRunning(State, Attempt.Key)) {
+      Attempts.push_back(Attempt);
+    }
+  };
+  for (const TaskKey &Key : Session.Tasks) {
+    TaskLaunch &Launch = Dispatch.Launches.at(Key);
+    if (!Launch.IsEndProposed || Launch.IsPresumedLost) {
+      Add({Key, Launch.Assignment.Attempt,
+           Launch.Phase == LaunchPhase::Confirmed, false, &Launch},
+          Launch.StartedAt);
+    }
+  }
+  for (const OrphanedStart &Orphan : Session.Orphans) {
+    if (!Orphan.IsCrashCounted) {
+      Add({Orphan.Key, Orphan.Attempt, Orphan.WasConfirmed, false, nullptr},
+          Orphan.StartedAt);
+    }
+  }
+  return Attempts;
+}
+
+/// Records a crash.
+/// @return Whether at least half of the workers of the rack crashed, or stopped
+/// to answer, at about the same time.
+bool recordRecentCrash(DispatchState &Dispatch, const CellState &State,
+                       const std::string &Rack, Instant CrashedAt) {
+  std::erase_if(Dispatch.RecentCrashes, [CrashedAt](const WorkerCrash &Crash) {
+    return CrashedAt - Crash.SilentSince > MaxRestartTime;
+  });
+  Dispatch.RecentCrashes.push_back({Rack, CrashedAt});
+  const auto IsSameTime = [CrashedAt](Instant SilentSince) {
+    return std::max(SilentSince, CrashedAt) - std::min(SilentSince, CrashedAt) <
+           SameCauseWindow;
+  };
+  std::int64_t Workers = 0;
+  std::int64_t Affected = 0;
+  for (const auto &[Id, Session] : Dispatch.Sessions) {
+    const WorkerInstance *Worker = State.Workers.find(Id);
+    if (Worker != nullptr && Worker->Report.Rack == Rack) {
+      Workers += 1;
+      Affected +=
+          Session.ConsecutiveMisses != 0 && IsSameTime(Session.SilentSince) ? 1
+                                                                            : 0;
+    }
+  }
+  Affected += std::count_if(
+      Dispatch.RecentCrashes.begin(), Dispatch.RecentCrashes.end(),
+      [&](const WorkerCrash &Crash) {
+        return Crash.Rack == Rack && IsSameTime(Crash.SilentSince);
+      });
+  return Affected > 1 && Affected * 2 >= Workers;
+}
+
+/// Tells whether an attempt counts among the probable causes: those that were
+/// started shortly before the crash, or all if there are none.
+bool isProbableCause(const CrashedAttempt &Attempt, bool HasRecent) {
+  return Attempt.IsRecent || !HasRecent;
+}
+
+EndKind endOf(const CrashedAttempt &Attempt, bool HasRecent, bool IsOnlyCause) {
+  if (!Attempt.IsCertain || !isProbableCause(Attempt, HasRecent)) {
+    return EndKind::PossiblyCrashed;
+  }
+  return IsOnlyCause ? EndKind::Crashed : EndKind::CrashedWithOthers;
+}
+
+} // namespace
+
+void attributeCrash(DispatchState &Dispatch, const CellState &State,
+                    const WorkerSession &Session, const WorkerReport &Next,
+                    bool IsSameWorker, Instant Now) {
+  const Instant CrashedAt =
+      Session.ConsecutiveMisses == 0 ? Now : Session.SilentSince;
+  const std::vector<CrashedAttempt> Attempts =
+      collectAttempts(Dispatch, State, Session, CrashedAt, Now);
+  if (Attempts.empty()) {
+    return;
+  }
+  const bool HasRecent = std::any_of(
+      Attempts.begin(), Attempts.end(), [](const CrashedAttempt &Attempt) {
+        return Attempt.IsRecent && Attempt.IsCertain;
+      });
+  std::set<TaskKey> Causes;
+  for (const CrashedAttempt &Attempt : Attempts) {
+    if (isProbableCause(Attempt, HasRecent)) {
+      Causes.insert(causeOf(State, Attempt.Key));
+    }
+  }
+  const bool HasCommonCause =
+      recordRecentCrash(Dispatch, State, Next.Rack, CrashedAt);
+  const bool IsOnlyCause = Causes.size() == 1 && !HasCommonCause;
+  for (const CrashedAttempt &Attempt : Attempts) {
+    const EndKind Kind = endOf(Attempt, HasRecent, IsOnlyCause);
+    if (IsSameWorker && Attempt.Launch != nullptr &&
+        !Attempt.Launch->IsEndProposed) {
+      Attempt.Launch->EndIfUnlisted = Kind;
+    } else {
+      Dispatch.CrashEnds.push_back({Attempt.Key, Attempt.Attempt, Kind, ""});
+      Dispatch.Events.push_back(
+          "event=crash-end " +
+          describeStart(nameTask(State, Attempt.Key), Attempt.Attempt) +
+          " how=" + std::string{nameOf(Kind)});
+    }
+  }
+  Dispatch.Counters.WorkerCrashes += 1;
+  Dispatch.Events.push_back("event=worker-crashed next=" + Next.Name +
+                            " rack=" + Next.Rack +
+                            " attempts=" + std::to_string(Attempts.size()) +
+                            " suspects=" + std::to_string(Causes.size()) +
+                            " rack_crashed=" + (HasCommonCause ? "yes" : "no"));
+}
+
+std::set<TaskKey> collectUnresolvedTasks(const DispatchState &Dispatch,
+                                         Instant Now) {
+  std::set<TaskKey> Tasks;
+  for (const auto &[Id, Session] : Dispatch.Sessions) {
+    if (Session.ConsecutiveMisses != 0 && Now < Session.LeaseEnd) {
+      for (const OrphanedStart &Orphan : Session.Orphans) {
+        Tasks.insert(Orphan.Key);
+      }
+    }
+  }
+  return Tasks;
+}
+
+bool maySuspectCrash(const std::set<TaskKey> &Unresolved, const TaskKey &Key,
+                     const JobTask &Task) {
+  return isCrashSuspect(Task) || Unresolved.contains(Key);
+}
+
+void proposeCrashEnds(DispatchState &Dispatch, WallTime WallNow) {
+  if (Dispatch.CrashEnds.empty()) {
+    return;
+  }
+  RecordTaskEndsCommand Command;
+  Command.Ends = std::exchange(Dispatch.CrashEnds, {});
+  Command.At = WallNow;
+  Dispatch.Commands.emplace_back(std::move(Command));
+}
+
+} // namespace mulberryramp
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/dispatcher.hpp"
 
 #include "mulberryramp/cell/advice.hpp"
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/review.hpp"
 #include "mulberryramp/cell/start_planner.hpp"
@@ -48,6 +49,23 @@
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
 
+/// Rebuilds the orphan of a task from the state. The worker may have crashed
+/// under it.
+void recoverOrphan(DispatchState &Dispatch, const CellState &State,
+                   const TaskKey &Key, const JobTask &Task, Instant Now) {
+  const auto SessionIt = Dispatch.Sessions.find(Task.LostOn);
+  if (Task.State == JobTaskState::Done ||
+      SessionIt == Dispatch.Sessions.end()) {
+    return;
+  }
+  OrphanedStart Orphan;
+  Orphan.Key = Key;
+  Orphan.Name = nameTask(State, Key);
+  Orphan.Attempt = Task.LostAttempt;
+  Orphan.StartedAt = Now;
+  SessionIt->second.Orphans.push_back(std::move(Orphan));
+}
+
 void recoverLaunches(DispatchState &Dispatch, const CellState &State,
                      Instant Now) {
   for (const JobId Id : State.Jobs.ids()) {
@@ -56,6 +74,8 @@
       for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
         const auto &Tasks = Run.Steps[Step].Tasks;
         for (std::uint32_t Task = 0; Task < Tasks.size(); ++Task) {
+          recoverOrphan(Dispatch, State, {Id, Run.Number, Step, Task},
+                        Tasks[Task], Now);
           if (Tasks[Task].State == JobTaskState::Assigned) {
             recoverLaunch(Dispatch, {Id, Run.Number, Step, Task}, Tasks[Task],
                           Now);
@@ -86,6 +106,8 @@
       Orphan.Key = End.Key;
       Orphan.Name = nameTask(State, End.Key);
       Orphan.Attempt = End.Attempt;
+      Orphan.WasConfirmed = LaunchIt->second.Phase == LaunchPhase::Confirmed;
+      Orphan.StartedAt = LaunchIt->second.StartedAt;
       SessionIt->second.Orphans.push_back(std::move(Orphan));
     }
     SessionIt->second.Tasks.erase(End.Key);
@@ -137,6 +159,7 @@
   Session.Tasks = std::move(PreviousSession->second.Tasks);
   Session.Orphans = std::move(PreviousSession->second.Orphans);
   for (OrphanedStart &Orphan : Session.Orphans) {
+    Orphan.IsCrashCounted = true;
     Orphan.StopOrder = 0;
     Orphan.StopSentAt = Instant{};
     Orphan.StopAckedAt.reset();
@@ -154,20 +177,16 @@
   });
 }
 
-/// Logs the crashes of the instances that a registered worker follows. An
+/// Attributes the crashes of the instances that a registered worker follows. An
 /// instance that has announced its exit did not crash.
-void logCrashes(DispatchState &Dispatch, const CellState &State,
-                const CellChange &Change) {
+void attributeCrashes(DispatchState &Dispatch, const CellState &State,
+                      const CellChange &Change, Instant Now) {
   const WorkerReport &Next = State.Workers[Change.Worker].Report;
   for (const auto &[Id, Session] : Dispatch.Sessions) {
-    const std::size_t Attempts = Session.Tasks.size() + Session.Orphans.size();
-    if (State.Workers.contains(Id) || Session.IsDraining || Attempts == 0) {
-      continue;
+    if (!State.Workers.contains(Id) && !Session.IsDraining) {
+      attributeCrash(Dispatch, State, Session, Next,
+                     Id == Change.ReplacedInstance, Now);
     }
-    Dispatch.Counters.WorkerCrashes += 1;
-    Dispatch.Events.push_back("event=worker-crashed next=" + Next.Name +
-                              " rack=" + Next.Rack +
-                              " attempts=" + std::to_string(Attempts));
   }
 }
 
@@ -253,7 +272,7 @@
                    const CellChange &Change, Instant Now) {
   Dispatch.NeedsPlan = true;
   if (Change.Worker.isSet()) {
-    logCrashes(Dispatch, State, Change);
+    attributeCrashes(Dispatch, State, Change, Now);
   }
   for (const TaskEnd &End : Change.Ended) {
     Dispatch.Counters.Ends += 1;
@@ -308,6 +327,7 @@
 
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
                   WallTime WallNow) {
+  proposeCrashEnds(Dispatch, WallNow);
   if (Now >= Dispatch.NextTimersAt) {
     Dispatch.NextTimersAt = Now + TimerInterval;
     expireQueries(Dispatch, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -72,6 +72,8 @@
   std::uint32_t PacePercent = 100; ///< CPU share that the task may use.
   Instant PaceAt;                  ///< When the pace was last changed.
   bool IsProbed = false; ///< A probe was requested because its end is overdue.
+  /// End to record if its worker, which has crashed, does not list it.
+  EndKind EndIfUnlisted = EndKind::Lost;
 };
 
 /// @brief An attempt that is recorded as lost although it may still run or
@@ -80,6 +82,9 @@
   TaskKey Key;
   TaskName Name;
   std::uint32_t Attempt = 0;
+  bool WasConfirmed = false;   ///< The worker ran it.
+  bool IsCrashCounted = false; ///< The crash of its worker was attributed.
+  Instant StartedAt;           ///< When its start was sent.
   std::uint64_t StopOrder = 0; ///< Id of the open stop order, or 0.
   Instant StopSentAt;
   std::optional<Instant> StopAckedAt;
@@ -113,7 +118,11 @@
   Instant LeaseEnd;   ///< No task runs there after this time.
   /// Consecutive orders without an answer.
   std::uint32_t ConsecutiveMisses = 0;
-  Instant LastMissAt; ///< When an order last went unanswered.
+  Instant LastMissAt;  ///< When an order last went unanswered.
+  Instant SilentSince; ///< When the first of these orders went unanswered.
+  /// The first of these orders failed before its timeout: the worker closed or
+  /// refused a connection, as a process that ends does.
+  bool HasBrokenOff = false;
   /// Highest number of a reported end that was proposed.
   std::uint64_t EndsProposed = 0;
   /// Highest end acknowledged by an answered renewal.
@@ -124,7 +133,10 @@
   double RuntimeRatio = 1;
   Millis Remaining{0}; ///< Time until a draining worker exits, at `ReportedAt`.
   bool IsDraining = false; ///< It announced its exit.
-  Instant BackoffUntil;    ///< No starts are sent before this time.
+  Instant LastStartAt;     ///< When a start was last sent to it.
+  /// When a start of a task that may crash workers was last sent to it.
+  Instant SuspectStartedAt;
+  Instant BackoffUntil; ///< No starts are sent before this time.
   /// A service there exceeds its tail latency limit.
   bool HasLatencyViolation = false;
   std::set<TaskKey> Tasks; ///< Keys of its launches.
@@ -189,6 +201,12 @@
   Instant ExpiresAt;
 };
 
+/// @brief Crash of a worker that was noticed recently.
+struct WorkerCrash {
+  std::string Rack;
+  Instant SilentSince; ///< When the worker stopped to answer.
+};
+
 /// @brief An order without an answer yet.
 struct OpenOrder {
   WorkerOrderKind Kind = WorkerOrderKind::Renew;
@@ -196,6 +214,7 @@
   TaskKey Key;
   std::uint32_t Attempt = 0;
   Instant SentAt;
+  Millis Timeout{0};
   bool HasLease = false;          ///< The order grants a lease.
   std::uint64_t LastAckedEnd = 0; ///< Highest end that the order acknowledges.
   bool IsProbed = false; ///< A probe was requested as the answer is overdue.
@@ -245,6 +264,9 @@
   /// Workers whose renewals are checked at the end of this step.
   std::set<WorkerInstanceId> TouchedWorkers;
   Instant LastMissAt; ///< When an order last went unanswered.
+  std::vector<WorkerCrash> RecentCrashes; ///< Pruned when one is added.
+  /// Ends of attempts whose worker crashed, to be proposed in the next step.
+  std::vector<TaskEnd> CrashEnds;
   DispatchCounters Counters;
 
   /// Output, drained by the node after each step.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/cell/orders.hpp"
 
+#include "mulberryramp/cell/crash_attribution.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -62,6 +64,7 @@
           WorkerInstanceId Worker, Instant Now) {
   Open.Worker = Worker;
   Open.SentAt = Now;
+  Open.Timeout = Order.Timeout;
   Open.Kind = Order.Kind;
   Open.Attempt = Order.Attempt;
   Dispatch.UnansweredOrders[Order.Id] = Open;
@@ -156,8 +159,10 @@
   }
 }
 
+/// @param Unresolved Result of `collectUnresolvedTasks`.
 bool sendStart(DispatchState &Dispatch, const CellState &State,
-               const TaskAssignment &Assigned, Instant Now) {
+               const TaskAssignment &Assigned,
+               const std::set<TaskKey> &Unresolved, Instant Now) {
   WorkerSession &Session = Dispatch.Sessions[Assigned.Worker];
   TaskLaunch &Launch = Dispatch.Launches[Assigned.Key];
   Launch = {};
@@ -186,6 +191,11 @@
   Open.Key = Assigned.Key;
   Open.HasLease = true;
   Dispatch.Counters.Starts += 1;
+  Session.LastStartAt = Now;
+  if (maySuspectCrash(Unresolved, Assigned.Key,
+                      *findTask(State, Assigned.Key))) {
+    Session.SuspectStartedAt = Now;
+  }
   send(Dispatch, std::move(Order), Open, Assigned.Worker, Now);
   if (Session.RenewalOrder == 0) {
     Session.NextRenewalAt =
@@ -244,9 +254,13 @@
 
 void sendStarts(DispatchState &Dispatch, const CellState &State,
                 const std::vector<TaskAssignment> &Assignments, Instant Now) {
+  if (Assignments.empty()) {
+    return;
+  }
+  const std::set<TaskKey> Unresolved = collectUnresolvedTasks(Dispatch, Now);
   std::vector<TaskAssignment> Sent;
   for (const TaskAssignment &Assigned : Assignments) {
-    if (sendStart(Dispatch, State, Assigned, Now)) {
+    if (sendStart(Dispatch, State, Assigned, Unresolved, Now)) {
       Sent.push_back(Assigned);
     }
   }
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/schedulable_workers.hpp"
 
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 
 #include <algorithm>
@@ -32,6 +33,10 @@
               *Snapshot.ReservedFrom);
 }
 
+bool isWithinCrashWindow(Instant StartedAt, Instant Now) {
+  return StartedAt != Instant{} && Now - StartedAt < CrashWindow;
+}
+
 void addToPool(SchedulableWorkers &Workers, const WorkerReport &Report) {
   PoolSummary &Pool = Workers.Pools[Report.Pool];
   Pool.Workers += 1;
@@ -61,6 +66,9 @@
     Snapshot.HasLatencyViolation = Session.HasLatencyViolation;
     Snapshot.HadRecentMiss = Session.LastMissAt != Instant{} &&
                              Now - Session.LastMissAt < OrderLossWindow;
+    Snapshot.HasRecentStart = isWithinCrashWindow(Session.LastStartAt, Now);
+    Snapshot.HasRecentSuspect =
+        isWithinCrashWindow(Session.SuspectStartedAt, Now);
     for (const TaskKey &Key : Session.Tasks) {
       const Job *Owner = State.Jobs.find(Key.Job);
       Snapshot.LongRunningTasks +=
@@ -90,7 +98,7 @@
                 const StepSpec &Step, Instant Now) {
   const auto &Labels = Snapshot.Instance->Report.Labels;
   return Snapshot.Instance->Report.Pool == Owner.Queue.Pool &&
-         !isReserved(Snapshot, Step, Now) &&
+         !isReserved(Snapshot, Step, Now) && !Snapshot.HasRecentSuspect &&
          (Step.IsLongRunning || !Snapshot.HasLatencyViolation) &&
          (Step.Label.empty() ||
           std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end());
--- a/src/mulberryramp/cell/schedulable_workers.hpp
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -23,7 +23,10 @@
   double RuntimeRatio = 1;
   /// A service there exceeds its tail latency limit.
   bool HasLatencyViolation = false;
-  bool HadRecentMiss = false; ///< An order went unanswered recently.
+  bool HadRecentMiss = false;  ///< An order went unanswered recently.
+  bool HasRecentStart = false; ///< A task was started within `CrashWindow`.
+  /// A task that may crash workers was started within `CrashWindow`.
+  bool HasRecentSuspect = false;
   /// When a step that was planned before needs the worker, if one reserved it.
   std::optional<Instant> ReservedFrom;
 };
@@ -54,7 +57,8 @@
 
 /// @brief Tells whether a worker may run a step, apart from its free resources.
 /// A worker that a step planned before has reserved may only run tasks that end
-/// before that step needs it.
+/// before that step needs it, and one that just started a task that may crash
+/// it may run none.
 [[nodiscard]] bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
                               const StepSpec &Step, Instant Now);
 
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/start_planner.hpp"
 
 #include "mulberryramp/cell/advice.hpp"
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/reservation.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
@@ -46,6 +47,12 @@
 /// fit before its soft deadline; estimates may be twice too long.
 constexpr int LateEstimatePercent = 70;
 
+/// Score penalty, per task on the worker, for a task that may crash it.
+constexpr double SuspectCompanyPenalty = 0.2;
+
+/// One in this many suspects of a step is started at a time.
+constexpr std::size_t SuspectsPerTrial = 4;
+
 /// A step with unassigned tasks. The order of `operator<` is the planning
 /// order.
 struct PendingStep {
@@ -71,6 +78,7 @@
 
   std::vector<TaskAssignment> plan() {
     Schedulable = snapshotWorkers(Dispatch, State, Now);
+    Unresolved = collectUnresolvedTasks(Dispatch, Now);
     collectSteps();
     for (const PendingStep &Pending : Ready) {
       planStep(Pending);
@@ -160,10 +168,11 @@
   /// @param Advice Advice on the step, or null if it needs none.
   /// @param Rack Rack that the worker must be on, or null for any.
   /// @param Counts Tasks of the step on each worker.
+  /// @param IsSuspect The task may crash the worker that starts it.
   WorkerSnapshot *pickBestWorker(const Job &Owner, const StepSpec &Step,
                                  const StepAdvice *Advice, const JobTask *Task,
                                  const std::string *Rack,
-                                 const TaskCounts &Counts) {
+                                 const TaskCounts &Counts, bool IsSuspect) {
     const Resources Need = requiredResources(Step);
     WorkerSnapshot *Best = nullptr;
     double BestScore = std::numeric_limits<double>::max();
@@ -171,10 +180,14 @@
       if (!fitsIn(Need, Snapshot.Available) ||
           !isFeasible(Snapshot, Owner, Step, Now) ||
           (Rack != nullptr && Snapshot.Instance->Report.Rack != *Rack) ||
+          (IsSuspect && Snapshot.HasRecentStart) ||
           isAtMaxPerWorker(Step, Snapshot, Counts)) {
         return;
       }
-      const double Score = scoreWorker(Snapshot, Step, Need, Task);
+      double Score = scoreWorker(Snapshot, Step, Need, Task);
+      if (IsSuspect) {
+        Score += SuspectCompanyPenalty * Snapshot.Instance->Tasks;
+      }
       if (Score < BestScore) {
         BestScore = Score;
         Best = &Snapshot;
@@ -195,6 +208,48 @@
     return Best;
   }
 
+  bool isSuspect(const TaskKey &Key, const JobTask &Task) const {
+    return maySuspectCrash(Unresolved, Key, Task);
+  }
+
+  /// Computes how many suspects of a step may be started now. They are tried a
+  /// few at a time, and none while one of them may have crashed its worker.
+  std::size_t trialsOf(const StepKey &Key, const JobStep &Step) const {
+    std::size_t Suspects = 0;
+    std::size_t OnTrial = 0;
+    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+      const JobTask &Task = Step.Tasks[Index];
+      if (Task.State == JobTaskState::Done || !isCrashSuspect(Task)) {
+        continue;
+      }
+      Suspects += 1;
+      const auto LaunchIt =
+          Dispatch.Launches.find({Key.Job, Key.Run, Key.Step, Index});
+      if (LaunchIt == Dispatch.Launches.end()) {
+        continue;
+      }
+      const auto SessionIt =
+          Dispatch.Sessions.find(LaunchIt->second.Assignment.Worker);
+      if (SessionIt != Dispatch.Sessions.end() &&
+          SessionIt->second.ConsecutiveMisses != 0) {
+        return 0;
+      }
+      OnTrial += Now - LaunchIt->second.StartedAt < CrashWindow ? 1 : 0;
+    }
+    const std::size_t Limit =
+        (Suspects + SuspectsPerTrial - 1) / SuspectsPerTrial;
+    return Limit - std::min(Limit, OnTrial);
+  }
+
+  bool isSuspectGang(const StepKey &Key, const JobStep &Step) const {
+    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+      if (isSuspect({Key.Job, Key.Run, Key.Step, Index}, Step.Tasks[Index])) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void reserveWorker(WorkerSnapshot &Snapshot, const StepSpec &Step,
                      const TaskKey &Key, std::uint32_t Attempt) {
     Snapshot.Available -= requiredResources(Step);
@@ -400,22 +455,37 @@
                         const StepAdvice *Advice) {
     auto Counts = countTasks(Step);
     std::size_t Unplaced = 0;
+    // The tasks of a step need the same, so that no further one of the same
+    // sort has room either. Suspects need workers without a recent start.
+    bool HasRoom = true;
+    bool HasRoomForSuspect = true;
+    std::size_t Trials = trialsOf(Key, Step);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       const JobTask &Task = Step.Tasks[Index];
       if (Task.State != JobTaskState::Waiting) {
         continue;
       }
-      WorkerSnapshot *Chosen =
-          Unplaced != 0
-              ? nullptr
-              : pickBestWorker(Owner, Spec, Advice, &Task, nullptr, Counts);
+      const TaskKey Candidate{Key.Job, Key.Run, Key.Step, Index};
+      const bool IsSuspect = isSuspect(Candidate, Task);
+      const bool IsTrial = isCrashSuspect(Task);
+      const bool MayFit = HasRoom && (HasRoomForSuspect || !IsSuspect) &&
+                          (Trials != 0 || !IsTrial);
+      WorkerSnapshot *Chosen = MayFit
+                                   ? pickBestWorker(Owner, Spec, Advice, &Task,
+                                                    nullptr, Counts, IsSuspect)
+                                   : nullptr;
       if (Chosen == nullptr) {
+        if (MayFit) {
+          (IsSuspect ? HasRoomForSuspect : HasRoom) = false;
+        }
         Unplaced += 1;
         continue;
       }
+      Trials -= IsTrial ? 1 : 0;
       Counts[Chosen->Worker] += 1;
-      reserveWorker(*Chosen, Spec, {Key.Job, Key.Run, Key.Step, Index},
-                    Task.Attempt + 1);
+      reserveWorker(*Chosen, Spec, Candidate, Task.Attempt + 1);
+      Chosen->HasRecentStart = true;
+      Chosen->HasRecentSuspect = IsSuspect;
     }
     return Unplaced;
   }
@@ -457,9 +527,10 @@
       Attempt = std::max(Attempt, Task.Attempt + 1);
     }
     TaskCounts Counts;
+    const bool IsSuspect = isSuspectGang(Key, Step);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-      WorkerSnapshot *Chosen =
-          pickBestWorker(Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts);
+      WorkerSnapshot *Chosen = pickBestWorker(
+          Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts, IsSuspect);
       if (Chosen == nullptr) {
         Schedulable.Rows = SavedSnapshots;
         Assignments.resize(AssignmentCount);
@@ -469,6 +540,12 @@
       reserveWorker(*Chosen, Spec, {Key.Job, Key.Run, Key.Step, Index},
                     Attempt);
     }
+    // The members count as one cause and may share workers.
+    for (const auto &[Worker, Count] : Counts) {
+      WorkerSnapshot &Snapshot = *findSnapshot(Schedulable, Worker);
+      Snapshot.HasRecentStart = true;
+      Snapshot.HasRecentSuspect = IsSuspect;
+    }
     return true;
   }
 
@@ -555,6 +632,7 @@
   Instant Now;
   WallTime WallNow;
   SchedulableWorkers Schedulable;
+  std::set<TaskKey> Unresolved; ///< See `collectUnresolvedTasks`.
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
   std::vector<PendingStep> Ready;
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -111,13 +111,35 @@
   GangBroken,   ///< Another member of its gang ended.
   GangTimedOut, ///< The gang was not complete within its timeout.
   Lost,         ///< No end is known; may still run if presumed lost.
-  Refused       ///< The worker did not start it.
+  Refused,      ///< The worker did not start it.
+  /// The worker crashed under it, and no other attempt may be the cause.
+  Crashed,
+  /// The worker crashed under it, and others may be the cause as well.
+  CrashedWithOthers,
+  /// The worker crashed, and the attempt may have run there.
+  PossiblyCrashed
 };
 
 /// @brief Names of the kinds, by value.
-constexpr std::array<std::string_view, 8> nameTable(EndKind /*Kind*/) noexcept {
-  return {"done",   "failed", "stopped", "lapsed",
-          "broken", "alone",  "lost",    "refused"};
+constexpr std::array<std::string_view, 11>
+nameTable(EndKind /*Kind*/) noexcept {
+  return {"done",
+          "failed",
+          "stopped",
+          "lapsed",
+          "broken",
+          "alone",
+          "lost",
+          "refused",
+          "crashed",
+          "crashed-with-others",
+          "possibly-crashed"};
+}
+
+/// @brief Tells whether an attempt ended with a crash of its worker.
+[[nodiscard]] constexpr bool isCrash(EndKind Kind) noexcept {
+  return Kind == EndKind::Crashed || Kind == EndKind::CrashedWithOthers ||
+         Kind == EndKind::PossiblyCrashed;
 }
 
 /// @brief The end of one attempt.
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -48,14 +48,29 @@
   std::uint32_t Failures = 0; ///< Number of failed attempts.
   WorkerInstanceId Worker;    ///< Assigned worker, or that of the last attempt.
   std::string Checkpoint;     ///< Last checkpoint; empty if there is none.
-
+  std::uint32_t Crashes = 0;  ///< Number of workers that crashed under it.
+  /// Number of workers that crashed while it may have run there.
+  std::uint32_t PossibleCrashes = 0;
+  /// Last attempt that was recorded as lost, and its worker, until its fate is
+  /// known; null if there is none.
+  std::uint32_t LostAttempt = 0;
+  WorkerInstanceId LostOn;
+
+  static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&JobTask::State, &JobTask::Attempt,
-                           &JobTask::Failures, &JobTask::Worker,
-                           &JobTask::Checkpoint);
+    return std::make_tuple(
+        &JobTask::State, &JobTask::Attempt, &JobTask::Failures,
+        &JobTask::Worker, &JobTask::Checkpoint, &JobTask::Crashes,
+        &JobTask::PossibleCrashes, &JobTask::LostAttempt, &JobTask::LostOn);
   }
 };
 
+/// @brief Tells whether a task is suspected of crashing workers: it was the
+/// probable cause of a crash, or it may have been that of several.
+[[nodiscard]] constexpr bool isCrashSuspect(const JobTask &Task) noexcept {
+  return Task.Crashes != 0 || Task.PossibleCrashes > 1;
+}
+
 /// @brief Progress of one step in one run of the job.
 struct JobStep {
   std::vector<JobTask> Tasks;
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+/// A task is given up after this many workers crashed under it, if it alone may
+/// have caused the last crash.
+constexpr std::uint32_t MaxCrashesOfOnlySuspect = 2;
+/// A task is given up after this many workers crashed under it.
+constexpr std::uint32_t MaxCrashes = 3;
+/// A task is given up after this many crashes of workers where it ran or may
+/// have run.
+constexpr std::uint32_t MaxPossibleCrashes = 4;
+
 JobTask *taskAt(CellState &State, const TaskKey &Key) {
   return const_cast<JobTask *>(findTask(State, Key)); // NOLINT: non-const.
 }
@@ -113,16 +122,42 @@
   }
 }
 
+/// Counts the crash of a worker under a task. A task that crashes its workers
+/// would take down one after another, so its job fails.
+void recordCrash(CellState &State, const TaskEnd &End, JobTask &Task,
+                 WallTime At, CellChange &Change) {
+  if (End.Kind == EndKind::PossiblyCrashed) {
+    Task.PossibleCrashes += 1;
+  } else {
+    Task.Crashes += 1;
+  }
+  const bool IsCause =
+      (End.Kind == EndKind::Crashed &&
+       Task.Crashes >= MaxCrashesOfOnlySuspect) ||
+      Task.Crashes >= MaxCrashes ||
+      Task.Crashes + Task.PossibleCrashes >= MaxPossibleCrashes;
+  if (IsCause && !isTerminal(State.Jobs[End.Key.Job].Phase)) {
+    endJob(State, End.Key.Job, JobPhase::Failed, At, Change);
+  }
+}
+
 /// Handles the end of an attempt that is no longer assigned, for instance as it
 /// was presumed lost. If the attempt succeeded, the task is done, and the
 /// leader stops its replacement attempt; a failure is counted.
 void recordLateTaskEnd(CellState &State, const TaskEnd &End, JobTask &Task,
                        WallTime At, CellChange &Change) {
   const StepSpec &Spec = specAt(State, End.Key);
+  if (End.Attempt == Task.LostAttempt) {
+    Task.LostOn = WorkerInstanceId{};
+  }
   if (End.Kind == EndKind::Failed && Task.State != JobTaskState::Done) {
     recordFailure(State, End.Key, Task, At, Change);
     return;
   }
+  if (isCrash(End.Kind) && Task.State != JobTaskState::Done) {
+    recordCrash(State, End, Task, At, Change);
+    return;
+  }
   if (End.Kind != EndKind::Done || Spec.IsLongRunning || Spec.IsGang ||
       Task.State == JobTaskState::Done) {
     return;
@@ -154,6 +189,11 @@
   }
   if (End.Kind == EndKind::Failed) {
     recordFailure(State, End.Key, *Task, At, Change);
+  } else if (isCrash(End.Kind)) {
+    recordCrash(State, End, *Task, At, Change);
+  } else if (End.Kind == EndKind::Lost) {
+    Task->LostAttempt = End.Attempt;
+    Task->LostOn = Task->Worker;
   }
   if (End.Kind != EndKind::Done || Spec.IsLongRunning) {
     return;
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -24,6 +24,9 @@
 /// Duration of a schedule. All faults end before, and all jobs have to be
 /// finished by then.
 constexpr Millis ScheduleTime{45000};
+/// Duration of a schedule with tasks that crash workers. Each crash takes a
+/// worker away for up to 5 s, until three jobs with five crashes are given up.
+constexpr Millis ScheduleTimeWithCrashes{ScheduleTime + Millis{3 * 5 * 5000}};
 constexpr Millis ReportInterval{500};
 constexpr Millis MaxCancelDelay{3000};
 constexpr NodeId VoterCount = 3;
@@ -1011,7 +1014,9 @@
   Random Rng;
   Instant Now{Millis{100000}};
   Instant FaultsEnd{Now + FaultPeriod};
-  Instant End{Now + ScheduleTime};
+  Instant End{Now + (Options.Faults.contains(CellFault::CrashingTask)
+                         ? ScheduleTimeWithCrashes
+                         : ScheduleTime)};
   std::map<NodeId, VoterState> VotersById;
   std::map<NodeId, std::uint64_t> ProcessGenerations;
   NodeId NextVoterId = VoterCount + 1;
--- /dev/null
+++ b/test/cell/crash_test.cpp
@@ -0,0 +1,233 @@
+#include "mulberryramp/cell/answers.hpp"
+#include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/start_planner.hpp"
+#include "support/cell_parts.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+using namespace mulberryramp::test;
+
+namespace {
+
+/// A leader with workers that crash and return under another name at their
+/// address.
+class CrashFixture {
+public:
+  explicit CrashFixture(int Workers) {
+    applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
+    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    for (int Index = 0; Index < Workers; ++Index) {
+      registerWorker("w" + std::to_string(Index), "a" + std::to_string(Index));
+    }
+  }
+
+  void submit(const std::string &Name, std::uint32_t Tasks,
+              bool IsSpeculative = false) {
+    JobSpec Spec;
+    StepSpec Step;
+    Step.Tasks = Tasks;
+    Step.Need.MilliCpus = 100;
+    Step.Estimate = Millis{1000};
+    Step.IsSpeculative = IsSpeculative;
+    Spec.Steps.push_back(Step);
+    applyCommand(State, SubmitJobCommand{Name, "host", "/q/", Spec, wallNow()});
+  }
+
+  /// Plans, starts and confirms the pending tasks.
+  /// @return Number of started tasks.
+  std::size_t start() {
+    const auto Assignments = planStarts(Dispatch, State, Now, wallNow());
+    onStateChange(Dispatch, State,
+                  applyCommand(State, AssignTasksCommand{Assignments}), Now);
+    for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+      if (Order.Kind == WorkerOrderKind::Start) {
+        answer(Order.Id, OrderVerdict::Done);
+      }
+    }
+    return Assignments.size();
+  }
+
+  /// Lets a worker miss as many orders as it takes to count as unresponsive.
+  void silence(const std::string &Worker) {
+    Silent.insert(Worker);
+    for (int Misses = 0; Misses < 2; ++Misses) {
+      Now += RenewalRetryInterval;
+      Dispatch.TouchedWorkers.insert(findWorker(State, Worker));
+      renewTouched(Dispatch, State, Now);
+      for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+        answer(Order.Id, Silent.contains(Order.Worker)
+                             ? OrderVerdict::Unanswered
+                             : OrderVerdict::Done);
+      }
+    }
+    applyCommands();
+  }
+
+  /// Lets a silent worker return.
+  void restart(const std::string &Worker, const std::string &NewName) {
+    const std::string Address =
+        State.Workers[findWorker(State, Worker)].Report.Address;
+    registerWorker(NewName, Address.substr(0, Address.find(':')));
+    proposeCommands();
+  }
+
+  /// Lets a worker crash right after the starts, and return.
+  void crash(const std::string &Worker, const std::string &NewName) {
+    silence(Worker);
+    restart(Worker, NewName);
+  }
+
+  void announceExit(const std::string &Worker) {
+    const WorkerInstanceId Id = findWorker(State, Worker);
+    WorkerReport Report = State.Workers[Id].Report;
+    Report.Sequence = 2;
+    Report.IsDraining = true;
+    onWorkerReport(Dispatch, Id, Report, Now);
+    applyCommand(State, DrainWorkerCommand{Id});
+  }
+
+  /// Passes the time within which a crash is attributed to a start.
+  void passCrashWindow() { Now += Millis{1000}; }
+
+  std::string workerOf(const std::string &JobName, std::uint32_t Task) {
+    return workerName(State, task(JobName, Task).Worker);
+  }
+
+  const JobTask &task(const std::string &JobName, std::uint32_t Task) {
+    return *findTask(State, {findJob(State, JobName), 0, 0, Task});
+  }
+
+  JobPhase phaseOf(const std::string &JobName) {
+    return State.Jobs[findJob(State, JobName)].Phase;
+  }
+
+private:
+  [[nodiscard]] WallTime wallNow() const {
+    return WallTime{Now.time_since_epoch()};
+  }
+
+  void registerWorker(const std::string &Name, const std::string &Host) {
+    WorkerReport Report = makeTestReport(Name, 4000);
+    Report.Address = Host + ":1";
+    Report.Rack = Host;
+    LastStartTimeMs += 1;
+    Report.StartTimeMs = LastStartTimeMs;
+    onStateChange(Dispatch, State,
+                  applyCommand(State, RegisterWorkerCommand{Report}), Now);
+    onWorkerReport(Dispatch, findWorker(State, Name), Report, Now);
+  }
+
+  void answer(std::uint64_t Id, OrderVerdict Verdict) {
+    OrderResult Result;
+    Result.Id = Id;
+    Result.Verdict = Verdict;
+    if (Verdict == OrderVerdict::Done) {
+      Result.Clock = 1000;
+    }
+    onOrderResult(Dispatch, State, Result, Now, wallNow());
+  }
+
+  void proposeCommands() {
+    stepDispatch(Dispatch, State, Now, wallNow());
+    Dispatch.HasUncommittedStarts = false;
+    Dispatch.Orders.clear();
+    applyCommands();
+  }
+
+  /// Applies the proposed ends; planned starts are dropped, as the test plans.
+  void applyCommands() {
+    for (const CellCommand &Command : std::exchange(Dispatch.Commands, {})) {
+      if (std::holds_alternative<RecordTaskEndsCommand>(Command)) {
+        onStateChange(Dispatch, State, applyCommand(State, Command), Now);
+      }
+    }
+  }
+
+  CellState State;
+  DispatchState Dispatch;
+  Instant Now{Millis{100000}};
+  std::int64_t LastStartTimeMs = 0;
+  std::set<std::string> Silent; ///< Workers that do not answer.
+};
+
+} // namespace
+
+TEST_GROUP(CellCrash){};
+
+/// Guards against one task crashing worker after worker.
+TEST(CellCrash, AJobFailsOnceTwoWorkersCrashedUnderOneOfItsTasksAlone) {
+  CrashFixture Cell{4};
+  Cell.submit("bad", 1);
+  CHECK_EQUAL(1, Cell.start());
+  Cell.crash(Cell.workerOf("bad", 0), "n1");
+  CHECK(JobPhase::Running == Cell.phaseOf("bad"));
+  Cell.passCrashWindow();
+  CHECK_EQUAL(1, Cell.start());
+  Cell.crash(Cell.workerOf("bad", 0), "n2");
+  CHECK(JobPhase::Failed == Cell.phaseOf("bad"));
+  CHECK_EQUAL(2, Cell.task("bad", 0).Crashes);
+}
+
+/// Guards against a job being given up for the crash that another one caused.
+TEST(CellCrash, VictimsOfACrashAreStartedApartFromTheCause) {
+  CrashFixture Cell{4};
+  Cell.submit("bad", 1);
+  Cell.submit("good", 2);
+  CHECK_EQUAL(3, Cell.start());
+  const std::string First = Cell.workerOf("bad", 0);
+  CHECK_EQUAL(First, Cell.workerOf("good", 0));
+  Cell.crash(First, "n1");
+  Cell.passCrashWindow();
+  // One suspect of each step is tried at a time.
+  CHECK_EQUAL(2, Cell.start());
+  const std::string Second = Cell.workerOf("bad", 0);
+  CHECK(Second != Cell.workerOf("good", 0));
+  Cell.crash(Second, "n2");
+  CHECK(JobPhase::Failed == Cell.phaseOf("bad"));
+  CHECK(JobPhase::Running == Cell.phaseOf("good"));
+}
+
+/// Guards against starts beside a task that may crash the worker at once.
+TEST(CellCrash, NoTaskIsStartedBesideASuspectThatWasJustStarted) {
+  CrashFixture Cell{1};
+  Cell.submit("bad", 1);
+  CHECK_EQUAL(1, Cell.start());
+  Cell.crash("w0", "n1");
+  Cell.passCrashWindow();
+  CHECK_EQUAL(1, Cell.start());
+  Cell.submit("good", 1);
+  CHECK_EQUAL(0, Cell.start());
+  Cell.passCrashWindow();
+  CHECK_EQUAL(1, Cell.start());
+}
+
+/// Guards against a speculative task crashing several workers before the first
+/// crash is known.
+TEST(CellCrash, ASpeculativeTaskWaitsOnceTwoWorkersStoppedToAnswerUnderIt) {
+  CrashFixture Cell{4};
+  Cell.submit("bad", 1, true);
+  CHECK_EQUAL(1, Cell.start());
+  const std::string First = Cell.workerOf("bad", 0);
+  Cell.silence(First);
+  Cell.passCrashWindow();
+  CHECK_EQUAL(1, Cell.start());
+  const std::string Second = Cell.workerOf("bad", 0);
+  Cell.silence(Second);
+  CHECK_EQUAL(0, Cell.start());
+  Cell.restart(First, "n1");
+  CHECK_EQUAL(0, Cell.start());
+  Cell.restart(Second, "n2");
+  CHECK(JobPhase::Failed == Cell.phaseOf("bad"));
+}
+
+/// Guards against tasks being suspected because a worker left as announced.
+TEST(CellCrash, AWorkerThatAnnouncedItsExitDidNotCrash) {
+  CrashFixture Cell{2};
+  Cell.submit("good", 1);
+  CHECK_EQUAL(1, Cell.start());
+  const std::string Worker = Cell.workerOf("good", 0);
+  Cell.announceExit(Worker);
+  Cell.crash(Worker, "n1");
+  CHECK_FALSE(isCrashSuspect(Cell.task("good", 0)));
+}
