Simulate reset connections, cut paths and frozen nodes

The schedules of the cell had no connection that is reset, no worker that only some voters reach, and no voter whose sockets keep what arrives while it is suspended: messages to a paused voter were dropped, and pauses were shorter than a lease. Orders on a reset connection are now executed or not, and the sender learns at once that there is no answer. A frozen voter receives on resuming what was sent to it, and orders that it had sent may leave its sockets only then.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -52,6 +52,7 @@
   std::optional<PersistBatch> PendingWrite;
   Instant WriteEndsAt;
   Instant PausedUntil;
+  Instant FrozenUntil; ///< Messages to it arrive then.
   Instant DownUntil;
   Instant PartitionedUntil;
   Instant DiskStalledUntil;
@@ -70,6 +71,8 @@
   std::string Worker;
   WorkerOrder Order;
   bool IsAnswered = true; ///< False for a delayed order.
+  /// The connection is reset after the order was executed.
+  bool LosesAnswer = false;
   /// Generation of the worker process when the order was sent.
   std::uint64_t WorkerGeneration = 0;
 };
@@ -86,6 +89,9 @@
   Instant PartitionedUntil;
   Instant DownUntil; ///< The process has crashed and starts again then.
   bool IsDown = false;
+  Instant ResetUntil; ///< Its connections are reset until then.
+  /// Times until which single nodes exchange nothing with this worker.
+  std::map<NodeId, Instant> PathsCutUntil;
   Instant ReportAt;
   std::uint64_t ProcessGeneration = 0;
   /// Generation of this worker that last answered each process of a node. The
@@ -258,6 +264,16 @@
     Voter.DownUntil = Now + Downtime;
   }
 
+  void freezeVoter(NodeId Id, VoterState &Voter, Millis Time) {
+    Voter.PausedUntil = Now + Time;
+    Voter.FrozenUntil = Voter.PausedUntil;
+    for (OrderInFlight &InFlight : Orders) {
+      if (InFlight.From == Id && InFlight.IsAnswered && Rng.percent(50)) {
+        InFlight.DeliverAt = Voter.FrozenUntil + randomDuration(1, 12);
+      }
+    }
+  }
+
   void injectFaults() {
     injectNodeFaults();
     const std::string Name = "w" + std::to_string(Rng.below(WorkerCount));
@@ -278,6 +294,18 @@
     if (shouldInject(CellFault::LoseMessages, 600)) {
       LoseMessagesUntil = Now + randomDuration(200, 1500);
     }
+    if (shouldInject(CellFault::ResetConnections, 500)) {
+      State.ResetUntil = Now + randomDuration(5, 3000);
+      for (const auto &[Order, Sender] :
+           std::exchange(State.PendingRenewals, {})) {
+        sendReset(Sender.first, Sender.second, Order);
+      }
+    }
+    if (shouldInject(CellFault::PartitionPath, 300)) {
+      NodeId Id = 0;
+      randomVoter(Id);
+      State.PathsCutUntil[Id] = Now + randomDuration(300, 9000);
+    }
     if (shouldInject(CellFault::CrashRack, 1200)) {
       const std::uint64_t FirstOfRack = Rng.below(2) * (WorkerCount / 2);
       for (std::uint64_t Index = 0; Index < WorkerCount / 2; ++Index) {
@@ -373,6 +401,8 @@
       NextNodeFaultAt = Now + Millis{8000};
     } else if (shouldInject(CellFault::PauseNode, 600)) {
       Voter.PausedUntil = Now + randomDuration(200, 4000);
+    } else if (shouldInject(CellFault::FreezeNode, 600)) {
+      freezeVoter(Id, Voter, randomDuration(200, 9000));
     } else if (shouldInject(CellFault::PartitionNode, 600)) {
       Voter.PartitionedUntil = Now + randomDuration(200, 4000);
     } else if (shouldInject(CellFault::StallDisk, 600)) {
@@ -593,6 +623,13 @@
       if (Now < DelayOrdersUntil && Rng.percent(50)) {
         InFlight.DeliverAt = Now + randomDuration(2000, 12000);
         InFlight.IsAnswered = false;
+      } else if (Now < Workers.at(InFlight.Worker).ResetUntil) {
+        Deadlines[{From, ProcessGeneration, Order.Id}] = Now + Order.Timeout;
+        if (Rng.percent(50)) {
+          sendReset(From, ProcessGeneration, Order.Id);
+          continue;
+        }
+        InFlight.LosesAnswer = true;
       }
       InFlight.WorkerGeneration = Workers.at(InFlight.Worker).ProcessGeneration;
       if (Order.NeedsOpenConnection &&
@@ -634,6 +671,10 @@
         continue;
       }
       const auto It = VotersById.find(InFlight.Message.To);
+      if (It != VotersById.end() && Now < It->second.FrozenUntil) {
+        Network.push_back({It->second.FrozenUntil, InFlight.Message});
+        continue;
+      }
       const bool IsUp = It != VotersById.end() && It->second.Node &&
                         Now >= It->second.PausedUntil &&
                         !isPartitioned(It->first);
@@ -660,7 +701,8 @@
       const bool IsDiscarded =
           !InFlight.IsAnswered &&
           InFlight.WorkerGeneration != Target.ProcessGeneration;
-      if (Now < Target.PartitionedUntil || IsDiscarded) {
+      const bool IsPathCut = Now < Target.PathsCutUntil[InFlight.From];
+      if (Now < Target.PartitionedUntil || IsPathCut || IsDiscarded) {
         continue;
       }
       if (Target.IsDown) {
@@ -678,6 +720,10 @@
       if (!InFlight.IsAnswered) {
         continue;
       }
+      if (InFlight.LosesAnswer) {
+        sendReset(InFlight.From, InFlight.ProcessGeneration, InFlight.Order.Id);
+        continue;
+      }
       Target.ConnectedGeneration[{InFlight.From, InFlight.ProcessGeneration}] =
           Target.ProcessGeneration;
       if (Answer) {
@@ -690,6 +736,16 @@
     }
   }
 
+  /// Reports that the connection of an order was reset. Whether bytes were sent
+  /// before does not show whether the worker executed the order; if none were,
+  /// it did not.
+  void sendReset(NodeId To, std::uint64_t ProcessGeneration,
+                 std::uint64_t Order) {
+    OrderResult Unanswered;
+    Unanswered.Id = Order;
+    sendAnswer(To, ProcessGeneration, Unanswered);
+  }
+
   void sendAnswer(NodeId To, std::uint64_t ProcessGeneration,
                   OrderResult Answer) {
     Answers.push_back({Now + randomDuration(1, 12), To, ProcessGeneration,
@@ -828,7 +884,8 @@
       for (OrderResult &Answer : State.Worker->advance(Now)) {
         const auto RenewalIt = State.PendingRenewals.find(Answer.Id);
         if (RenewalIt != State.PendingRenewals.end() &&
-            Now >= State.PartitionedUntil) {
+            Now >= State.PartitionedUntil &&
+            Now >= State.PathsCutUntil[RenewalIt->second.first]) {
           sendAnswer(RenewalIt->second.first, RenewalIt->second.second,
                      std::move(Answer));
         }
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -16,29 +16,34 @@
 
 /// @brief Kinds of faults that a schedule can inject.
 enum class CellFault : std::uint8_t {
-  KillNode,        ///< A voter crashes and restarts with its disk.
-  WipeNode,        ///< A voter crashes and restarts with an empty disk.
-  ReplaceNode,     ///< A voter is removed; an empty one starts under a new ID.
-  PauseNode,       ///< A voter stops executing and resumes later.
-  PartitionNode,   ///< A voter exchanges no messages with other nodes.
-  StallDisk,       ///< The writes of a voter do not complete for some time.
-  PartitionWorker, ///< A worker loses its orders, answers and reports.
-  RestartWorker,   ///< A worker restarts under its name without any state.
-  DelayOrders,     ///< Orders get no answer and are executed seconds later.
-  LoseMessages,    ///< Some messages between nodes are lost.
-  PowerLoss,       ///< All voters lose power at once.
-  Cancel,          ///< Callers cancel jobs.
-  CrashingTask,    ///< Callers submit jobs with tasks that crash workers.
-  CrashRack        ///< Half of the workers crash at once.
+  KillNode,         ///< A voter crashes and restarts with its disk.
+  WipeNode,         ///< A voter crashes and restarts with an empty disk.
+  ReplaceNode,      ///< A voter is removed; an empty one starts under a new ID.
+  PauseNode,        ///< A voter stops executing and resumes later.
+  PartitionNode,    ///< A voter exchanges no messages with other nodes.
+  StallDisk,        ///< The writes of a voter do not complete for some time.
+  PartitionWorker,  ///< A worker loses its orders, answers and reports.
+  RestartWorker,    ///< A worker restarts under its name without any state.
+  DelayOrders,      ///< Orders get no answer and are executed seconds later.
+  LoseMessages,     ///< Some messages between nodes are lost.
+  PowerLoss,        ///< All voters lose power at once.
+  Cancel,           ///< Callers cancel jobs.
+  ResetConnections, ///< Connections to a worker are reset: orders on them may
+                    ///< be executed, but the answers are lost at once.
+  PartitionPath,    ///< A worker exchanges nothing with one of the voters.
+  FreezeNode ///< A voter stops for longer than a lease. Its sockets keep what
+             ///< arrives, and what it sent before may leave them afterwards.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 14>
+constexpr std::array<std::string_view, 17>
 nameTable(CellFault /*Kind*/) noexcept {
-  return {"kill-node",     "wipe-node",     "replace-node", "pause-node",
-          "cut-node",      "stall-disk",    "cut-worker",   "restart-worker",
-          "late-orders",   "lose-messages", "power-off",    "cancel",
-          "crashing-task", "crash-rack"};
+  return {"kill-node",         "wipe-node",      "replace-node",
+          "pause-node",        "cut-node",       "stall-disk",
+          "cut-worker",        "restart-worker", "late-orders",
+          "lose-messages",     "power-off",      "cancel",
+          "reset-connections", "cut-path",       "freeze-node",
+          "crashing-task",     "crash-rack"};
 }
 
 /// @brief Seed and faults of a schedule.
