Send no start while the leader lease is over

A node that is suspended right after it sent an assignment to the other voters still counts as the leader when it resumes and reads their replies first. It applied the assignment as committed and sent the start with a full lease, seconds after the next leader had been elected. The next leader presumes the attempt lost once its own bound on the lease has passed and starts the task again; if the worker got no renewal from the next leader (its path to it is cut), the fencing token does not stop the former one, and the task runs twice.

Renewals, plans and answers to callers were already limited to the leader lease; starts were sent by the handler of committed entries, which only checked the term. A start that is assigned without the lease is now treated like one without a worker clock: the launch counts as recovered, a probe asks the worker for its list, and the task gets its next attempt if the list lacks it.

CellSuspendedLeader.SendsNoStartAfterItsLeaseIsOver failed before: suspended_leader_test.cpp:181: error: Failure, expected <0> but was <1> Ruled out as guards: the age limit of orders, as the order is decided after the node resumed; the check of the quorum, as late replies count as contact.

--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -385,6 +385,7 @@
   }
   const bool IsOwn =
       Dispatch.IsActive && LogEntry.InTerm == Dispatch.FencingToken;
+  Dispatch.HoldsLease = isLeading(CurrentTime);
   for (const CellCommand &Command : *Commands) {
     const CellChange Change = applyCommand(State, Command);
     if (!Dispatch.IsActive) {
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -242,6 +242,9 @@
 struct DispatchState {
   DispatchOptions Options;
   bool IsActive = false; ///< This node leads and dispatches.
+  /// The node held its leader lease when it began to apply the current entry.
+  /// Without it another node may lead, so no start is sent.
+  bool HoldsLease = true;
   Term FencingToken = 0; ///< Term of the leader.
   NodeId Self = 0;
   std::map<WorkerInstanceId, WorkerSession> Sessions;
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -171,8 +171,10 @@
   Launch.StartedAt = Now;
   Session.Tasks.insert(Assigned.Key);
   const WorkerInstance *Worker = State.Workers.find(Assigned.Worker);
-  if (Worker == nullptr || !Session.Clock) {
+  if (Worker == nullptr || !Session.Clock || !Dispatch.HoldsLease) {
     Launch.Phase = LaunchPhase::Recovered;
+    Session.NeedsProbe = true;
+    Dispatch.TouchedWorkers.insert(Assigned.Worker);
     return false;
   }
   const Job &Owner = State.Jobs[Assigned.Key.Job];
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -37,8 +37,8 @@
                                         std::uint32_t Attempt);
 
 /// @brief Records the launches of committed assignments and sends their start
-/// orders. Without a worker or its clock the order is not sent and the launch
-/// counts as recovered.
+/// orders. Without a worker, its clock or the leader lease the order is not
+/// sent and the launch counts as recovered.
 void sendStarts(DispatchState &Dispatch, const CellState &State,
                 const std::vector<TaskAssignment> &Assignments, Instant Now);
 
