Count a start as refused only for a known reason

An answer 409 whose body cannot be read, or that names no known reason, counted as a refusal, and the task got its next attempt at once; so did 2xx other than 200 and 3xx. Two reasons of a 409 (stale attempt, stale fencing token) leave open whether the attempt runs, so an unknown one does as well.

Found by reading; no worker was seen to answer so. Failed before: PlatformGateway.RefusalWithoutAKnownReasonCountsAsUnanswered gateway_test.cpp:249: CHECK(OrderVerdict::Unanswered == ...) failed

--- a/test/platform/gateway_test.cpp
+++ b/test/platform/gateway_test.cpp
@@ -239,6 +239,23 @@
   CHECK(OrderVerdict::Unanswered == decodeAnswer(Start, 0, "").Verdict);
 }
 
+/// Guards against two runs of one task: an attempt counts as not executed only
+/// if the worker says so in words that are understood.
+TEST(PlatformGateway, RefusalWithoutAKnownReasonCountsAsUnanswered) {
+  const auto Start = WorkerOrderKind::Start;
+  for (const char *Body : {"", "{", "[]", R"({"clock_ms":1})",
+                           R"({"clock_ms":1,"reason":"running"})",
+                           R"({"clock_ms":1,"reason":["room"]})"}) {
+    CHECK(OrderVerdict::Unanswered == decodeAnswer(Start, 409, Body).Verdict);
+  }
+  for (const int Status : {202, 204, 302}) {
+    CHECK(OrderVerdict::Unanswered == decodeAnswer(Start, Status, "").Verdict);
+  }
+  CHECK(OrderVerdict::Refused == decodeAnswer(Start, 400, "").Verdict);
+  CHECK(OrderVerdict::Refused ==
+        decodeAnswer(Start, 409, R"({"reason":"late"})").Verdict);
+}
+
 /// A caller may repeat a refused call as a new one. A call with an unknown
 /// outcome may have acted.
 TEST(PlatformGateway, UnknownOutcomeIsNeverEncodedAsARefusal) {
