Stop an unanswered start again on the next instance of a worker

A new instance of a worker takes over the attempts of the previous one, as an order may still be carried out on it. For attempts that are already recorded as lost the stop was repeated there, but not for a start without an answer whose stop the previous instance had acknowledged: the first list of the new instance ended it, and the task got its next attempt while the order could still arrive.

Found by reading; needs an order that outlives the worker process, which the protocol does not exclude. Failed before: CellNewInstance.AStopOfThePreviousInstanceDoesNotEndAnUnansweredStart new_instance_test.cpp:110: CHECK(!Fixture.isEndProposed()) failed

--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -146,8 +146,8 @@
 }
 
 /// Moves the launches and orphans of a worker to its new instance. An order
-/// that was sent to the previous instance may still start there, so its orphans
-/// are stopped again on the new one.
+/// that was sent to the previous instance may still start there, so what was
+/// stopped is stopped again on the new one.
 void transferLaunches(DispatchState &Dispatch, WorkerInstanceId From,
                       WorkerInstanceId To, Instant Now) {
   const auto PreviousSession = Dispatch.Sessions.find(From);
@@ -166,7 +166,11 @@
   }
   extendLeaseForPreviousInstance(Dispatch, Session, Now);
   for (const TaskKey &Key : Session.Tasks) {
-    Dispatch.Launches.at(Key).Assignment.Worker = To;
+    TaskLaunch &Launch = Dispatch.Launches.at(Key);
+    Launch.Assignment.Worker = To;
+    Launch.StopOrder = 0;
+    Launch.StopSentAt = Instant{};
+    Launch.StopAckedAt.reset();
   }
   Dispatch.Sessions.erase(From);
 }
