--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -31,8 +31,10 @@
   ResetConnections, ///< Connections to a worker are reset: orders on them may
                     ///< be executed, but the answers are lost at once.
   PartitionPath,    ///< A worker exchanges nothing with one of the voters.
-  FreezeNode ///< A voter stops for longer than a lease. Its sockets keep what
-             ///< arrives, and what it sent before may leave them afterwards.
+  FreezeNode, ///< A voter stops for longer than a lease. Its sockets keep what
+              ///< arrives, and what it sent before may leave them afterwards.
+  CrashingTask, ///< Callers submit jobs with tasks that crash workers.
+  CrashRack     ///< Half of the workers crash at once.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
