--- /dev/null
+++ b/test/platform/malformed_input_test.cpp
@@ -0,0 +1,98 @@
+#include "platform/gateway.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+using namespace mulberryramp::platform;
+
+namespace {
+
+const PlatformGateway Protocol;
+
+int statusOf(Listener Source, const std::string &Method,
+             const std::string &Path, const std::string &Body) {
+  HttpRequest Request;
+  Request.Method = Method;
+  Request.Path = Path;
+  Request.Body = Body;
+  Request.Host = "host.example";
+  const auto Call = Protocol.decodeCall(Source, Request);
+  return Call ? 200 : Call.error().Status;
+}
+
+/// @brief A valid report in which one part of the text is replaced.
+std::string makeReport(const std::string &From = "",
+                       const std::string &To = "") {
+  std::string Text =
+      R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"ready",)"
+      R"("remaining_ms":5,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},)"
+      R"("labels":["a","r1-3"],"clock_ms":4821,"seq":4,"born":99})";
+  return From.empty() ? Text : Text.replace(Text.find(From), From.size(), To);
+}
+
+int reportStatus(const std::string &Body,
+                 const std::string &Path = "/api/instances/i-1") {
+  return statusOf(Listener::Control, "PUT", Path, Body);
+}
+
+int jobStatus(const std::string &Fields, const std::string &Path = "/p/5c0e") {
+  return statusOf(Listener::Callers, "POST", Path,
+                  R"({"spec":"x","phases":[{"count":1}],)" + Fields + "}");
+}
+
+int configurationStatus(const std::string &Field) {
+  return statusOf(Listener::Control, "PUT", "/api/config",
+                  R"({"version":7,"services":[{"name":"s"}],"routes":[)"
+                  R"({"host":"h","path_prefix":"/p/","timeout_ms":3000,)"
+                  R"("service":"s",)" +
+                      Field + "}]}");
+}
+
+} // namespace
+
+TEST_GROUP(MalformedInput){};
+
+/// A report with a number that no machine can have must not register a worker.
+TEST(MalformedInput, ReportsWithNumbersOutOfRangeAreRejected) {
+  CHECK_EQUAL(200, reportStatus(makeReport()));
+  for (const char *Number :
+       {"1e308", "-1e308", "1e999", "9223372036854775807",
+        "9223372036854775808", "-9223372036854775808", "18446744073709551615",
+        "99999999999999999999999"}) {
+    for (const char *Field :
+         {R"("cpu":16000)", R"("mem_mb":32768)", R"("gpu":1)",
+          R"("clock_ms":4821)", R"("born":99)", R"("remaining_ms":5)"}) {
+      const std::string Name{Field, std::string{Field}.find(':') + 1};
+      const int Status = reportStatus(makeReport(Field, Name + Number));
+      CHECK_EQUAL_TEXT(400, Status, (Name + Number).c_str());
+    }
+  }
+  CHECK_EQUAL(400, reportStatus(makeReport(R"("cpu":16000)", R"("cpu":-1)")));
+  CHECK_EQUAL(400, reportStatus(makeReport(R"("seq":4)", R"("seq":1e308)")));
+  CHECK_EQUAL(400, reportStatus(makeReport(R"("seq":4)",
+                                           R"("seq":18446744073709551615)")));
+}
+
+TEST(MalformedInput, JobsAndConfigurationsWithNumbersOutOfRangeAreRejected) {
+  CHECK_EQUAL(200, jobStatus(R"("repeat_count":2,"interval_ms":1000)"));
+  CHECK_EQUAL(200, configurationStatus(R"("target_latency_ms":300)"));
+  for (const char *Number :
+       {"1e308", "9223372036854775807", "18446744073709551615"}) {
+    CHECK_EQUAL(400, jobStatus(R"("start_ms":)" + std::string{Number}));
+    CHECK_EQUAL(400, jobStatus(R"("repeat_count":2,"interval_ms":)" +
+                               std::string{Number}));
+    CHECK_EQUAL(400, configurationStatus(R"("target_latency_ms":)" +
+                                         std::string{Number}));
+    CHECK_EQUAL(
+        400, configurationStatus(R"("slack_factor":)" + std::string{Number}));
+    CHECK_EQUAL(400, configurationStatus(R"("advisor":{"decision_ms":)" +
+                                         std::string{Number} + "}"));
+  }
+  CHECK_EQUAL(400, jobStatus(R"("repeat_count":2147483647,)"
+                             R"("interval_ms":99999999999999)"));
+}
