Treat answers with numbers out of range as unusable

The clock, the start time, attempts, numbers of ends and progress in an answer of a worker were read with casts from double (undefined out of range), and unsigned numbers above 2^63 became negative. The leader adds the clock to lease times, so that one such answer made them overflow, and a negative progress became about 4 billion percent.

Failed before (with -fsanitize=undefined): nlohmann/detail/conversions/from_json.hpp:67:19: runtime error: 1e+308 is outside the range of representable values of type 'long int' Failure in TEST(MalformedInput, AnswersWithNumbersOutOfRangeAreUnusable) CHECK(OrderVerdict::Unanswered == decodeRenewal(Number, Row, End).Verdict) failed

--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -53,6 +53,15 @@
                       Field + "}]}");
 }
 
+OrderResult decodeRenewal(const std::string &Clock, const std::string &Running,
+                          const std::string &Finished) {
+  return Protocol.decodeOrderResult(
+      5, WorkerOrderKind::Renew,
+      {200, false,
+       R"({"clock_ms":)" + Clock + R"(,"born":99,"running":[)" + Running +
+           R"(],"finished":[)" + Finished + "]}"});
+}
+
 } // namespace
 
 TEST_GROUP(MalformedInput){};
@@ -78,6 +87,38 @@
                                            R"("seq":18446744073709551615)")));
 }
 
+/// One such value in the list of a worker made later sums overflow.
+TEST(MalformedInput, AnswersWithNumbersOutOfRangeAreUnusable) {
+  const std::string Row = R"(["a.0.0.0",1,"",0,7])";
+  const std::string End = R"([1,"a.0.0.0",1,"done",""])";
+  CHECK(OrderVerdict::Done == decodeRenewal("1", Row, End).Verdict);
+  for (const char *Number :
+       {"1e308", "-1e308", "9223372036854775807", "18446744073709551615",
+        "-9223372036854775808", "1.5", "true"}) {
+    CHECK_TEXT(OrderVerdict::Unanswered ==
+                   decodeRenewal(Number, Row, End).Verdict,
+               Number);
+    CHECK_TEXT(
+        OrderVerdict::Unanswered ==
+            decodeRenewal(
+                "1", std::string{R"(["a.0.0.0",)"} + Number + R"(,"",0])", End)
+                .Verdict,
+        Number);
+    CHECK_TEXT(OrderVerdict::Unanswered ==
+                   decodeRenewal("1", Row,
+                                 std::string{"["} + Number +
+                                     R"(,"a.0.0.0",1,"done",""])")
+                       .Verdict,
+               Number);
+  }
+  for (const char *Number : {"1e308", "-1e308", "-5"}) {
+    const OrderResult Result = decodeRenewal(
+        "1", std::string{R"(["a.0.0.0",1,"",)"} + Number + "," + Number + "]",
+        "");
+    CHECK(Result.Running.empty() || Result.Running[0].Percent <= 100);
+  }
+}
+
 TEST(MalformedInput, JobsAndConfigurationsWithNumbersOutOfRangeAreRejected) {
   CHECK_EQUAL(200, jobStatus(R"("repeat_count":2,"interval_ms":1000)"));
   CHECK_EQUAL(200, configurationStatus(R"("target_latency_ms":300)"));
