--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -14,6 +14,22 @@
 
 const PlatformGateway Protocol;
 
+/// @brief Returns arrays or objects that are nested this deeply.
+std::string makeNested(std::size_t Depth, const std::string &Open,
+                       const std::string &Close) {
+  std::string Text;
+  for (std::size_t Level = 0; Level < Depth; ++Level) {
+    Text += Open;
+  }
+  Text += "1";
+  for (std::size_t Level = 0; Level < Depth; ++Level) {
+    Text += Close;
+  }
+  return Text;
+}
+
+constexpr std::size_t DeepNesting = 500000;
+
 int statusOf(Listener Source, const std::string &Method,
              const std::string &Path, const std::string &Body) {
   HttpRequest Request;
@@ -87,6 +103,32 @@
                                            R"("seq":18446744073709551615)")));
 }
 
+/// The leader stalled for longer than an election timeout on such an answer,
+/// and a report with such a field was accepted.
+TEST(MalformedInput, DeeplyNestedBodiesAreRejected) {
+  CHECK_EQUAL(200, reportStatus(
+                       makeReport(R"("seq":4)", R"("x":"\"[\\","seq":4,"y":)" +
+                                                    makeNested(30, "[", "]"))));
+  const std::string Arrays = makeNested(DeepNesting, "[", "]");
+  const std::string Objects = makeNested(DeepNesting, R"({"a":)", "}");
+  for (const std::string &Nested :
+       {Arrays, Objects, std::string(DeepNesting, '['),
+        makeNested(40, R"([{"a":)", "}]")}) {
+    CHECK_EQUAL(400, reportStatus(Nested));
+    CHECK_EQUAL(400,
+                reportStatus(makeReport(R"("gpu":1)", R"("gpu":)" + Nested)));
+    CHECK_EQUAL(400, reportStatus(
+                         makeReport(R"("seq":4)", R"("seq":4,"x":)" + Nested)));
+    CHECK(OrderVerdict::Unanswered == decodeRenewal("1", Nested, "").Verdict);
+    CHECK(OrderVerdict::Unanswered == decodeRenewal(Nested, "", "").Verdict);
+    const AdviceQuery Query;
+    CHECK(Protocol
+              .decodeAdvice(Query,
+                            {200, false, R"({"eligible":[)" + Nested + "]}"})
+              .Admitted.empty());
+  }
+}
+
 /// One such value in the list of a worker made later sums overflow.
 TEST(MalformedInput, AnswersWithNumbersOutOfRangeAreUnusable) {
   const std::string Row = R"(["a.0.0.0",1,"",0,7])";
