Reject worker names that cannot be part of a header or a JSON text

A name comes from the path of a report, with its escapes decoded, so that PUT /api/instances/%FF registered a worker. Encoding an advice query that names it threw (invalid UTF-8), which ended the process that sent the query; as the worker was stored, the query went to the next node. A name with a line break added a header to each order to the worker and lines to the log.

Names of at most 256 visible ASCII characters are accepted now; others get 400.

Failed before: terminate called after throwing an instance of 'nlohmann::json_abi_v3_11_2::detail::type_error' what(): [json.exception.type_error.316] (the text was 0xC3) Failure in TEST(MalformedInput, WorkerNamesThatAreNotVisibleAsciiAreRejected) expected <400> but was <200>

--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -103,6 +103,20 @@
                                            R"("seq":18446744073709551615)")));
 }
 
+/// A name becomes part of headers, of JSON bodies and of log lines. A name that
+/// is not UTF-8 ended each process that sent it.
+TEST(MalformedInput, WorkerNamesThatAreNotVisibleAsciiAreRejected) {
+  const std::string Prefix = "/api/instances/";
+  for (const std::string &Name :
+       {std::string{}, std::string{"\xff\xfe"}, std::string{"a\r\nX: y"},
+        std::string{"a b"}, std::string{"a\nevent=x"}, std::string{"\xc3\xa9"},
+        std::string(100000, 'a')}) {
+    CHECK_EQUAL(400, reportStatus(makeReport(), Prefix + Name));
+    CHECK_EQUAL(400, statusOf(Listener::Control, "DELETE", Prefix + Name, ""));
+  }
+  CHECK_EQUAL(200, reportStatus(makeReport(), Prefix + "i-7f3a91c2_x.y"));
+}
+
 /// The leader stalled for longer than an election timeout on such an answer,
 /// and a report with such a field was accepted.
 TEST(MalformedInput, DeeplyNestedBodiesAreRejected) {
