--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -117,6 +117,30 @@
   CHECK_EQUAL(200, reportStatus(makeReport(), Prefix + "i-7f3a91c2_x.y"));
 }
 
+/// The leader ended whenever it sent a start of such a job, and so did the next
+/// leader.
+TEST(MalformedInput, JobNamesThatAreNotVisibleAsciiAreRejected) {
+  for (const char *Path : {"/p/\xff\xfe", "/p/a\nevent=x", "/p/a b"}) {
+    CHECK_EQUAL(400, jobStatus(R"("start_ms":0)", Path));
+  }
+}
+
+/// State that an earlier version has stored may still hold such a name.
+TEST(MalformedInput, OrdersWithTextsThatAreNotUtf8AreEncoded) {
+  WorkerOrder Order;
+  Order.Kind = WorkerOrderKind::Start;
+  Order.Task.Job = "\xff";
+  Order.Payload = "\xc3";
+  CHECK(!Protocol.encodeOrder(Order).Body.empty());
+  AdviceQuery Query;
+  Query.Workers = {"\xff"};
+  CHECK(!Protocol.encodeAdviceQuery(Query, {"10.0.0.1", 80}).Body.empty());
+  CellReply Reply;
+  Reply.Verdict = CellVerdict::Refused;
+  Reply.Text = "\xff";
+  CHECK_EQUAL(503, Protocol.encodeReply({}, Reply, "").Status);
+}
+
 /// The leader stalled for longer than an election timeout on such an answer,
 /// and a report with such a field was accepted.
 TEST(MalformedInput, DeeplyNestedBodiesAreRejected) {
