--- a/test/platform/malformed_input_test.cpp
+++ b/test/platform/malformed_input_test.cpp
@@ -103,6 +103,20 @@
                                            R"("seq":18446744073709551615)")));
 }
 
+/// Orders to such an address can never arrive, or need a name lookup.
+TEST(MalformedInput, ReportsWithUnusableAddressesAreRejected) {
+  for (const char *Address :
+       {"", ":", "10.1.0.9", "10.1.0.9:", "10.1.0.9:0", "10.1.0.9:65536",
+        "10.1.0.9:99999999999999999999", "10.1.0.9:-1", "10.1.0.9:80/x",
+        "10.1.0.9:8 0", "[::1]:80", "::1:80", "host:80", "a@10.1.0.9:80",
+        "10.1.0.256:80", "10.1.0.9:80\\r\\nX: y", "10.1.0.9\\u0000:80"}) {
+    const int Status = reportStatus(makeReport("10.1.0.9:80", Address));
+    CHECK_EQUAL_TEXT(400, Status, Address);
+  }
+  CHECK_EQUAL(
+      400, reportStatus(makeReport("10.1.0.9:80", std::string(100000, '1'))));
+}
+
 /// A name becomes part of headers, of JSON bodies and of log lines. A name that
 /// is not UTF-8 ended each process that sent it.
 TEST(MalformedInput, WorkerNamesThatAreNotVisibleAsciiAreRejected) {
