Ignore reports with a start time in the far future

A report under the name of a worker with a start time far in the future registered a new instance of it. All reports and answers of the actual worker then counted as those of an earlier instance, so that it got no starts any more. Under another name at the same address, it ended the actual worker.

The check is made before the command is proposed, so that replicas of other versions apply the same entries.

Failed before: Failure in TEST(WorkerReports, AStartTimeInTheFarFutureReplacesNoWorker) expected <1> but was <0> (starts on the actual worker)

--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t SnapshotThreshold = 2000;
 /// Number of log entries before a snapshot that are kept.
 constexpr std::size_t TrailingEntries = 500;
+/// A report with a start time that is further ahead of the wall clock is
+/// ignored, as it would replace the actual worker for good.
+constexpr Millis MaxStartTimeLead{std::chrono::hours{24}};
 
 /// Tells whether a message may only be sent once the state that it asserts is
 /// synced on this node.
@@ -201,7 +204,9 @@
   const PendingCaller Caller{From, Call.Id, std::nullopt};
   std::visit(
       [&](const auto &Body) {
-        if constexpr (std::is_same_v<std::decay_t<decltype(Body)>, JobCall>) {
+        using Kind = std::decay_t<decltype(Body)>;
+        if constexpr (std::is_same_v<Kind, JobCall> ||
+                      std::is_same_v<Kind, WorkerReportCall>) {
           serve(Caller, Body, WallNow);
         } else {
           serve(Caller, Body);
@@ -311,8 +316,14 @@
              : reply(CellVerdict::Done, State.Configuration.SourceDocument));
 }
 
-void CellNode::serve(const PendingCaller &Caller,
-                     const WorkerReportCall &Call) {
+void CellNode::serve(const PendingCaller &Caller, const WorkerReportCall &Call,
+                     WallTime WallNow) {
+  const WallTime StartTime{Millis{Call.Report.StartTimeMs}};
+  if (StartTime > WallNow + MaxStartTimeLead) {
+    answer(Caller.From, Caller.Id,
+           reply(CellVerdict::Done, "a start time in the future"));
+    return;
+  }
   const WorkerInstanceId Id = findWorker(State, Call.Report.Name);
   const WorkerInstance *Instance = State.Workers.find(Id);
   if (Instance == nullptr ||
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -151,7 +151,8 @@
              WallTime WallNow);
   void serve(const PendingCaller &Caller, const ConfigureCall &Call);
   void serve(const PendingCaller &Caller, const ReadConfigurationCall &Call);
-  void serve(const PendingCaller &Caller, const WorkerReportCall &Call);
+  void serve(const PendingCaller &Caller, const WorkerReportCall &Call,
+             WallTime WallNow);
   void serve(const PendingCaller &Caller, const DeregisterWorkerCall &Call);
   void submitJob(const PendingCaller &Caller, const JobQueue &Queue,
                  std::string Name, const JobCall &Call, WallTime WallNow);
