Ignore reports of workers of pools that no job can use

A report that names an unknown service registered a worker. If it had the address of another worker and a later start time, that worker counted as ended: its tasks were recorded as lost and started a second time while they ran.

The leader registers a new worker only if its pool is used by a queue of the configuration or of an unfinished job, or if there is no configuration yet. A worker of a pool that a later configuration names is registered by its next report. Reports of registered workers are handled as before.

Failed before: Failure in TEST(WorkerReports, AReportOfAnUnknownPoolReplacesNoWorker) expected <1> but was <2> (starts of one task on the actual worker)

--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -328,6 +328,13 @@
   const WorkerInstance *Instance = State.Workers.find(Id);
   if (Instance == nullptr ||
       Call.Report.StartTimeMs > Instance->Report.StartTimeMs) {
+    // A worker of a pool that no job can use might still end another one that
+    // has the same address. It is registered by the first report after a
+    // configuration names its pool.
+    if (!isPoolInUse(State, Call.Report.Pool)) {
+      answer(Caller.From, Caller.Id, reply(CellVerdict::Done, "unused pool"));
+      return;
+    }
     PendingCaller Registering = Caller;
     Registering.Report = Call.Report;
     propose(Registering, RegisterWorkerCommand{Call.Report});
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -445,6 +445,18 @@
   return It == State.WorkerNames.end() ? WorkerInstanceId{} : It->second;
 }
 
+bool isPoolInUse(const CellState &State, std::string_view Pool) {
+  const CellConfiguration &Configuration = State.Configuration;
+  return Configuration.Version == 0 ||
+         std::any_of(
+             Configuration.Queues.begin(), Configuration.Queues.end(),
+             [Pool](const JobQueue &Queue) { return Queue.Pool == Pool; }) ||
+         std::any_of(State.UnfinishedJobs.begin(), State.UnfinishedJobs.end(),
+                     [&State, Pool](JobId Id) {
+                       return State.Jobs[Id].Queue.Pool == Pool;
+                     });
+}
+
 const JobTask *findTask(const CellState &State, const TaskKey &Key) noexcept {
   const Job *Owner = State.Jobs.find(Key.Job);
   const JobRun *Run = Owner == nullptr ? nullptr : findRun(*Owner, Key.Run);
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -53,6 +53,10 @@
 /// @return Its identifier, or the null one.
 [[nodiscard]] JobId findJob(const CellState &State, std::string_view Name);
 
+/// @brief Tells whether a queue of the configuration or of an unfinished job
+/// uses a pool. Without a configuration all pools count as used.
+[[nodiscard]] bool isPoolInUse(const CellState &State, std::string_view Pool);
+
 /// @brief Finds the current instance of a worker by its name.
 /// @return Its identifier, or the null one.
 [[nodiscard]] WorkerInstanceId findWorker(const CellState &State,
--- a/test/cell/worker_report_test.cpp
+++ b/test/cell/worker_report_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr NodeId Leader = 1;
-constexpr std::int64_t Day = 24 * 60 * 60 * 1000;
+constexpr std::int64_t Day = std::int64_t{24} * 60 * 60 * 1000;
 
 /// @brief A cell of one voter and a worker "good" that answers all orders.
 struct OneWorkerCell {
@@ -110,6 +110,24 @@
 
 TEST_GROUP(WorkerReports){};
 
+/// A report of an unknown pool ended the worker at the same address, and its
+/// tasks were started a second time.
+TEST(WorkerReports, AReportOfAnUnknownPoolReplacesNoWorker) {
+  OneWorkerCell Cell;
+  Cell.run(Millis{1500});
+  Cell.submit("first");
+  Cell.run(Millis{500});
+  CHECK_EQUAL(1, Cell.Starts.size());
+  WorkerReport Odd = Cell.Good;
+  Odd.Name = "odd";
+  Odd.Pool = "nowhere";
+  Odd.StartTimeMs += 1;
+  Cell.call(WorkerReportCall{Odd});
+  Cell.run(Millis{10000});
+  CHECK_EQUAL(1, Cell.Starts.size());
+  CHECK(!Cell.OrderedWorkers.contains("odd"));
+}
+
 /// After a report with a start time in the far future, all reports of the
 /// actual worker counted as those of an earlier instance.
 TEST(WorkerReports, AStartTimeInTheFarFutureReplacesNoWorker) {
