Follow the capacity that a running worker reports

The cell kept the capacity of the first report of a worker instance. A worker whose capacity shrank while it ran was still filled up to the former one, so that starts brought it over its capacity (LIMIT); one that grew again got no more than before.

Cause: the replicated description of an instance was written by its registration and never again. Reports of a known instance only set the leader's clock, its sequence number and the drain.

A report that states another capacity now proposes UpdateCapacityCommand with the sequence number of the report, before the next plan. An assignment is checked against the recorded capacity when it is applied, in the order of the log. The sequence number is replicated in WorkerInstance::Report, where that of the first report was, so an older report that arrives late is ignored by the next leader and by the state as well. An instance that the leader registers from the answer to a renewal starts at sequence 0, as its reports count anew. Reports without a change add no entry. The session keeps the last proposed capacity, so a change that is taken back before its commit is not lost.

The free resources of a worker may now be negative. Every user was read: starts, queries, rooms and reservations compare by fitsIn() first, and taskCapacity() is only called where one task fits. What runs stays. A worker that is over its capacity in one resource gets no task at all, not even one that needs none of it.

Evidence: the explorer has a new kind of fault, shrink-worker, and checks at each start that the tasks on the worker, with those that are being stopped, fit into the largest capacity that it reported within the last 3 s and one report interval.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -343,6 +343,7 @@
     if (Result.StartTimeMs > Worker.Report.StartTimeMs) {
       RegisterWorkerCommand Register{Worker.Report};
       Register.Report.StartTimeMs = Result.StartTimeMs;
+      Register.Report.Sequence = 0; // Each instance counts its own reports.
       Dispatch.Commands.emplace_back(std::move(Register));
     }
     Session.IsInstanceVerified = false;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -33,6 +33,8 @@
   WorkerSession &Session = Dispatch.Sessions[Worker];
   Session.EndsProposed = Instance.LastAckedEnd;
   Session.IsDraining = Instance.Report.IsDraining;
+  Session.ProposedCapacity = Instance.Report.Capacity;
+  Session.CapacitySequence = Instance.Report.Sequence;
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
   Session.LeaseEnd = Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease);
@@ -175,6 +177,20 @@
   Dispatch.Sessions.erase(From);
 }
 
+void proposeCapacity(DispatchState &Dispatch, WorkerSession &Session,
+                     WorkerInstanceId Worker, const WorkerReport &Report) {
+  const Resources &Capacity = Report.Capacity;
+  Dispatch.Events.push_back(
+      "event=worker-capacity worker=" + Report.Name +
+      " cpu=" + std::to_string(Capacity.MilliCpus) +
+      " memory=" + std::to_string(Capacity.MemoryMb) +
+      " accelerators=" + std::to_string(Capacity.Accelerators));
+  Session.ProposedCapacity = Capacity;
+  Session.CapacitySequence = Report.Sequence;
+  Dispatch.Commands.emplace_back(
+      UpdateCapacityCommand{Worker, Capacity, Report.Sequence});
+}
+
 void removeStaleSessions(DispatchState &Dispatch, const CellState &State) {
   std::erase_if(Dispatch.Sessions, [&State](const auto &SessionRow) {
     return !State.Workers.contains(SessionRow.first);
@@ -327,6 +343,12 @@
     Dispatch.NeedsPlan = true;
   }
   Session.Clock = ClockSample{Report.Clock, Now};
+  // A new leader does not know which reports its predecessor got. The recorded
+  // sequence number keeps an older report from undoing the recorded capacity.
+  if (Report.Sequence > Session.CapacitySequence &&
+      Report.Capacity != Session.ProposedCapacity) {
+    proposeCapacity(Dispatch, Session, Worker, Report);
+  }
 }
 
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -127,7 +127,11 @@
   std::uint64_t EndsProposed = 0;
   /// Highest end acknowledged by an answered renewal.
   std::uint64_t AckSent = 0;
-  std::uint64_t Sequence = 0;      ///< Sequence number of its last report.
+  std::uint64_t Sequence = 0; ///< Sequence number of its last report.
+  /// Last capacity that was recorded or proposed.
+  Resources ProposedCapacity;
+  /// Sequence number of the report that stated it.
+  std::uint64_t CapacitySequence = 0;
   std::uint32_t FailureStreak = 0; ///< Consecutive failed tasks.
   /// Average ratio of run times to those of peer tasks.
   double RuntimeRatio = 1;
@@ -300,8 +304,9 @@
 void onStateChange(DispatchState &Dispatch, const CellState &State,
                    const CellChange &Change, Instant Now);
 
-/// @brief Records a report of the current instance of a worker. Reports that
-/// arrive out of order are ignored.
+/// @brief Records a report of the current instance of a worker, and proposes
+/// its capacity if that has changed. Reports that arrive out of order are
+/// ignored.
 void onWorkerReport(DispatchState &Dispatch, WorkerInstanceId Worker,
                     const WorkerReport &Report, Instant Now);
 
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -190,11 +190,29 @@
   }
 };
 
-/// @brief Any command of the replicated log of a cell.
+/// @brief Records the capacity that a worker instance reports, unless that of a
+/// later report is recorded.
+///
+/// Assigned tasks stay, so that they may need more than the capacity.
+struct UpdateCapacityCommand {
+  WorkerInstanceId Worker;
+  Resources Capacity;
+  std::uint64_t Sequence = 0; ///< `WorkerReport::Sequence` of the report.
+
+  static constexpr auto fields() {
+    return std::make_tuple(&UpdateCapacityCommand::Worker,
+                           &UpdateCapacityCommand::Capacity,
+                           &UpdateCapacityCommand::Sequence);
+  }
+};
+
+/// @brief Any command of the replicated log of a cell. Stored logs name the
+/// alternatives by index, so new ones are appended.
 using CellCommand =
     std::variant<SubmitJobCommand, CancelJobCommand, ConfigureCommand,
                  RegisterWorkerCommand, DrainWorkerCommand,
                  DeregisterWorkerCommand, AssignTasksCommand,
-                 RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand>;
+                 RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
+                 UpdateCapacityCommand>;
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -336,6 +336,15 @@
   return {};
 }
 
+CellChange apply(CellState &State, const UpdateCapacityCommand &Command) {
+  WorkerInstance *Worker = State.Workers.find(Command.Worker);
+  if (Worker != nullptr && Command.Sequence > Worker->Report.Sequence) {
+    Worker->Report.Capacity = Command.Capacity;
+    Worker->Report.Sequence = Command.Sequence;
+  }
+  return {};
+}
+
 CellChange apply(CellState &State, const DeregisterWorkerCommand &Command) {
   CellChange Change;
   deregisterWorker(State, Command.Worker, Change);
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -71,6 +71,7 @@
 [[nodiscard]] Resources requiredResources(const StepSpec &Step) noexcept;
 
 /// @brief Computes the resources of a worker that are not assigned to tasks.
+/// Amounts are negative if the capacity has shrunk below what is assigned.
 [[nodiscard]] Resources
 availableResources(const WorkerInstance &Worker) noexcept;
 
--- a/src/mulberryramp/job/worker.hpp
+++ b/src/mulberryramp/job/worker.hpp
@@ -38,8 +38,10 @@
 
 /// @brief One run of a worker process, as known to the cell.
 struct WorkerInstance {
-  WorkerReport Report; ///< `Clock` and `Sequence` are of the first report.
-  Resources Used;      ///< Sum over all assigned tasks.
+  /// The first report. `Capacity` is the last recorded one, and `Sequence` is
+  /// that of the report which stated it; 0 if none of this instance has.
+  WorkerReport Report;
+  Resources Used;                 ///< Sum over all assigned tasks.
   std::uint64_t LastAckedEnd = 0; ///< Ends up to this number are recorded.
   std::uint32_t Tasks = 0;        ///< Number of assigned tasks.
 
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -29,6 +29,9 @@
 constexpr Millis ScheduleTimeWithCrashes{ScheduleTime + Millis{3 * 5 * 5000}};
 constexpr Millis ReportInterval{500};
 constexpr Millis MaxCancelDelay{3000};
+/// A capacity that has shrunk binds starts this long after it was reported, and
+/// one report interval.
+constexpr Millis ContactWindow{3000};
 constexpr NodeId VoterCount = 3;
 constexpr NodeId FrontendId = 100;
 constexpr int WorkerCount = 4;
@@ -41,6 +44,7 @@
 /// Crashes under a crashing task after which its starts are limited.
 constexpr std::uint32_t MaxCrashes = 3;
 constexpr std::uint32_t MaxStartsAfterCrashes = 2;
+constexpr std::int64_t WorkerCpus = 4 * TaskCpus;
 /// Time for which members of a gang wait for the other members.
 constexpr Millis GangTimeout{3000};
 
@@ -93,6 +97,9 @@
   /// Times until which single nodes exchange nothing with this worker.
   std::map<NodeId, Instant> PathsCutUntil;
   Instant ReportAt;
+  Instant ShrunkUntil;
+  std::vector<std::pair<Instant, std::int64_t>>
+      ReportedCpus; ///< Each reported capacity, with the first such report.
   std::uint64_t ProcessGeneration = 0;
   /// Generation of this worker that last answered each process of a node. The
   /// open connections of that process lead to it.
@@ -136,11 +143,8 @@
     Frontend = std::make_unique<CellNode>(FrontendOptions, StoredGroup{}, Now);
     for (int Index = 0; Index < WorkerCount; ++Index) {
       const std::string Name = "w" + std::to_string(Index);
-      Resources Capacity;
-      Capacity.MilliCpus = 4 * TaskCpus;
-      Capacity.MemoryMb = 100;
       Workers[Name].Worker = std::make_unique<FakeWorker>(
-          Name, Capacity, Options.Seed * 31 + Index, Now);
+          Name, capacityOf(WorkerCpus), Options.Seed * 31 + Index, Now);
     }
     LastLeader = 0;
   }
@@ -152,6 +156,7 @@
       if (Now < FaultsEnd) {
         injectFaults();
       }
+      restoreCapacities();
       issueCalls();
       deliver();
       for (auto &[Id, Voter] : VotersById) {
@@ -180,6 +185,13 @@
         " ms: " + Text);
   }
 
+  static Resources capacityOf(std::int64_t MilliCpus) {
+    Resources Capacity;
+    Capacity.MilliCpus = MilliCpus;
+    Capacity.MemoryMb = 100;
+    return Capacity;
+  }
+
   static CellNodeOptions voterOptions(NodeId Id, std::uint64_t Incarnation,
                                       std::uint64_t Seed) {
     CellNodeOptions Node;
@@ -294,6 +306,11 @@
     if (shouldInject(CellFault::LoseMessages, 600)) {
       LoseMessagesUntil = Now + randomDuration(200, 1500);
     }
+    if (shouldInject(CellFault::ShrinkWorker, 300)) {
+      State.ShrunkUntil = Now + randomDuration(300, 9000);
+      State.Worker->setCapacity(
+          capacityOf(static_cast<std::int64_t>(Rng.below(4)) * TaskCpus));
+    }
     if (shouldInject(CellFault::ResetConnections, 500)) {
       State.ResetUntil = Now + randomDuration(5, 3000);
       for (const auto &[Order, Sender] :
@@ -378,6 +395,16 @@
     return Job.Spec.Payload.starts_with("crash");
   }
 
+  /// Lets the workers grow again whose time is over.
+  void restoreCapacities() {
+    for (auto &[Name, State] : Workers) {
+      if (State.ShrunkUntil != Instant{} && Now >= State.ShrunkUntil) {
+        State.ShrunkUntil = Instant{};
+        State.Worker->setCapacity(capacityOf(WorkerCpus));
+      }
+    }
+  }
+
   void injectNodeFaults() {
     if (!canInjectNodeFault()) {
       return;
@@ -877,8 +904,9 @@
       if (!State.IsDown && Now >= State.ReportAt &&
           Now >= State.PartitionedUntil) {
         State.ReportAt = Now + ReportInterval;
-        Frontend->call(NextCall, WorkerReportCall{State.Worker->report(Now)},
-                       Now);
+        const WorkerReport Report = State.Worker->report(Now);
+        noteReport(State, Report);
+        Frontend->call(NextCall, WorkerReportCall{Report}, Now);
         NextCall += 1;
       }
       for (OrderResult &Answer : State.Worker->advance(Now)) {
@@ -899,6 +927,14 @@
     }
   }
 
+  void noteReport(WorkerState &State, const WorkerReport &Report) {
+    const std::int64_t MilliCpus = Report.Capacity.MilliCpus;
+    if (State.ReportedCpus.empty() ||
+        State.ReportedCpus.back().second != MilliCpus) {
+      State.ReportedCpus.emplace_back(Now, MilliCpus);
+    }
+  }
+
   // Invariants.
 
   const StepSpec &stepOf(const TaskName &Task) const {
@@ -922,6 +958,9 @@
     case WorkerEvent::Type::Started:
       Result.Starts += 1;
       checkStart(Event, Step, Text);
+      if (!Event.IsLate) {
+        checkCapacityAtStart(Workers.at(Worker), Text);
+      }
       break;
     case WorkerEvent::Type::Ended:
       if (Event.EndedAs == EndKind::Done) {
@@ -979,6 +1018,27 @@
     }
   }
 
+  /// Checks that the tasks on a worker, with those that are being stopped, need
+  /// no more than the largest capacity that a start may still count on.
+  void checkCapacityAtStart(const WorkerState &State, const std::string &Text) {
+    const Instant BoundSince = Now - ContactWindow - ReportInterval;
+    std::int64_t Allowed = 0;
+    for (auto It = State.ReportedCpus.rbegin(); It != State.ReportedCpus.rend();
+         ++It) {
+      Allowed = std::max(Allowed, It->second);
+      if (It->first <= BoundSince) {
+        break;
+      }
+    }
+    std::int64_t UsedMilliCpus = 0;
+    for (const auto &[Task, Attempt] : State.Worker->running()) {
+      UsedMilliCpus += stepOf(Task).Need.MilliCpus;
+    }
+    if (UsedMilliCpus > Allowed) {
+      recordViolation("start over a capacity that has shrunk: " + Text);
+    }
+  }
+
   /// Checks that no member starts after the end of another member was
   /// acknowledged, and that members of two attempts never run at once.
   void checkGangStart(const WorkerEvent &Event, const StepSpec &Step,
@@ -1021,7 +1081,7 @@
           recordViolation("too many tasks of a step on " + Name);
         }
       }
-      if (UsedMilliCpus > 4 * TaskCpus) {
+      if (UsedMilliCpus > WorkerCpus) {
         recordViolation("overcommitted: " + Name);
       }
     }
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -34,18 +34,19 @@
   FreezeNode, ///< A voter stops for longer than a lease. Its sockets keep what
               ///< arrives, and what it sent before may leave them afterwards.
   CrashingTask, ///< Callers submit jobs with tasks that crash workers.
-  CrashRack     ///< Half of the workers crash at once.
+  CrashRack,    ///< Half of the workers crash at once.
+  ShrinkWorker  ///< The capacity of a worker shrinks and grows again.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 17>
+constexpr std::array<std::string_view, 18>
 nameTable(CellFault /*Kind*/) noexcept {
   return {"kill-node",         "wipe-node",      "replace-node",
           "pause-node",        "cut-node",       "stall-disk",
           "cut-worker",        "restart-worker", "late-orders",
           "lose-messages",     "power-off",      "cancel",
           "reset-connections", "cut-path",       "freeze-node",
-          "crashing-task",     "crash-rack"};
+          "crashing-task",     "crash-rack",     "shrink-worker"};
 }
 
 /// @brief Seed and faults of a schedule.
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -76,6 +76,10 @@
   /// @brief Lists the running tasks with their attempts.
   [[nodiscard]] std::vector<std::pair<TaskName, std::uint32_t>> running() const;
 
+  /// @brief Changes the capacity that its reports state. Attempts that run are
+  /// not affected.
+  void setCapacity(const Resources &NewCapacity) { Capacity = NewCapacity; }
+
   /// @brief Sets whether all tasks that finish from now on fail.
   void failAll(bool IsFailing) { FailsAll = IsFailing; }
 
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -115,6 +115,49 @@
   CHECK(Fixture.start({Id, 0, 0, 0}, 2, Worker).Started.empty());
 }
 
+/// The capacity of a running worker may shrink below what its tasks need.
+TEST(JobState, NoTaskStartsOverACapacityThatHasShrunk) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Id = Fixture.submit("j", {step(4)});
+  const auto SetCapacity = [&](std::int64_t Tasks, std::uint64_t Sequence) {
+    Resources Capacity;
+    Capacity.MilliCpus = Tasks * TaskMilliCpus;
+    applyCommand(Fixture.State,
+                 UpdateCapacityCommand{Worker, Capacity, Sequence});
+  };
+  Fixture.start({Id, 0, 0, 0}, 1, Worker);
+  Fixture.start({Id, 0, 0, 1}, 1, Worker);
+  SetCapacity(1, 2);
+  CHECK_EQUAL(2, Fixture.State.Workers[Worker].Tasks);
+  CHECK_EQUAL(-TaskMilliCpus,
+              availableResources(Fixture.State.Workers[Worker]).MilliCpus);
+  CHECK(Fixture.start({Id, 0, 0, 2}, 1, Worker).Started.empty());
+  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Done);
+  CHECK(Fixture.start({Id, 0, 0, 2}, 1, Worker).Started.empty());
+  SetCapacity(2, 3);
+  CHECK_EQUAL(1, Fixture.start({Id, 0, 0, 2}, 1, Worker).Started.size());
+  CHECK(Fixture.start({Id, 0, 0, 3}, 1, Worker).Started.empty());
+}
+
+/// Reports reach the leader through any node, in any order.
+TEST(JobState, CapacityOfAnOlderReportIsIgnored) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  Resources Shrunk;
+  Shrunk.MilliCpus = TaskMilliCpus;
+  applyCommand(Fixture.State, UpdateCapacityCommand{Worker, Shrunk, 7});
+  Resources Former;
+  Former.MilliCpus = 4 * TaskMilliCpus;
+  for (const std::uint64_t Sequence : {6, 7}) {
+    applyCommand(Fixture.State,
+                 UpdateCapacityCommand{Worker, Former, Sequence});
+  }
+  CHECK(Shrunk == Fixture.State.Workers[Worker].Report.Capacity);
+  applyCommand(Fixture.State, UpdateCapacityCommand{Worker, Former, 8});
+  CHECK(Former == Fixture.State.Workers[Worker].Report.Capacity);
+}
+
 TEST(JobState, NoTaskStartsAfterTheJobIsCancelled) {
   CellFixture Fixture;
   const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
