Give up a long-running task only after three crashes

Such a task stays for long and meets more crashes that it did not cause, and its loss is the greater for its caller.

--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 /// A task is given up after this many workers crashed under it, if it alone may
-/// have caused the last crash.
+/// have caused the last crash. A long-running task meets more crashes that it
+/// did not cause.
 constexpr std::uint32_t MaxCrashesOfOnlySuspect = 2;
 /// A task is given up after this many workers crashed under it.
 constexpr std::uint32_t MaxCrashes = 3;
@@ -131,9 +132,10 @@
   } else {
     Task.Crashes += 1;
   }
+  const bool IsOnlySuspect =
+      End.Kind == EndKind::Crashed && !specAt(State, End.Key).IsLongRunning;
   const bool IsCause =
-      (End.Kind == EndKind::Crashed &&
-       Task.Crashes >= MaxCrashesOfOnlySuspect) ||
+      (IsOnlySuspect && Task.Crashes >= MaxCrashesOfOnlySuspect) ||
       Task.Crashes >= MaxCrashes ||
       Task.Crashes + Task.PossibleCrashes >= MaxPossibleCrashes;
   if (IsCause && !isTerminal(State.Jobs[End.Key.Job].Phase)) {
