--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -162,6 +162,20 @@
          Now - Launch.StartedAt >= Siblings.Expected + ProbeSlack;
 }
 
+/// Logs the times that decided about the migration of a task.
+void logMigration(DispatchState &Dispatch, const CellState &State,
+                  const TaskLaunch &Launch, const StepLaunches &Siblings,
+                  Instant Now) {
+  const TaskAssignment &Slow = Launch.Assignment;
+  Dispatch.Events.push_back(
+      "event=slow " + describeStart(nameTask(State, Slow.Key), Slow.Attempt) +
+      " worker=" + workerName(State, Slow.Worker) +
+      " percent=" + std::to_string(Launch.ProgressPercent) + " remaining_ms=" +
+      std::to_string(estimateRemainingTime(Launch, Now).count()) +
+      " median_ms=" + std::to_string(Siblings.MedianTime->count()) +
+      " expected_ms=" + std::to_string(Siblings.Expected.count()));
+}
+
 void reviewLaunch(DispatchState &Dispatch, const CellState &State,
                   TaskLaunch &Launch, const StepLaunches &Siblings,
                   Instant Now) {
@@ -178,6 +192,9 @@
     sendStop(Dispatch, State, Launch, "no-progress", Now);
   } else if (shouldMigrate(Launch, Siblings, Now)) {
     Session.BackoffUntil = Now + StalledBackoff;
+    if (Launch.StopSentAt == Instant{}) {
+      logMigration(Dispatch, State, Launch, Siblings, Now);
+    }
     sendStop(Dispatch, State, Launch, "slow", Now);
   } else if (needsProbe(Dispatch, Launch, Siblings, Session, Now)) {
     Launch.IsProbed = true;
