Measure the speed of an attempt from a point that the leader has seen

Two tasks of its first step were started and stopped as slow some 20 times each, so that its second step never began.

Cause: a new leader does not know when the attempts began that it finds in the log, and took its election for their start. Their run times since then became the mean run time of the step, here 1.5 s of a true 10 s, and each later attempt on a sound worker was stopped as too slow. For the attempts that were found running the same error hid slow workers.

The speed is now measured from the confirmed start, or from the first listed progress if the attempt may have begun earlier or at a checkpoint. Only attempts that this leader started count for the mean.

Ruled out: room, advice and reservations (each attempt started within 1.3 s of the end of the one before), workers that are not schedulable (10 workers got starts), slow workers.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -125,6 +125,10 @@
       Launch.Phase = LaunchPhase::Confirmed;
       Launch.PhaseSince = Now;
       Launch.ProgressAt = Now;
+      const JobTask *Task = findTask(State, Order.Key);
+      if (Task != nullptr && Task->Checkpoint.empty()) {
+        Launch.Baseline = ProgressSample{0, Now};
+      }
     }
     return;
   }
@@ -216,6 +220,9 @@
     Launch.ListedAt = Now;
     Launch.ProgressAt = Now;
   }
+  if (!Launch.Baseline) {
+    Launch.Baseline = ProgressSample{std::min(Listed.Percent, 100U), Now};
+  }
   if (Listed.Percent != Launch.ProgressPercent) {
     Launch.ProgressAt = Now;
   }
@@ -238,10 +245,10 @@
   const TaskKey &Key = Launch.Assignment.Key;
   const StepSpec &Spec = State.Jobs[Key.Job].Spec.Steps[Key.Step];
   const Millis RunTime = Now - Launch.StartedAt;
-  const bool IsValidSample = RunTime >= MinSampleRuntime && !Spec.IsGang &&
-                             !Spec.IsLongRunning &&
-                             Launch.Phase == LaunchPhase::Confirmed &&
-                             findTask(State, Key)->Checkpoint.empty();
+  const bool IsValidSample =
+      RunTime >= MinSampleRuntime && !Launch.IsRecovered && !Spec.IsGang &&
+      !Spec.IsLongRunning && Launch.Phase == LaunchPhase::Confirmed &&
+      findTask(State, Key)->Checkpoint.empty();
   if (!IsValidSample) {
     return;
   }
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -48,6 +48,7 @@
   Launch.Phase = LaunchPhase::Recovered;
   Launch.PhaseSince = Now;
   Launch.StartedAt = Now;
+  Launch.IsRecovered = true;
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
 
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -49,6 +49,12 @@
   return {"sending", "confirmed", "doubtful", "inherited"};
 }
 
+/// @brief Progress of an attempt at a point in time.
+struct ProgressSample {
+  std::uint32_t Percent = 0;
+  Instant At;
+};
+
 /// @brief One attempt of a task, from the commit of its assignment to the
 /// commit of its end.
 struct TaskLaunch {
@@ -56,12 +62,19 @@
   LaunchPhase Phase = LaunchPhase::Sending;
   Instant PhaseSince; ///< When the phase began.
   Instant StartedAt;  ///< When the order was sent, or the launch recovered.
+  /// Its start was found in the log at the beginning of the term, so that the
+  /// time of the start is unknown.
+  bool IsRecovered = false;
   Instant StopSentAt; ///< Zero if no stop was sent.
   std::optional<Instant> StopAckedAt;
   std::uint64_t StopOrder = 0; ///< Id of the open stop order, or 0.
   bool IsEndProposed = false;  ///< The end is proposed, not yet committed.
   /// Its proposed end is an assumption; it may still run.
   bool IsPresumedLost = false;
+  /// Progress from which its speed is measured, if known: that of the confirmed
+  /// start, or the first listed one of an attempt that may have begun earlier
+  /// or at a checkpoint.
+  std::optional<ProgressSample> Baseline;
   std::uint32_t ProgressPercent = 0; ///< Last listed progress.
   Instant ProgressAt;                ///< When the listed progress last changed.
   Instant ListedAt; ///< When a worker first listed it; zero if never.
--- a/src/mulberryramp/cell/reservation.cpp
+++ b/src/mulberryramp/cell/reservation.cpp
@@ -17,19 +17,15 @@
 /// Progress below this percentage is too coarse for an estimate.
 constexpr std::uint32_t MinProgressPercent = 5;
 
-Millis expectedRunTime(const DispatchState &Dispatch, const TaskLaunch &Launch,
-                       const TaskKey &Key, const StepSpec &Spec) {
-  return Launch.ProgressPercent >= MinProgressPercent
-             ? estimateTotalTime(Launch)
-             : expectedStepTime(Dispatch, {Key.Job, Key.Run, Key.Step}, Spec);
-}
-
 Instant expectedEnd(const DispatchState &Dispatch, const TaskLaunch &Launch,
                     const TaskKey &Key, const StepSpec &Spec, Instant Now) {
   const Millis Elapsed = Now - Launch.PhaseSince;
-  return std::max(Launch.PhaseSince +
-                      expectedRunTime(Dispatch, Launch, Key, Spec),
-                  Now + Elapsed * OverduePercent / 100);
+  const Instant End =
+      measuredProgress(Launch) >= MinProgressPercent
+          ? estimateEnd(Launch)
+          : Launch.PhaseSince +
+                expectedStepTime(Dispatch, {Key.Job, Key.Run, Key.Step}, Spec);
+  return std::max(End, Now + Elapsed * OverduePercent / 100);
 }
 
 } // namespace
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -62,12 +62,12 @@
 }
 
 Millis estimateRemainingTime(const TaskLaunch &Launch, Instant Now) {
-  return estimateTotalTime(Launch) - (Now - Launch.PhaseSince);
+  return estimateEnd(Launch) - Now;
 }
 
 bool hasSpeedSample(const TaskLaunch &Launch, const StepSpec &Spec) {
   return hasComparableProgress(Launch, Spec) && !Spec.IsLongRunning &&
-         Launch.ProgressAt - Launch.PhaseSince >= MinSampleRuntime;
+         measuredTime(Launch) >= MinSampleRuntime;
 }
 
 /// The launches of one step. The tasks of a step are expected to have similar
