Acknowledge ends only on connections that lead to the known instance

A worker that restarts under its name numbers its ends anew. A start could open a connection to the new instance before the leader had learned of it; the next renewal used that connection and acknowledged the ends of the former instance, so that the new one forgot ends that nobody had recorded. Their tasks were later taken as lost and started again, though they were done.

The client now tells whether it opened a connection; after one, and while an order that may open one is unanswered, a renewal acknowledges nothing until the instance has answered one.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -358,6 +358,7 @@
     return;
   }
   Session.IsInstanceVerified = true;
+  Session.AreConnectionsVerified = true;
   Session.AckSent = std::max(Session.AckSent, Order.LastAckedEnd);
   std::set<TaskKey> Listed;
   bool HasUnknownTasks = false;
@@ -423,6 +424,11 @@
     if (Session->ProbeOrder == Result.Id) {
       Session->ProbeOrder = 0;
     }
+    if (Order.Kind != WorkerOrderKind::Renew) {
+      Session->OpenTaskOrders -= 1;
+      Session->AreConnectionsVerified =
+          Session->AreConnectionsVerified && !Result.IsNewConnection;
+    }
     const bool HadNoOpenConnection =
         Order.Kind == WorkerOrderKind::Renew &&
         (Order.HasLease || Order.LastAckedEnd != 0) &&
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -118,6 +118,11 @@
   /// restart with each instance, so the next instance must not receive
   /// acknowledgements that are meant for this one.
   bool IsInstanceVerified = false;
+  /// No connection was opened since this instance last answered a renewal. A
+  /// new connection may lead to the next instance.
+  bool AreConnectionsVerified = false;
+  /// Unanswered orders other than renewals; each may open a connection.
+  std::uint32_t OpenTaskOrders = 0;
   std::uint64_t RenewalOrder = 0; ///< Id of the open renewal, or 0.
   Instant RenewalSentAt;
   Millis RenewalTimeout{0};
--- a/src/mulberryramp/cell/order.hpp
+++ b/src/mulberryramp/cell/order.hpp
@@ -63,7 +63,7 @@
   Done,          ///< The worker executed the order.
   Refused,       ///< The worker did not execute it; `Reason` says why.
   OtherInstance, ///< The address belongs to another worker.
-  Unsent,        ///< No connection was established.
+  Unsent,        ///< No byte of the order was sent.
   Unanswered     ///< The order may have been executed, or may be later.
 };
 
@@ -117,7 +117,8 @@
   std::uint64_t Id = 0;
   OrderVerdict Verdict = OrderVerdict::Unanswered;
   RefusalReason Reason = RefusalReason::None;
-  std::int64_t SentBytes = 0; ///< Bytes of the order written to a socket.
+  std::int64_t SentBytes = 0;   ///< Bytes of the order written to a socket.
+  bool IsNewConnection = false; ///< A connection was opened for the order.
   std::optional<std::int64_t> Clock; ///< Clock of the worker, ms.
   std::int64_t StartTimeMs = 0;      ///< Identifies the instance; 0 if unknown.
   std::vector<RunningTask> Running;  ///< All running tasks; only for a renewal.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -67,6 +67,11 @@
   Open.Timeout = Order.Timeout;
   Open.Kind = Order.Kind;
   Open.Attempt = Order.Attempt;
+  const auto SessionIt = Dispatch.Sessions.find(Worker);
+  if (SessionIt != Dispatch.Sessions.end() &&
+      Order.Kind != WorkerOrderKind::Renew) {
+    SessionIt->second.OpenTaskOrders += 1;
+  }
   Dispatch.UnansweredOrders[Order.Id] = Open;
   Dispatch.Orders.push_back(std::move(Order));
 }
@@ -104,7 +109,10 @@
                  WorkerInstanceId Id, WorkerSession &Session, Instant Now) {
   WorkerOrder Order = makeOrder(Dispatch, Worker, WorkerOrderKind::Renew);
   const bool IsHealthy = Session.IsReconciled && Session.ConsecutiveMisses == 0;
-  Order.LastAckedEnd = Session.IsInstanceVerified ? Worker.LastAckedEnd : 0;
+  const bool MayAck = Session.IsInstanceVerified &&
+                      Session.AreConnectionsVerified &&
+                      Session.OpenTaskOrders == 0;
+  Order.LastAckedEnd = MayAck ? Worker.LastAckedEnd : 0;
   Order.NeedsOpenConnection = Session.IsInstanceVerified;
   if (IsHealthy && Session.IsInstanceVerified && Worker.Tasks != 0) {
     Order.Wait = Session.HasLatencyViolation ? ViolationRenewalWait
--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -221,6 +221,7 @@
     long Status = 0;
     curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
     Response.SentBytes = sentBytes(Handle);
+    Response.IsNewConnection = hasOpenedConnection(Handle);
     if (Code == CURLE_OK) {
       Response.Status = static_cast<int>(Status);
       Response.Body = std::move(Transfer->Received);
--- a/src/mulberryramp/http/async_client.hpp
+++ b/src/mulberryramp/http/async_client.hpp
@@ -29,7 +29,8 @@
   /// No part of the request was sent, so the server cannot have acted on it.
   bool IsUnsent = false;
   std::string Body;
-  std::int64_t SentBytes = 0; ///< Bytes of the request written to a socket.
+  std::int64_t SentBytes = 0;   ///< Bytes of the request written to a socket.
+  bool IsNewConnection = false; ///< A connection was opened for the request.
 };
 
 /// @brief Non-blocking HTTP client that is driven by an event loop. It keeps
--- a/src/mulberryramp/http/transmission.cpp
+++ b/src/mulberryramp/http/transmission.cpp
@@ -37,4 +37,10 @@
   return Bytes;
 }
 
+bool hasOpenedConnection(CURL *Handle) {
+  long Count = 0;
+  curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &Count);
+  return Count != 0;
+}
+
 } // namespace mulberryramp
--- a/src/mulberryramp/http/transmission.hpp
+++ b/src/mulberryramp/http/transmission.hpp
@@ -22,4 +22,7 @@
 /// @param Handle A handle whose transfer has started.
 [[nodiscard]] std::int64_t sentBytes(CURL *Handle);
 
+/// @brief Tells whether a connection was opened for the request of a handle.
+[[nodiscard]] bool hasOpenedConnection(CURL *Handle);
+
 } // namespace mulberryramp
--- a/test/cell/new_instance_test.cpp
+++ b/test/cell/new_instance_test.cpp
@@ -74,6 +74,45 @@
     answer(WorkerOrderKind::Renew, OrderVerdict::Done);
   }
 
+  /// Sends a renewal, which the worker answers.
+  /// @return The highest end that it acknowledges.
+  std::uint64_t renew() {
+    WorkerSession &Session = Dispatch.Sessions.at(findWorker(State, "w"));
+    Session.NextRenewalAt = Now;
+    Dispatch.TouchedWorkers.insert(findWorker(State, "w"));
+    renewTouched(Dispatch, State, Now);
+    std::uint64_t LastAckedEnd = 0;
+    std::vector<WorkerOrder> Others;
+    Now += Millis{10};
+    for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+      if (Order.Kind != WorkerOrderKind::Renew) {
+        Others.push_back(Order);
+        continue;
+      }
+      LastAckedEnd = Order.LastAckedEnd;
+      OrderResult Result;
+      Result.Id = Order.Id;
+      Result.Verdict = OrderVerdict::Done;
+      Result.StartTimeMs = StartTimeMs;
+      onOrderResult(Dispatch, State, Result, Now, wallNow());
+    }
+    Dispatch.Orders.insert(Dispatch.Orders.end(), Others.begin(), Others.end());
+    return LastAckedEnd;
+  }
+
+  /// The worker confirms the open start order.
+  void answerStart(bool IsNewConnection) {
+    for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+      if (Order.Kind == WorkerOrderKind::Start) {
+        OrderResult Result;
+        Result.Id = Order.Id;
+        Result.Verdict = OrderVerdict::Done;
+        Result.IsNewConnection = IsNewConnection;
+        onOrderResult(Dispatch, State, Result, Now, wallNow());
+      }
+    }
+  }
+
   /// The worker acknowledges the open stop order.
   void answerStop() { answer(WorkerOrderKind::Stop, OrderVerdict::Done); }
 
@@ -112,3 +151,32 @@
   Fixture.reconcile();
   CHECK(Fixture.isEndProposed());
 }
+
+/// Guards against two runs of one task: a connection that a start opened may
+/// lead to the next instance of the worker, whose ends have the same numbers.
+/// An acknowledgement there would make it forget ends that nobody recorded.
+TEST(CellNewInstance, ANewConnectionGetsNoAcknowledgementBeforeItIsVerified) {
+  RestartedWorkerFixture Fixture;
+  const WorkerInstanceId Worker = findWorker(Fixture.State, "w");
+  RecordTaskEndsCommand Recorded;
+  Recorded.Worker = Worker;
+  Recorded.LastEnd = 16;
+  applyCommand(Fixture.State, Recorded);
+  // The start of the fixture is open: it may open a connection.
+  CHECK_EQUAL(0, Fixture.renew());
+  CHECK_EQUAL(0, Fixture.renew());
+  Fixture.answerStart(true);
+  CHECK_EQUAL(0, Fixture.renew());
+  CHECK_EQUAL(16, Fixture.renew());
+}
+
+TEST(CellNewInstance, AStartOnAnOpenConnectionDelaysNoAcknowledgement) {
+  RestartedWorkerFixture Fixture;
+  RecordTaskEndsCommand Recorded;
+  Recorded.Worker = findWorker(Fixture.State, "w");
+  Recorded.LastEnd = 16;
+  applyCommand(Fixture.State, Recorded);
+  CHECK_EQUAL(0, Fixture.renew());
+  Fixture.answerStart(false);
+  CHECK_EQUAL(16, Fixture.renew());
+}
