Answer unknown if a resent submission is denied

A submission whose reply was lost is sent again to the next leader. If the queue had been removed meanwhile, or the leader had no room, the caller was told that no such queue exists or that the job was refused, although the first transmission may have been accepted.

CellRelay.ADenialAfterAnEarlierTransmissionIsUnknown failed before: CHECK(CellVerdict::Unknown == Replies[1].Reply.Verdict).

--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -4,6 +4,23 @@
 
 namespace mulberryramp {
 
+namespace {
+
+/// Tells whether a call is the submission of a job.
+bool isSubmission(const CellCall &Body) {
+  const auto *Job = std::get_if<JobCall>(&Body);
+  return Job != nullptr && Job->Verb == JobVerb::Submit;
+}
+
+CellReply makeUnknownReply() {
+  CellReply Reply;
+  Reply.Verdict = CellVerdict::Unknown;
+  Reply.Text = "sent to several leaders; the first may have accepted it";
+  return Reply;
+}
+
+} // namespace
+
 CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now)
     : Self{Self}, LeaderLostAt{Now} {
   addNodes(Seeds);
@@ -37,6 +54,12 @@
   submit(Id, Call, Now);
 }
 
+bool CallRelay::isContradicted(const OpenCall &Call, const CellReply &Reply) {
+  return Call.EarlierMayHaveActed && isSubmission(Call.Body) &&
+         (Reply.Verdict == CellVerdict::Refused ||
+          Reply.Verdict == CellVerdict::NotFound);
+}
+
 void CallRelay::finish(std::uint64_t Id, CellReply Reply) {
   const auto CallIt = OpenCalls.find(Id);
   Replies.push_back({CallIt->second.CallId, std::move(Reply)});
@@ -79,7 +102,9 @@
   }
   if (Reply.IsLeading) {
     setLeader(From, Now);
-    finish(Reply.Id, Reply.Reply);
+    finish(Reply.Id, isContradicted(CallIt->second, Reply.Reply)
+                         ? makeUnknownReply()
+                         : Reply.Reply);
     return;
   }
   CallIt->second.IsSent = false;
--- a/src/mulberryramp/cell/relay.hpp
+++ b/src/mulberryramp/cell/relay.hpp
@@ -88,6 +88,10 @@
     }
   };
 
+  /// Tells whether a reply denies a submission that was sent before and may
+  /// have been accepted then.
+  static bool isContradicted(const OpenCall &Call, const CellReply &Reply);
+
   void send(NodeId To, CellBody Body);
   void submit(std::uint64_t Id, OpenCall &Call, Instant Now);
   void finish(std::uint64_t Id, CellReply Reply);
--- a/test/cell/relay_test.cpp
+++ b/test/cell/relay_test.cpp
@@ -108,3 +108,43 @@
   Fixture.advance(ReadinessTimeout.count() + 100);
   CHECK(!Fixture.Relay.hasRecentLeader(Fixture.Now));
 }
+
+/// Guards against a caller being told that a job was not accepted although an
+/// earlier transmission of the same call was: its reply was lost, and meanwhile
+/// the queue was removed.
+TEST(CellRelay, ADenialAfterAnEarlierTransmissionIsUnknown) {
+  for (const CellVerdict Verdict :
+       {CellVerdict::Refused, CellVerdict::NotFound}) {
+    RelayFixture Fixture;
+    Fixture.announceLeader(1);
+    Fixture.Relay.call(7, JobCall{}, Fixture.Now);
+    Fixture.Relay.call(8, JobCall{JobVerb::Submit, "", "", {}}, Fixture.Now);
+    (void)Fixture.takeCalls();
+    Fixture.announceLeader(2);
+    const auto Calls = Fixture.takeCalls();
+    CHECK_EQUAL(2, Calls.size());
+    CellReply Denial;
+    Denial.Verdict = Verdict;
+    for (const auto &[To, Id] : Calls) {
+      Fixture.Relay.receive(To, RelayedReply{Id, true, false, Denial},
+                            Fixture.Now);
+    }
+    const auto Replies = Fixture.Relay.drainReplies();
+    // A read has no effect, so the denial of its last transmission holds.
+    CHECK(Verdict == Replies[0].Reply.Verdict);
+    CHECK(CellVerdict::Unknown == Replies[1].Reply.Verdict);
+  }
+}
+
+TEST(CellRelay, ADenialOfTheOnlyTransmissionIsPassedOn) {
+  RelayFixture Fixture;
+  Fixture.announceLeader(1);
+  Fixture.Relay.call(7, JobCall{JobVerb::Submit, "", "", {}}, Fixture.Now);
+  CellReply Denial;
+  Denial.Verdict = CellVerdict::NotFound;
+  Fixture.Relay.receive(
+      1, RelayedReply{Fixture.takeCalls().front().second, true, false, Denial},
+      Fixture.Now);
+  CHECK(CellVerdict::NotFound ==
+        Fixture.Relay.drainReplies().front().Reply.Verdict);
+}
