--- a/review/lib/cell.h
+++ b/review/lib/cell.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -129,6 +130,7 @@
     const std::string LogFile = Root / (Target.Name + ".log");
     const pid_t Child = ::fork();
     if (Child == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the case.
       const int Output = ::open(LogFile.c_str(),
                                 O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
       ::dup2(Output, STDOUT_FILENO);
@@ -163,6 +165,13 @@
     }
   }
 
+  // Removes all that a voter has stored.
+  void wipeDisk(std::size_t Index) {
+    std::error_code Ignored;
+    std::filesystem::remove_all(Root / Nodes[Index].Name, Ignored);
+    Log.line("disk of %s is empty", Nodes[Index].Name.c_str());
+  }
+
   // Tells whether the process of a node has ended by itself, and restarts it as
   // the platform does.
   bool restartIfEnded(std::size_t Index) {
--- a/review/lib/worker.h
+++ b/review/lib/worker.h
@@ -25,8 +25,7 @@
 
 class Worker {
 public:
-  // A task with the spec "work N ..." runs for N ms and ends `done`; one with
-  // "last N ..." is at work after N ms and lasts.
+  // A task with the spec "work N ..." runs for N ms and ends `done`.
   Worker(Cell &Nodes, Record &Log, std::string Id, std::string Host)
       : Nodes{Nodes}, Log{Log}, Id{std::move(Id)}, Host{std::move(Host)} {}
   Worker(const Worker &) = delete;
@@ -38,7 +37,7 @@
     {
       const std::lock_guard Lock{Mutex};
       Kind = NewKind;
-      Born = unixMs() + ClockStepMs;
+      Born = unixMs();
       StartedAt = steadyMs();
       IsUp = true;
     }
@@ -80,9 +79,6 @@
     BeatAddress.clear();
   }
 
-  // Sets how far the time of day of the worker's machine is off.
-  void setClockStep(std::int64_t Ms) { ClockStepMs = Ms; }
-
   [[nodiscard]] const std::string &id() const { return Id; }
   [[nodiscard]] std::vector<std::string> runningTasks() {
     const std::lock_guard Lock{Mutex};
@@ -102,7 +98,6 @@
     int Number = 0;
     std::int64_t BeganAt = 0;
     std::int64_t EndsAt = 0;
-    std::int64_t StartUpMs = 0; // Of a task that lasts, else 0.
     bool IsStopping = false;
   };
 
@@ -171,10 +166,6 @@
     New.Number = Number;
     New.BeganAt = clockMs();
     New.EndsAt = New.BeganAt + std::max(std::atoll(Spec.c_str() + 5), 1LL);
-    if (Spec.starts_with("last ")) {
-      New.StartUpMs = New.EndsAt - New.BeganAt;
-      New.EndsAt = INT64_MAX;
-    }
     Running[Task] = New;
     Starts.push_back({Task, Number, Kind.Kind, steadyMs()});
     if (IsVerbose) {
@@ -201,14 +192,11 @@
     }
     Json Lists{{"running", Json::array()}, {"finished", Json::array()}};
     for (const auto &[Task, Each] : Running) {
-      const std::int64_t Whole = Each.StartUpMs != 0
-                                     ? Each.StartUpMs
-                                     : Each.EndsAt - Each.BeganAt;
-      const std::int64_t Most = Each.StartUpMs != 0 ? 100 : 99;
+      const std::int64_t Whole = Each.EndsAt - Each.BeganAt;
       const std::int64_t Done = clockMs() - Each.BeganAt;
       Lists["running"].push_back(
           {Task, Each.Number, "",
-           std::clamp<std::int64_t>(Done * 100 / Whole, 0, Most),
+           std::clamp<std::int64_t>(Done * 100 / Whole, 0, 99),
            1000});
     }
     for (const Json &End : Ends) {
@@ -352,7 +340,6 @@
   std::string Id;
   std::string Host;
   WorkerKind Kind;
-  std::int64_t ClockStepMs = 0;
   std::int64_t Born = 0;
   std::int64_t StartedAt = 0;
   std::unique_ptr<Server> Http;
