--- a/review/lib/load.h
+++ b/review/lib/load.h
@@ -6,7 +6,7 @@
 namespace review {
 
 constexpr int JobsPerSecond = 60;
-constexpr int SubmitSeconds = 50;
+constexpr int SubmitSeconds = 60;
 constexpr std::size_t SpecBytes = 4000; // The most that a spec may have.
 constexpr const char *Prefix = "/plans/";
 constexpr int LoadCallers = 12;
