--- a/src/mulberryramp/cell/call.hpp
+++ b/src/mulberryramp/cell/call.hpp
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <tuple>
+#include <utility>
 #include <variant>
 
 /// @file
@@ -101,4 +102,13 @@
   }
 };
 
+/// @brief Builds a reply that only has a verdict and a text.
+[[nodiscard]] inline CellReply makeReply(CellVerdict Verdict,
+                                         std::string Text = {}) {
+  CellReply Reply;
+  Reply.Verdict = Verdict;
+  Reply.Text = std::move(Text);
+  return Reply;
+}
+
 } // namespace mulberryramp
