Add organisations and their keys to configuration, jobs and calls

A queue that is not public requires a key if the configuration lists organisations. Ruled out: keys on the frontends, which would need a lease of their own.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -361,6 +361,7 @@
   const auto Duration = SuspendAwareClock::now() - Pending.ReceivedAt;
   Telemetry.observeCall(std::chrono::duration<double>(Duration).count());
   if (Done.Reply.Verdict == CellVerdict::Refused ||
+      Done.Reply.Verdict == CellVerdict::Overloaded ||
       Done.Reply.Verdict == CellVerdict::Unknown) {
     event("event=not-served path=" + Pending.Path +
           " verdict=" + std::string{nameOf(Done.Reply.Verdict)} + " after_ms=" +
--- a/src/mulberryramp/cell/call.hpp
+++ b/src/mulberryramp/cell/call.hpp
@@ -29,11 +29,13 @@
   JobVerb Verb = JobVerb::Read;
   std::string Host;
   std::string Path;
-  JobSpec Spec; ///< Only for `Submit`.
+  JobSpec Spec;      ///< Only for `Submit`.
+  std::string Key{}; ///< SHA-256 digest of the caller's key; empty if none.
 
+  static constexpr std::size_t MandatoryFields = 4; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&JobCall::Verb, &JobCall::Host, &JobCall::Path,
-                           &JobCall::Spec);
+                           &JobCall::Spec, &JobCall::Key);
   }
 };
 
@@ -78,13 +80,17 @@
   NotFound, ///< The queue does not exist, or the job name is missing.
   Gone,     ///< The job does not exist in the queue.
   Refused,  ///< The call had and will have no effect; it may be retried.
-  Unknown ///< The call may have had its effect; the same call may be repeated.
+  Unknown, ///< The call may have had its effect; the same call may be repeated.
+  Unauthenticated, ///< The call had no effect, as its key is not valid.
+  Overloaded ///< The call had and will have no effect, as there is too little
+             ///< room; it may be repeated after `CellReply::RetryAfter`.
 };
 
 /// @brief Names of the verdicts, by value.
-constexpr std::array<std::string_view, 5>
+constexpr std::array<std::string_view, 7>
 nameTable(CellVerdict /*Verdict*/) noexcept {
-  return {"done", "not-found", "gone", "refused", "unknown"};
+  return {"done",    "not-found",       "gone",      "refused",
+          "unknown", "unauthenticated", "overloaded"};
 }
 
 /// @brief Reply to a call.
@@ -94,11 +100,14 @@
   bool IsQueue = false;      ///< The reply is about a queue and has `Pending`.
   std::uint32_t Pending = 0; ///< Number of queued jobs without a started task.
   std::string Text; ///< Configuration document, or reason of the verdict.
+  /// When a call that was not served may be repeated; 0 if not known.
+  Millis RetryAfter{0};
 
+  static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&CellReply::Verdict, &CellReply::Phase,
                            &CellReply::IsQueue, &CellReply::Pending,
-                           &CellReply::Text);
+                           &CellReply::Text, &CellReply::RetryAfter);
   }
 };
 
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -43,6 +43,15 @@
                : makeReply(CellVerdict::Refused, "no configuration yet"));
     return;
   }
+  const Organisation *Owner = nullptr;
+  if (requiresKey(State.Configuration, *Queue)) {
+    Owner = findOrganisationByKey(State, Call.Key);
+    if (Owner == nullptr) {
+      answer(Caller.From, Caller.Id,
+             makeReply(CellVerdict::Unauthenticated, "unknown key"));
+      return;
+    }
+  }
   const std::string Name = Call.Path.substr(Queue->Prefix.size());
   if (Name.empty() && Call.Verb == JobVerb::Read) {
     CellReply Reply;
@@ -52,7 +61,9 @@
     return;
   }
   const JobId Existing = findJob(State, Name);
-  const bool IsInQueue = Existing.isSet() && belongsToQueue(Existing, *Queue);
+  const bool IsInQueue =
+      Existing.isSet() && belongsToQueue(Existing, *Queue) &&
+      (Owner == nullptr || State.Jobs[Existing].Organisation == Owner->Name);
   if (Call.Verb == JobVerb::Submit && !Existing.isSet()) {
     submitJob(Caller, *Queue, Name, Call, WallNow);
   } else if (!IsInQueue) {
@@ -79,7 +90,7 @@
       " steps=" + std::to_string(Call.Spec.Steps.size()) +
       " configuration=" + std::to_string(State.Configuration.Version));
   propose(Caller, SubmitJobCommand{std::move(Name), Queue.Host, Queue.Prefix,
-                                   Call.Spec, WallNow});
+                                   Call.Spec, WallNow, Call.Key});
 }
 
 void CellNode::cancelJob(const PendingCaller &Caller, JobId Id,
--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -57,7 +57,9 @@
 bool CallRelay::isContradicted(const OpenCall &Call, const CellReply &Reply) {
   return Call.EarlierMayHaveActed && isSubmission(Call.Body) &&
          (Reply.Verdict == CellVerdict::Refused ||
-          Reply.Verdict == CellVerdict::NotFound);
+          Reply.Verdict == CellVerdict::NotFound ||
+          Reply.Verdict == CellVerdict::Unauthenticated ||
+          Reply.Verdict == CellVerdict::Overloaded);
 }
 
 void CallRelay::finish(std::uint64_t Id, CellReply Reply) {
--- a/src/mulberryramp/http/request.hpp
+++ b/src/mulberryramp/http/request.hpp
@@ -11,7 +11,8 @@
   std::string Path; ///< Path of the URL, without the query.
   std::map<std::string, std::string> Query; ///< Parameters of the query.
   std::string Body;
-  std::string Host{}; ///< Host header as received; may contain a port.
+  std::string Host{};          ///< Host header as received; may contain a port.
+  std::string Authorization{}; ///< Authorization header as received.
 };
 
 } // namespace mulberryramp
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -73,6 +73,10 @@
     const char *Host = MHD_lookup_connection_value(Connection, MHD_HEADER_KIND,
                                                    MHD_HTTP_HEADER_HOST);
     Exchange->Request.Host = Host == nullptr ? "" : Host;
+    const char *Authorization = MHD_lookup_connection_value(
+        Connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+    Exchange->Request.Authorization =
+        Authorization == nullptr ? "" : Authorization;
     MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND,
                               internal::addQueryParameter,
                               &Exchange->Request.Query);
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -10,19 +10,22 @@
 
 namespace mulberryramp {
 
-/// @brief Accepts a job; has no effect if a job of that name exists or if the
-/// configuration has no such queue.
+/// @brief Accepts a job; has no effect if a job of that name exists, if the
+/// configuration has no such queue, or if the queue requires a key and the
+/// configuration has no such key.
 struct SubmitJobCommand {
   std::string Name;
   std::string Host;   ///< `JobQueue::Host` of its queue.
   std::string Prefix; ///< `JobQueue::Prefix` of its queue.
   JobSpec Spec;
   WallTime At;
+  std::string Key{}; ///< SHA-256 digest of the caller's key; empty if none.
 
+  static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&SubmitJobCommand::Name, &SubmitJobCommand::Host,
                            &SubmitJobCommand::Prefix, &SubmitJobCommand::Spec,
-                           &SubmitJobCommand::At);
+                           &SubmitJobCommand::At, &SubmitJobCommand::Key);
   }
 };
 
--- a/src/mulberryramp/job/configuration.cpp
+++ b/src/mulberryramp/job/configuration.cpp
@@ -24,4 +24,14 @@
   return nullptr;
 }
 
+const Organisation *findOrganisation(const CellConfiguration &Configuration,
+                                     std::string_view Name) {
+  for (const Organisation &Row : Configuration.Organisations) {
+    if (Row.Name == Name) {
+      return &Row;
+    }
+  }
+  return nullptr;
+}
+
 } // namespace mulberryramp
--- a/src/mulberryramp/job/configuration.hpp
+++ b/src/mulberryramp/job/configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryramp/job/fwd.hpp"
+#include "mulberryramp/job/organisation.hpp"
 
 #include <optional>
 #include <string>
@@ -37,15 +38,17 @@
   double SlackFactor = 1; ///< Allowed total time as a multiple of the run time.
   Millis LatencyTarget{0}; ///< Allowed time in addition to the run time.
   std::optional<AdvisorOptions>
-      Advice; ///< Set if starts need a ticket of the advisor.
+      Advice;            ///< Set if starts need a ticket of the advisor.
+  bool IsPublic = false; ///< Callers need no key.
 
   bool operator==(const JobQueue &) const = default;
 
+  static constexpr std::size_t MandatoryFields = 8; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&JobQueue::Host, &JobQueue::Prefix, &JobQueue::Pool,
                            &JobQueue::Priority, &JobQueue::MaxAttempts,
                            &JobQueue::SlackFactor, &JobQueue::LatencyTarget,
-                           &JobQueue::Advice);
+                           &JobQueue::Advice, &JobQueue::IsPublic);
   }
 };
 
@@ -54,13 +57,18 @@
   std::uint64_t Version = 0;
   std::vector<JobQueue> Queues;
   std::string SourceDocument; ///< The document as the operator sent it.
+  /// Callers of queues that are not public need a key of an organisation.
+  bool RequiresKeys = false;
+  std::vector<Organisation> Organisations;
 
   bool operator==(const CellConfiguration &) const = default;
 
+  static constexpr std::size_t MandatoryFields = 3; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&CellConfiguration::Version,
-                           &CellConfiguration::Queues,
-                           &CellConfiguration::SourceDocument);
+    return std::make_tuple(
+        &CellConfiguration::Version, &CellConfiguration::Queues,
+        &CellConfiguration::SourceDocument, &CellConfiguration::RequiresKeys,
+        &CellConfiguration::Organisations);
   }
 };
 
@@ -76,4 +84,10 @@
 findQueueById(const CellConfiguration &Configuration, std::string_view Host,
               std::string_view Prefix);
 
+/// @brief Finds an organisation by its name.
+/// @return The organisation, or null; valid while the configuration is
+/// unchanged.
+[[nodiscard]] const Organisation *
+findOrganisation(const CellConfiguration &Configuration, std::string_view Name);
+
 } // namespace mulberryramp
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -106,11 +106,18 @@
   std::uint32_t NextRun = 0; ///< Number of the next run to create.
   std::uint32_t AssignedTasks = 0;
   WallTime FinishedAt; ///< Set once the job is terminal.
+  /// Name of the organisation whose key submitted it; empty if its queue needs
+  /// no key.
+  std::string Organisation;
+  /// Submitted beyond the rate that its organisation is owed.
+  bool IsExcess = false;
 
+  static constexpr std::size_t MandatoryFields = 9; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(
-        &Job::Name, &Job::Spec, &Job::Queue, &Job::AcceptedAt, &Job::Phase,
-        &Job::Runs, &Job::NextRun, &Job::AssignedTasks, &Job::FinishedAt);
+    return std::make_tuple(&Job::Name, &Job::Spec, &Job::Queue,
+                           &Job::AcceptedAt, &Job::Phase, &Job::Runs,
+                           &Job::NextRun, &Job::AssignedTasks, &Job::FinishedAt,
+                           &Job::Organisation, &Job::IsExcess);
   }
 };
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -250,12 +250,32 @@
   State.Workers.erase(Id);
 }
 
+void indexOrganisations(CellState &State) {
+  State.OrganisationsByKey.clear();
+  const auto &Organisations = State.Configuration.Organisations;
+  for (std::size_t Index = 0; Index < Organisations.size(); ++Index) {
+    for (const std::string &Digest : Organisations[Index].KeyDigests) {
+      State.OrganisationsByKey[Digest] = Index;
+    }
+  }
+}
+
 CellChange apply(CellState &State, const SubmitJobCommand &Command) {
   CellChange Change;
   Change.Job = findJob(State, Command.Name);
   const JobQueue *Queue =
       findQueueById(State.Configuration, Command.Host, Command.Prefix);
-  if (Change.Job.isSet() || Queue == nullptr) {
+  if (Change.Job.isSet()) {
+    return Change;
+  }
+  if (Queue == nullptr) {
+    Change.Outcome = CommandOutcome::NoQueue;
+    return Change;
+  }
+  const bool HasOwner = requiresKey(State.Configuration, *Queue);
+  const Organisation *Owner = findOrganisationByKey(State, Command.Key);
+  if (HasOwner && Owner == nullptr) {
+    Change.Outcome = CommandOutcome::InvalidKey;
     return Change;
   }
   Job NewJob;
@@ -263,6 +283,7 @@
   NewJob.Spec = Command.Spec;
   NewJob.Queue = *Queue;
   NewJob.AcceptedAt = Command.At;
+  NewJob.Organisation = HasOwner ? Owner->Name : "";
   if (NewJob.Spec.RepeatCount == 0) {
     createRun(NewJob);
   }
@@ -286,6 +307,7 @@
     return {};
   }
   State.Configuration = Command.Configuration;
+  indexOrganisations(State);
   for (const JobId Id : State.Jobs.ids()) {
     Job &JobRow = State.Jobs[Id];
     const JobQueue *Queue = findQueueById(
@@ -435,6 +457,7 @@
   State.JobNames.clear();
   State.WorkerNames.clear();
   State.UnfinishedJobs.clear();
+  indexOrganisations(State);
   for (const JobId Id : State.Jobs.ids()) {
     State.JobNames[State.Jobs[Id].Name] = Id;
     if (!isTerminal(State.Jobs[Id].Phase)) {
@@ -468,6 +491,19 @@
                      });
 }
 
+const Organisation *findOrganisationByKey(const CellState &State,
+                                          const std::string &KeyDigest) {
+  const auto It = State.OrganisationsByKey.find(KeyDigest);
+  return It == State.OrganisationsByKey.end()
+             ? nullptr
+             : &State.Configuration.Organisations[It->second];
+}
+
+bool requiresKey(const CellConfiguration &Configuration,
+                 const JobQueue &Queue) noexcept {
+  return Configuration.RequiresKeys && !Queue.IsPublic;
+}
+
 const JobTask *findTask(const CellState &State, const TaskKey &Key) noexcept {
   const Job *Owner = State.Jobs.find(Key.Job);
   const JobRun *Run = Owner == nullptr ? nullptr : findRun(*Owner, Key.Run);
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -3,10 +3,12 @@
 #include "mulberryramp/core/table.hpp"
 #include "mulberryramp/job/command.hpp"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace mulberryramp {
 
@@ -20,6 +22,8 @@
   std::map<std::string, WorkerInstanceId, std::less<>>
       WorkerNames; ///< Derived: current worker instances by name.
   std::set<JobId> UnfinishedJobs; ///< Derived: jobs that are not terminal.
+  /// Derived: index in `Configuration.Organisations` by key digest.
+  std::unordered_map<std::string, std::size_t> OrganisationsByKey;
 
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
@@ -27,8 +31,22 @@
   }
 };
 
+/// @brief Whether a command took effect, for its caller.
+enum class CommandOutcome : std::uint8_t {
+  Done,       ///< It took effect, or its effect was there before.
+  NoQueue,    ///< The queue of the job does not exist.
+  InvalidKey, ///< The key belongs to no organisation.
+};
+
+/// @brief Names of the outcomes, by value.
+constexpr std::array<std::string_view, 3>
+nameTable(CommandOutcome /*Outcome*/) noexcept {
+  return {"done", "no-queue", "invalid-key"};
+}
+
 /// @brief Effects of one command, for the leader's dispatch state.
 struct CellChange {
+  CommandOutcome Outcome = CommandOutcome::Done;
   std::vector<TaskAssignment> Started; ///< Assignments that took effect.
   std::vector<TaskEnd> Ended;          ///< Ends that took effect.
   std::vector<JobId> FinishedJobs;     ///< Jobs that became terminal.
@@ -62,6 +80,17 @@
 [[nodiscard]] WorkerInstanceId findWorker(const CellState &State,
                                           std::string_view Name);
 
+/// @brief Finds the organisation that a key belongs to.
+/// @param KeyDigest SHA-256 digest of the key.
+/// @return The organisation, or null; valid while the configuration is
+/// unchanged.
+[[nodiscard]] const Organisation *
+findOrganisationByKey(const CellState &State, const std::string &KeyDigest);
+
+/// @brief Tells whether the jobs of a queue belong to organisations.
+[[nodiscard]] bool requiresKey(const CellConfiguration &Configuration,
+                               const JobQueue &Queue) noexcept;
+
 /// @brief Finds a task.
 /// @return The task, or null if its run is done or its job was purged.
 [[nodiscard]] const JobTask *findTask(const CellState &State,
