--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -3,19 +3,17 @@
 #include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/cell/reservation.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace mulberryramp {
 
 namespace {
 
-/// Maximum number of workers in one query; the answer time grows with it.
-constexpr std::size_t MaxQueryWorkers = 30;
 /// Fraction of the unknown workers, on which the advisor has not yet decided,
 /// that it is expected to admit.
 constexpr double ExpectedAdmissionRate = 0.4;
@@ -23,9 +21,6 @@
 constexpr double QueryCapacityFactor = 1.5;
 /// A query that names unknown workers names at least this many, if available.
 constexpr std::size_t MinUnknownWorkers = 8;
-/// The advisor is queried this long before a step is expected to be ready, in
-/// addition to its answer time.
-constexpr Millis AdvicePrefetchTime{150};
 /// Pause of queries for a step after no candidate was found.
 constexpr Millis NoCandidateBackoff{60};
 /// A reservation is planned again after this time.
@@ -39,13 +34,6 @@
 /// At most one in this many workers of a pool is reserved, so that later steps
 /// still progress.
 constexpr std::size_t WorkersPerReservedWorker = 2;
-/// A run is far overdue, and planned last, if it is late by this multiple of
-/// the time from its due time to its soft deadline.
-constexpr int FarOverdueFactor = 3;
-
-/// A run is late if this percentage of its estimated remaining time does not
-/// fit before its soft deadline; estimates may be twice too long.
-constexpr int LateEstimatePercent = 70;
 
 /// Score penalty, per task on the worker, for a task that may crash it.
 constexpr double SuspectCompanyPenalty = 0.2;
@@ -53,22 +41,6 @@
 /// One in this many suspects of a step is started at a time.
 constexpr std::size_t SuspectsPerTrial = 4;
 
-/// A step with unassigned tasks. The order of `operator<` is the planning
-/// order.
-struct PendingStep {
-  StepKey Key;
-  std::uint32_t Priority = 0;
-  bool IsFarOverdue = false;
-  bool IsLate = false; ///< It can no longer meet its soft deadline.
-  WallTime SoftDeadline;
-};
-
-bool operator<(const PendingStep &Lhs, const PendingStep &Rhs) {
-  return std::tie(Lhs.IsFarOverdue, Lhs.Priority, Lhs.IsLate, Lhs.SoftDeadline,
-                  Lhs.Key) < std::tie(Rhs.IsFarOverdue, Rhs.Priority,
-                                      Rhs.IsLate, Rhs.SoftDeadline, Rhs.Key);
-}
-
 /// One planning pass.
 class StartPlanner {
 public:
@@ -79,79 +51,18 @@
   std::vector<TaskAssignment> plan() {
     Schedulable = snapshotWorkers(Dispatch, State, Now);
     Unresolved = collectUnresolvedTasks(Dispatch, Now);
-    collectSteps();
-    for (const PendingStep &Pending : Ready) {
+    const PendingSteps Steps =
+        collectPendingSteps(Dispatch, State, Now, WallNow);
+    for (const PendingStep &Pending : Steps.Ready) {
       planStep(Pending);
     }
-    for (const PendingStep &Pending : SoonReady) {
+    for (const PendingStep &Pending : Steps.SoonReady) {
       prefetchAdvice(Pending.Key);
     }
     return std::move(Assignments);
   }
 
 private:
-  void collectSteps() {
-    for (const JobId Id : State.UnfinishedJobs) {
-      const Job &JobRow = State.Jobs[Id];
-      for (const JobRun &Run : JobRow.Runs) {
-        collectStepsOfRun(Id, JobRow, Run);
-      }
-    }
-    std::sort(Ready.begin(), Ready.end());
-    std::sort(SoonReady.begin(), SoonReady.end());
-  }
-
-  void collectStepsOfRun(JobId Id, const Job &JobRow, const JobRun &Run) {
-    PendingStep Pending;
-    Pending.Priority = JobRow.Queue.Priority;
-    Pending.SoftDeadline = softDeadlineOf(JobRow, Run.Number);
-    const WallTime Due = dueTime(JobRow, Run.Number);
-    Pending.IsFarOverdue =
-        !JobRow.Spec.Steps.front().IsLongRunning &&
-        WallNow > Due + (Pending.SoftDeadline - Due) * FarOverdueFactor;
-    Pending.IsLate =
-        !JobRow.Spec.Steps.front().IsLongRunning &&
-        WallNow + remainingPathTime(JobRow, Run) * LateEstimatePercent / 100 >
-            Pending.SoftDeadline;
-    for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
-      const JobStep &StepRow = Run.Steps[Step];
-      if (StepRow.Assigned + StepRow.Done == StepRow.Tasks.size()) {
-        continue;
-      }
-      Pending.Key = {Id, Run.Number, Step};
-      if (isStepReady(JobRow, Run, Step)) {
-        Ready.push_back(Pending);
-      } else if (JobRow.Queue.Advice && isSoonReady(JobRow, Id, Run, Step)) {
-        SoonReady.push_back(Pending);
-      }
-    }
-  }
-
-  /// Tells whether all steps that a step depends on are fully assigned and are
-  /// expected to end soon.
-  bool isSoonReady(const Job &JobRow, JobId Id, const JobRun &Run,
-                   std::uint32_t Step) const {
-    const Instant Soon =
-        Now + expectedAnswerTime(*JobRow.Queue.Advice, MaxQueryWorkers) +
-        AdvicePrefetchTime;
-    for (const std::uint32_t Earlier : JobRow.Spec.Steps[Step].DependsOn) {
-      const JobStep &EarlierStep = Run.Steps[Earlier];
-      if (EarlierStep.Assigned + EarlierStep.Done != EarlierStep.Tasks.size()) {
-        return false;
-      }
-      for (std::uint32_t Task = 0; Task < EarlierStep.Tasks.size(); ++Task) {
-        const auto LaunchIt =
-            Dispatch.Launches.find({Id, Run.Number, Earlier, Task});
-        if (LaunchIt != Dispatch.Launches.end() &&
-            LaunchIt->second.StartedAt + JobRow.Spec.Steps[Earlier].Estimate >
-                Soon) {
-          return false;
-        }
-      }
-    }
-    return true;
-  }
-
   using TaskCounts = std::map<WorkerInstanceId, std::uint32_t>;
 
   static bool isAtMaxPerWorker(const StepSpec &Step,
@@ -635,20 +546,11 @@
   std::set<TaskKey> Unresolved; ///< See `collectUnresolvedTasks`.
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
-  std::vector<PendingStep> Ready;
-  std::vector<PendingStep> SoonReady;
   std::vector<TaskAssignment> Assignments;
 };
 
 } // namespace
 
-WallTime softDeadlineOf(const Job &JobRow, std::uint32_t Run) {
-  const auto CriticalPath =
-      static_cast<double>(criticalPathTime(JobRow.Spec).count());
-  return dueTime(JobRow, Run) + JobRow.Queue.LatencyTarget +
-         Millis{std::llround(CriticalPath * JobRow.Queue.SlackFactor)};
-}
-
 std::vector<TaskAssignment> planStarts(DispatchState &Dispatch,
                                        const CellState &State, Instant Now,
                                        WallTime WallNow) {
--- a/src/mulberryramp/cell/start_planner.hpp
+++ b/src/mulberryramp/cell/start_planner.hpp
@@ -21,9 +21,4 @@
                                                      Instant Now,
                                                      WallTime WallNow);
 
-/// @brief Computes the soft deadline of a run: its due time, plus the latency
-/// target of the queue, plus the critical path time of the job times the slack
-/// factor of the queue.
-[[nodiscard]] WallTime softDeadlineOf(const Job &JobRow, std::uint32_t Run);
-
 } // namespace mulberryramp
