--- a/bench/cell_replay.cpp
+++ b/bench/cell_replay.cpp
@@ -116,6 +116,7 @@
     applyCommand(State,
                  ConfigureCommand{makeLoadConfiguration(Load.Organisations)});
     Now = Start;
+    Dispatch.Options.HasPreemption = Options.HasPreemption;
     beginDispatch(Dispatch, State, 1, Now, wallNow());
     for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
       const WorkerReport Report = reportOf(Index);
@@ -404,6 +405,9 @@
     }
     Utilization += Used / TotalMilliCpus;
     UtilizationSamples += 1;
+    if ((Now - Start).count() % 1000 == 0) {
+      Result.Utilization.push_back(Used / TotalMilliCpus);
+    }
   }
 
   /// Time from the arrival within which a job is in time: its longest chain of
--- a/bench/cell_replay.hpp
+++ b/bench/cell_replay.hpp
@@ -12,9 +12,10 @@
 /// @brief Parameters of the simulated cell.
 struct CellReplayOptions {
   std::size_t Workers = 350;
-  std::size_t Nodes = 48;  ///< Nodes that can query the advisor.
-  Millis CommitTime{20};   ///< From a proposal to its commit.
-  Millis OneWay{6};        ///< Between the leader and a worker.
+  std::size_t Nodes = 48; ///< Nodes that can query the advisor.
+  Millis CommitTime{20};  ///< From a proposal to its commit.
+  Millis OneWay{6};       ///< Between the leader and a worker.
+  bool HasPreemption = false;
   Millis MaxStopTime{900}; ///< Longest time until a stopped task ends.
   /// Virtual time that a second of processor time of the leader takes; 0
   /// charges none and makes the result repeatable.
@@ -35,7 +36,8 @@
 struct CellReplayResult {
   std::array<ClassResult, 3> Classes; ///< By `JobClass`.
   std::vector<ClassResult> Organisations;
-  double MeanUtilization = 0; ///< Of the processors.
+  double MeanUtilization = 0;      ///< Of the processors.
+  std::vector<double> Utilization; ///< Of the processors, at each second.
   double DecisionSeconds = 0; ///< Processor time of the leader's decisions.
   double LongestStepMs = 0;   ///< Longest step of the leader, processor time.
   std::size_t Starts = 0;
--- a/bench/cell_replay_main.cpp
+++ b/bench/cell_replay_main.cpp
@@ -42,6 +42,11 @@
               "longest step %.1f ms\n",
               Name.c_str(), Result.MeanUtilization, Result.Starts, Result.Stops,
               Result.DecisionSeconds, Result.LongestStepMs);
+  std::printf("  utilization by second:");
+  for (const double Value : Result.Utilization) {
+    std::printf(" %.0f", Value * 100);
+  }
+  std::printf("\n");
   ClassResult All;
   for (std::size_t Index = 0; Index < Result.Classes.size(); ++Index) {
     const ClassResult &Row = Result.Classes[Index];
@@ -75,6 +80,7 @@
       cxxopts::value<double>()->default_value("1"))(
       "processor", "virtual seconds per second of processor time",
       cxxopts::value<double>()->default_value("0"));
+  Parser.add_options()("preemption", "stop tasks for urgent jobs");
   try {
     const auto Parsed = Parser.parse(Argc, Argv);
     if (Parsed.count("help") != 0) {
@@ -86,6 +92,7 @@
     Load.RateFactor = Parsed["rate"].as<double>();
     CellReplayOptions Options;
     Options.ProcessorFactor = Parsed["processor"].as<double>();
+    Options.HasPreemption = Parsed.count("preemption") != 0;
     std::vector<std::string> Names{"calm", "urgent-burst", "batch-burst",
                                    "hot-organisation", "all"};
     if (Parsed.count("load") != 0) {
--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -90,6 +90,7 @@
   Options.IsVoter = Settings.IsVoter;
   Options.Incarnation = Incarnation;
   Options.ReplicaParameters = makeCellReplicaOptions(Settings.MaxVoterFailures);
+  Options.Dispatch.HasPreemption = Settings.HasOverloadControl;
   Options.Dispatch.Lease = Settings.Lease;
   Options.Dispatch.MaxLease = Settings.MaxLease;
   Options.Dispatch.ReportInterval = Settings.ReportInterval;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include "mulberryramp/cell/start_planner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryramp {
 
@@ -232,6 +233,7 @@
   std::erase_if(Dispatch.Advice, IsObsolete);
   std::erase_if(Dispatch.Times, IsObsolete);
   std::erase_if(Dispatch.Reservations, IsObsolete);
+  std::erase_if(Dispatch.BlockedSince, IsObsolete);
   for (const auto &[Id, Session] : Dispatch.Sessions) {
     const Instant LastContactAt =
         std::max(Session.ReportedAt, Session.AnsweredAt);
@@ -386,6 +388,10 @@
       Dispatch.Commands.emplace_back(
           AssignTasksCommand{std::move(Assignments)});
     }
+    for (const TaskKey &Key : std::exchange(Dispatch.Preemptions, {})) {
+      sendStop(Dispatch, State, Dispatch.Launches.at(Key), "preempted", Now);
+      Dispatch.Counters.Preemptions += 1;
+    }
   }
   renewTouched(Dispatch, State, Now);
 }
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -33,6 +33,8 @@
   Millis RenewalWait{1000};    ///< How long a renewal waits for a task end.
   Millis ReportInterval{1500}; ///< Interval of worker reports.
   Millis Retention{125000};    ///< How long finished jobs stay readable.
+  /// Stops tasks of a lower priority if urgent jobs have no room.
+  bool HasPreemption = false;
 };
 
 /// @brief Progress of the start order of a launch.
@@ -257,6 +259,7 @@
   std::uint64_t Queries = 0;
   std::uint64_t Unanswered = 0;
   std::uint64_t WorkerCrashes = 0;
+  std::uint64_t Preemptions = 0;
 };
 
 /// @brief Volatile scheduling state of the leader of a cell: orders, leases and
@@ -281,6 +284,10 @@
   bool NeedsPlan = false; ///< A change may let tasks start.
   /// Starts are proposed and not yet applied.
   bool HasUncommittedStarts = false;
+  /// Launches that the last plan chose to stop.
+  std::vector<TaskKey> Preemptions;
+  /// Steps that had no room in the last plan, with the time since when.
+  std::map<StepKey, Instant> BlockedSince;
   Instant LastPlanAt;   ///< Time of the last plan.
   Instant NextPlanAt;   ///< Next plan if nothing changes before.
   Instant NextReviewAt; ///< Next review of all launches.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -4,6 +4,7 @@
 #include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/pending_steps.hpp"
+#include "mulberryramp/cell/preemption.hpp"
 #include "mulberryramp/cell/reservation.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
 
@@ -21,6 +22,17 @@
 constexpr double QueryCapacityFactor = 1.5;
 /// A query that names unknown workers names at least this many, if available.
 constexpr std::size_t MinUnknownWorkers = 8;
+/// A step waits for this part of the latency target of its queue before tasks
+/// are stopped for it: tasks that end meanwhile may leave enough room.
+constexpr int PreemptionDelayDivisor = 6;
+/// A step that has no room seeks admission to as many workers as it has
+/// unplaced tasks, within these bounds.
+constexpr std::size_t MinAdmittedWorkers = 4;
+constexpr std::size_t MaxAdmittedWorkers = 16;
+/// Distance between the first busy workers that consecutive jobs ask about.
+constexpr std::size_t BusyCandidateStride = 31;
+/// Score of a busy worker; above that of any worker with room.
+constexpr double BusyCandidateScore = 1000;
 /// Pause of queries for a step after no candidate was found.
 constexpr Millis NoCandidateBackoff{60};
 /// A reservation is planned again after this time.
@@ -59,6 +71,10 @@
     for (const PendingStep &Pending : Steps.SoonReady) {
       prefetchAdvice(Pending.Key);
     }
+    if (!Blocked.empty()) {
+      Dispatch.Preemptions =
+          choosePreemptions(Dispatch, State, Schedulable, Blocked, Now);
+    }
     return std::move(Assignments);
   }
 
@@ -192,8 +208,12 @@
                     : planTasks(Key, Owner, Spec, Step, Advice);
     if (Unplaced == 0) {
       Dispatch.Reservations.erase(Key);
+      Dispatch.BlockedSince.erase(Key);
       return;
     }
+    if (Dispatch.Options.HasPreemption) {
+      noteBlocked(Pending, Owner, Spec, Unplaced);
+    }
     if (!Pending.IsFarOverdue &&
         needsReservation(Spec, Schedulable.Pools[Owner.Queue.Pool].Largest) &&
         reserveWorkers(Key, Owner, Spec, Advice, Unplaced)) {
@@ -204,6 +224,19 @@
     }
   }
 
+  /// Requests room for a step that can still be in time, once it has waited
+  /// for a part of its latency target.
+  void noteBlocked(const PendingStep &Pending, const Job &Owner,
+                   const StepSpec &Spec, std::size_t Unplaced) {
+    const Instant Since =
+        Dispatch.BlockedSince.try_emplace(Pending.Key, Now).first->second;
+    if (!Pending.IsFarOverdue && !Pending.IsLate && !Owner.IsExcess &&
+        !Spec.IsGang &&
+        Now - Since >= Owner.Queue.LatencyTarget / PreemptionDelayDivisor) {
+      Blocked.push_back({Pending.Key, Unplaced});
+    }
+  }
+
   /// Tells whether a worker may run a step, as far as the advisor has decided.
   /// @param Advice Advice on the step, or null if it needs none.
   bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
@@ -460,6 +493,54 @@
     return true;
   }
 
+  /// Worker that a query may name.
+  struct Candidate {
+    bool IsUnknown = false; ///< The advisor has not yet decided on it.
+    double Score = 0;
+    WorkerInstanceId Worker;
+    double ExpectedTasks = 0; ///< Expected number of tasks that it can run.
+
+    bool operator<(const Candidate &Other) const {
+      return std::tie(IsUnknown, Score, Worker) <
+             std::tie(Other.IsUnknown, Other.Score, Other.Worker);
+    }
+  };
+
+  /// Adds workers without room for a step, so that the advisor has decided on
+  /// them by the time that a task there ends. Otherwise each part of a worker
+  /// that becomes free stays idle for the answer time of the advisor.
+  void addBusyCandidates(const StepKey &Key, const Job &Owner,
+                         const StepSpec &Spec, const StepAdvice &Advice,
+                         std::size_t Unplaced,
+                         std::vector<Candidate> &Candidates) const {
+    const std::size_t Wanted =
+        std::clamp(Unplaced, MinAdmittedWorkers, MaxAdmittedWorkers);
+    const auto Admitted = static_cast<std::size_t>(std::count_if(
+        Advice.Admitted.begin(), Advice.Admitted.end(),
+        [this](const auto &Row) { return Now < Row.second.ExpiresAt; }));
+    if (Admitted >= Wanted || Schedulable.Rows.empty()) {
+      return;
+    }
+    const Resources Need = requiredResources(Spec);
+    const std::size_t Count = Schedulable.Rows.size();
+    // Steps begin at different workers, so that they do not all wait for the
+    // same ones.
+    const std::size_t First =
+        (Key.Job.Slot * BusyCandidateStride + Advice.Denied.size()) % Count;
+    for (std::size_t Offset = 0;
+         Offset < Count && Candidates.size() < MaxQueryWorkers; ++Offset) {
+      const WorkerSnapshot &Snapshot =
+          Schedulable.Rows[(First + Offset) % Count];
+      if (fitsIn(Need, Snapshot.Available) ||
+          !fitsIn(Need, Snapshot.Instance->Report.Capacity) ||
+          !isCandidate(Snapshot, Owner, Spec, &Advice) ||
+          isAdmitted(Advice, Snapshot.Worker, Now)) {
+        continue;
+      }
+      Candidates.push_back({true, BusyCandidateScore, Snapshot.Worker, 0});
+    }
+  }
+
   /// Queries the advisor about workers with enough free resources: first those
   /// whose ticket expired, then those it has not decided on.
   void queryWorkers(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
@@ -470,18 +551,8 @@
     }
     const Resources Need = requiredResources(Spec);
     const TaskCounts Counts = countTasks(Step);
-    struct Candidate {
-      bool IsUnknown = false; ///< The advisor has not yet decided on it.
-      double Score = 0;
-      WorkerInstanceId Worker;
-      double ExpectedTasks = 0; ///< Expected number of tasks that it can run.
-
-      bool operator<(const Candidate &Other) const {
-        return std::tie(IsUnknown, Score, Worker) <
-               std::tie(Other.IsUnknown, Other.Score, Other.Worker);
-      }
-    };
     std::vector<Candidate> Candidates;
+    double ExpectedRoom = 0;
     for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
       if (!fitsIn(Need, Snapshot.Available) ||
           !isCandidate(Snapshot, Owner, Spec, &Advice) ||
@@ -495,6 +566,10 @@
                             Snapshot.Worker,
                             (IsUnknown ? ExpectedAdmissionRate : 1.0) *
                                 taskCapacity(Snapshot, Spec)});
+      ExpectedRoom += Candidates.back().ExpectedTasks;
+    }
+    if (ExpectedRoom < static_cast<double>(Unplaced)) {
+      addBusyCandidates(Key, Owner, Spec, Advice, Unplaced, Candidates);
     }
     if (Candidates.empty()) {
       Dispatch.Advice[Key].RetryAt = Now + NoCandidateBackoff;
@@ -547,6 +622,7 @@
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
   std::vector<TaskAssignment> Assignments;
+  std::vector<BlockedStep> Blocked; ///< Steps that may preempt others.
 };
 
 } // namespace
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -14,6 +14,9 @@
 
 using internal::IniPair;
 
+/// Lists the features of a deployment; those that a node does not know are
+/// ignored.
+constexpr const char *FeatureSection = "features";
 /// Upper limit of all durations: one day.
 constexpr std::int64_t MaxMillis = std::int64_t{24} * 3600 * 1000;
 
@@ -70,6 +73,7 @@
     };
     addFlag("cell.voter", Config.IsVoter);
     addFlag("cell.found", Config.IsBootstrap);
+    addFlag("features.pressure", Config.HasOverloadControl);
   }
 
   void addEndpoints() {
@@ -155,6 +159,9 @@
   void parsePair(const IniPair &Pair) {
     const std::string Key = Pair.Section + "." + Pair.Key;
     const auto It = Setters.find(Key);
+    if (It == Setters.end() && Pair.Section == FeatureSection) {
+      return;
+    }
     if (It == Setters.end()) {
       addFinding(Pair, Pair.Key,
                  "[" + Pair.Section + "] has no setting " + Pair.Key);
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -28,6 +28,9 @@
   std::uint32_t MaxVoterFailures = 1; ///< Simultaneous losses to tolerate.
   std::optional<Endpoint> Advisor;
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
+  /// Overload control: urgent jobs preempt others, and jobs that cannot be
+  /// served in useful time are refused. Set by the feature `pressure`.
+  bool HasOverloadControl = false;
   Millis Lease{5400};           ///< Lease that the leader requests of a worker.
   Millis MaxLease{6000};        ///< Maximum lease that a worker accepts.
   Millis ReportInterval{1500};  ///< Between reports of a worker.
