Keep the sum of what each organisation's tasks use and check caps on assignment

Caps of organisations need one sum that two leaders cannot exceed together.

A sum in the leader's volatile state was ruled out, as a new leader would start without it.

--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -47,12 +47,28 @@
   Change.FinishedJobs.push_back(Id);
 }
 
+void addLoad(CellState &State, const TaskKey &Key) {
+  OrganisationLoad &Load = State.Loads[State.Jobs[Key.Job].Organisation];
+  Load.Used += specAt(State, Key).Need;
+  Load.Tasks += 1;
+}
+
+void removeLoad(CellState &State, const TaskKey &Key) {
+  const auto It = State.Loads.find(State.Jobs[Key.Job].Organisation);
+  It->second.Used -= specAt(State, Key).Need;
+  It->second.Tasks -= 1;
+  if (It->second.Tasks == 0) {
+    State.Loads.erase(It);
+  }
+}
+
 /// Returns an assigned task to the waiting state and frees its resources.
 void unassignTask(CellState &State, const TaskKey &Key, JobTask &Task) {
   JobStep &Step = stepAt(State, Key);
   Task.State = JobTaskState::Waiting;
   Step.Assigned -= 1;
   State.Jobs[Key.Job].AssignedTasks -= 1;
+  removeLoad(State, Key);
   if (WorkerInstance *Worker = State.Workers.find(Task.Worker)) {
     Worker->Used -= requiredResources(specAt(State, Key));
     Worker->Tasks -= 1;
@@ -252,8 +268,10 @@
 
 void indexOrganisations(CellState &State) {
   State.OrganisationsByKey.clear();
+  State.OrganisationsByName.clear();
   const auto &Organisations = State.Configuration.Organisations;
   for (std::size_t Index = 0; Index < Organisations.size(); ++Index) {
+    State.OrganisationsByName[Organisations[Index].Name] = Index;
     for (const std::string &Digest : Organisations[Index].KeyDigests) {
       State.OrganisationsByKey[Digest] = Index;
     }
@@ -375,6 +393,25 @@
   return Change;
 }
 
+/// Tells whether a task may start under the cap of its organisation. The
+/// members of a gang start together, so those that are not assigned yet count
+/// as well.
+bool isUnderCap(const CellState &State, const Job &Owner,
+                const TaskAssignment &Assigned) {
+  const Organisation *Organisation = findOwner(State, Owner);
+  if (Organisation == nullptr) {
+    return true;
+  }
+  const StepSpec &Spec = Owner.Spec.Steps[Assigned.Key.Step];
+  const JobStep &Step =
+      findRun(Owner, Assigned.Key.Run)->Steps[Assigned.Key.Step];
+  if (Spec.IsGang && exceedsCap(Organisation->Cap, Spec.Need, Spec.Tasks)) {
+    return false;
+  }
+  return fitsUnderCap(Organisation->Cap, loadOf(State, Owner.Organisation),
+                      Spec.Need, Spec.IsGang ? Spec.Tasks - Step.Assigned : 1);
+}
+
 bool canAssign(const CellState &State, const TaskAssignment &Assigned) {
   const Job *Owner = State.Jobs.find(Assigned.Key.Job);
   const WorkerInstance *Worker = State.Workers.find(Assigned.Worker);
@@ -388,7 +425,8 @@
   return isStepReady(*Owner, *findRun(*Owner, Assigned.Key.Run),
                      Assigned.Key.Step) &&
          Worker->Report.Pool == Owner->Queue.Pool &&
-         fitsIn(requiredResources(Step), availableResources(*Worker));
+         fitsIn(requiredResources(Step), availableResources(*Worker)) &&
+         isUnderCap(State, *Owner, Assigned);
 }
 
 CellChange apply(CellState &State, const AssignTasksCommand &Command) {
@@ -402,6 +440,7 @@
     Task.Attempt = Assigned.Attempt;
     Task.Worker = Assigned.Worker;
     stepAt(State, Assigned.Key).Assigned += 1;
+    addLoad(State, Assigned.Key);
     Job &Owner = State.Jobs[Assigned.Key.Job];
     Owner.AssignedTasks += 1;
     Owner.Phase = JobPhase::Running;
@@ -445,6 +484,23 @@
   return {};
 }
 
+/// Computes what each organisation uses from the assigned tasks.
+void rebuildLoads(CellState &State) {
+  State.Loads.clear();
+  for (const Job &JobRow : State.Jobs.rows()) {
+    for (const JobRun &Run : JobRow.Runs) {
+      for (std::size_t Step = 0; Step < Run.Steps.size(); ++Step) {
+        const std::uint32_t Tasks = Run.Steps[Step].Assigned;
+        for (std::uint32_t Task = 0; Task < Tasks; ++Task) {
+          OrganisationLoad &Load = State.Loads[JobRow.Organisation];
+          Load.Used += JobRow.Spec.Steps[Step].Need;
+          Load.Tasks += 1;
+        }
+      }
+    }
+  }
+}
+
 } // namespace
 
 CellChange applyCommand(CellState &State, const CellCommand &Command) {
@@ -454,6 +510,7 @@
 }
 
 void rebuildIndex(CellState &State) {
+  rebuildLoads(State);
   State.JobNames.clear();
   State.WorkerNames.clear();
   State.UnfinishedJobs.clear();
@@ -499,6 +556,22 @@
              : &State.Configuration.Organisations[It->second];
 }
 
+const Organisation *findOwner(const CellState &State, const Job &JobRow) {
+  if (JobRow.Organisation.empty()) {
+    return nullptr;
+  }
+  const auto It = State.OrganisationsByName.find(JobRow.Organisation);
+  return It == State.OrganisationsByName.end()
+             ? nullptr
+             : &State.Configuration.Organisations[It->second];
+}
+
+OrganisationLoad loadOf(const CellState &State,
+                        const std::string &Organisation) {
+  const auto It = State.Loads.find(Organisation);
+  return It == State.Loads.end() ? OrganisationLoad{} : It->second;
+}
+
 bool requiresKey(const CellConfiguration &Configuration,
                  const JobQueue &Queue) noexcept {
   return Configuration.RequiresKeys && !Queue.IsPublic;
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/core/table.hpp"
 #include "mulberryramp/job/command.hpp"
+#include "mulberryramp/job/organisation_use.hpp"
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,11 @@
   std::set<JobId> UnfinishedJobs; ///< Derived: jobs that are not terminal.
   /// Derived: index in `Configuration.Organisations` by key digest.
   std::unordered_map<std::string, std::size_t> OrganisationsByKey;
+  /// Derived: index in `Configuration.Organisations` by name.
+  std::unordered_map<std::string, std::size_t> OrganisationsByName;
+  /// Derived: what the assigned tasks of each organisation use; those of public
+  /// queues under an empty name. Organisations without such tasks have no row.
+  std::map<std::string, OrganisationLoad> Loads;
 
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
@@ -87,6 +93,16 @@
 [[nodiscard]] const Organisation *
 findOrganisationByKey(const CellState &State, const std::string &KeyDigest);
 
+/// @brief Finds the organisation of a job.
+/// @return The organisation, or null if the job has none or the configuration
+/// no longer has it; valid while the configuration is unchanged.
+[[nodiscard]] const Organisation *findOwner(const CellState &State,
+                                            const Job &JobRow);
+
+/// @brief Returns what the assigned tasks of an organisation use.
+[[nodiscard]] OrganisationLoad loadOf(const CellState &State,
+                                      const std::string &Organisation);
+
 /// @brief Tells whether the jobs of a queue belong to organisations.
 [[nodiscard]] bool requiresKey(const CellConfiguration &Configuration,
                                const JobQueue &Queue) noexcept;
