Measure the rate that organisations are owed in a replicated token bucket

An organisation is owed its weight in jobs per second; Job::IsExcess marks those beyond. The bucket is in CellState::Rates (appended, MandatoryFields 3) and advances by the times of the commands, so that a new leader or a restored voter continues it. It counts in integers, as a fused multiplication on arm64 would round a floating-point bucket differently than x86-64. A time before the last one adds nothing, but the bucket is filled from that time on: a leader whose clock is behind would otherwise mark all jobs as excess for that long.

A submission with a gang larger than the cap has no effect (outcome over-cap), as the gang could never run. Test: unit_tests -g Job.

--- a/src/mulberryramp/job/organisation_use.hpp
+++ b/src/mulberryramp/job/organisation_use.hpp
@@ -51,6 +51,18 @@
   }
 };
 
+/// @brief Bucket of an organisation.
+struct OrganisationRate {
+  std::string Name; ///< Name of the organisation.
+  RateBucket Bucket;
+
+  bool operator==(const OrganisationRate &) const = default;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&OrganisationRate::Name, &OrganisationRate::Bucket);
+  }
+};
+
 /// @brief Returns a full bucket: the jobs of one second, at least one. A weight
 /// of 0 has no jobs.
 [[nodiscard]] RateBucket fullBucket(double Weight, WallTime At) noexcept;
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/job/state.hpp"
 
+#include "mulberryramp/job/organisation_accounts.hpp"
+
 #include <algorithm>
 
 namespace mulberryramp {
@@ -47,28 +49,13 @@
   Change.FinishedJobs.push_back(Id);
 }
 
-void addLoad(CellState &State, const TaskKey &Key) {
-  OrganisationLoad &Load = State.Loads[State.Jobs[Key.Job].Organisation];
-  Load.Used += specAt(State, Key).Need;
-  Load.Tasks += 1;
-}
-
-void removeLoad(CellState &State, const TaskKey &Key) {
-  const auto It = State.Loads.find(State.Jobs[Key.Job].Organisation);
-  It->second.Used -= specAt(State, Key).Need;
-  It->second.Tasks -= 1;
-  if (It->second.Tasks == 0) {
-    State.Loads.erase(It);
-  }
-}
-
 /// Returns an assigned task to the waiting state and frees its resources.
 void unassignTask(CellState &State, const TaskKey &Key, JobTask &Task) {
   JobStep &Step = stepAt(State, Key);
   Task.State = JobTaskState::Waiting;
   Step.Assigned -= 1;
   State.Jobs[Key.Job].AssignedTasks -= 1;
-  removeLoad(State, Key);
+  removeLoad(State, State.Jobs[Key.Job], specAt(State, Key));
   if (WorkerInstance *Worker = State.Workers.find(Task.Worker)) {
     Worker->Used -= requiredResources(specAt(State, Key));
     Worker->Tasks -= 1;
@@ -296,12 +283,19 @@
     Change.Outcome = CommandOutcome::InvalidKey;
     return Change;
   }
+  if (HasOwner && findGangOverCap(Command.Spec, Owner->Cap)) {
+    Change.Outcome = CommandOutcome::OverCap;
+    return Change;
+  }
   Job NewJob;
   NewJob.Name = Command.Name;
   NewJob.Spec = Command.Spec;
   NewJob.Queue = *Queue;
   NewJob.AcceptedAt = Command.At;
-  NewJob.Organisation = HasOwner ? Owner->Name : "";
+  if (HasOwner) {
+    NewJob.Organisation = Owner->Name;
+    NewJob.IsExcess = !takeOwedJob(State, *Owner, Command.At);
+  }
   if (NewJob.Spec.RepeatCount == 0) {
     createRun(NewJob);
   }
@@ -326,6 +320,7 @@
   }
   State.Configuration = Command.Configuration;
   indexOrganisations(State);
+  pruneRates(State);
   for (const JobId Id : State.Jobs.ids()) {
     Job &JobRow = State.Jobs[Id];
     const JobQueue *Queue = findQueueById(
@@ -393,25 +388,6 @@
   return Change;
 }
 
-/// Tells whether a task may start under the cap of its organisation. The
-/// members of a gang start together, so those that are not assigned yet count
-/// as well.
-bool isUnderCap(const CellState &State, const Job &Owner,
-                const TaskAssignment &Assigned) {
-  const Organisation *Organisation = findOwner(State, Owner);
-  if (Organisation == nullptr) {
-    return true;
-  }
-  const StepSpec &Spec = Owner.Spec.Steps[Assigned.Key.Step];
-  const JobStep &Step =
-      findRun(Owner, Assigned.Key.Run)->Steps[Assigned.Key.Step];
-  if (Spec.IsGang && exceedsCap(Organisation->Cap, Spec.Need, Spec.Tasks)) {
-    return false;
-  }
-  return fitsUnderCap(Organisation->Cap, loadOf(State, Owner.Organisation),
-                      Spec.Need, Spec.IsGang ? Spec.Tasks - Step.Assigned : 1);
-}
-
 bool canAssign(const CellState &State, const TaskAssignment &Assigned) {
   const Job *Owner = State.Jobs.find(Assigned.Key.Job);
   const WorkerInstance *Worker = State.Workers.find(Assigned.Worker);
@@ -426,7 +402,7 @@
                      Assigned.Key.Step) &&
          Worker->Report.Pool == Owner->Queue.Pool &&
          fitsIn(requiredResources(Step), availableResources(*Worker)) &&
-         isUnderCap(State, *Owner, Assigned);
+         isUnderCap(State, *Owner, Assigned.Key);
 }
 
 CellChange apply(CellState &State, const AssignTasksCommand &Command) {
@@ -440,7 +416,7 @@
     Task.Attempt = Assigned.Attempt;
     Task.Worker = Assigned.Worker;
     stepAt(State, Assigned.Key).Assigned += 1;
-    addLoad(State, Assigned.Key);
+    addLoad(State, State.Jobs[Assigned.Key.Job], specAt(State, Assigned.Key));
     Job &Owner = State.Jobs[Assigned.Key.Job];
     Owner.AssignedTasks += 1;
     Owner.Phase = JobPhase::Running;
@@ -484,23 +460,6 @@
   return {};
 }
 
-/// Computes what each organisation uses from the assigned tasks.
-void rebuildLoads(CellState &State) {
-  State.Loads.clear();
-  for (const Job &JobRow : State.Jobs.rows()) {
-    for (const JobRun &Run : JobRow.Runs) {
-      for (std::size_t Step = 0; Step < Run.Steps.size(); ++Step) {
-        const std::uint32_t Tasks = Run.Steps[Step].Assigned;
-        for (std::uint32_t Task = 0; Task < Tasks; ++Task) {
-          OrganisationLoad &Load = State.Loads[JobRow.Organisation];
-          Load.Used += JobRow.Spec.Steps[Step].Need;
-          Load.Tasks += 1;
-        }
-      }
-    }
-  }
-}
-
 } // namespace
 
 CellChange applyCommand(CellState &State, const CellCommand &Command) {
@@ -556,22 +515,6 @@
              : &State.Configuration.Organisations[It->second];
 }
 
-const Organisation *findOwner(const CellState &State, const Job &JobRow) {
-  if (JobRow.Organisation.empty()) {
-    return nullptr;
-  }
-  const auto It = State.OrganisationsByName.find(JobRow.Organisation);
-  return It == State.OrganisationsByName.end()
-             ? nullptr
-             : &State.Configuration.Organisations[It->second];
-}
-
-OrganisationLoad loadOf(const CellState &State,
-                        const std::string &Organisation) {
-  const auto It = State.Loads.find(Organisation);
-  return It == State.Loads.end() ? OrganisationLoad{} : It->second;
-}
-
 bool requiresKey(const CellConfiguration &Configuration,
                  const JobQueue &Queue) noexcept {
   return Configuration.RequiresKeys && !Queue.IsPublic;
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -31,9 +31,14 @@
   /// queues under an empty name. Organisations without such tasks have no row.
   std::map<std::string, OrganisationLoad> Loads;
 
+  /// Buckets of the organisations that have submitted jobs, in the order of
+  /// their names.
+  std::vector<OrganisationRate> Rates;
+
+  static constexpr std::size_t MandatoryFields = 3; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
-                           &CellState::Jobs);
+                           &CellState::Jobs, &CellState::Rates);
   }
 };
 
@@ -42,12 +47,13 @@
   Done,       ///< It took effect, or its effect was there before.
   NoQueue,    ///< The queue of the job does not exist.
   InvalidKey, ///< The key belongs to no organisation.
+  OverCap,    ///< A gang of the job is larger than the cap of its organisation.
 };
 
 /// @brief Names of the outcomes, by value.
-constexpr std::array<std::string_view, 3>
+constexpr std::array<std::string_view, 4>
 nameTable(CommandOutcome /*Outcome*/) noexcept {
-  return {"done", "no-queue", "invalid-key"};
+  return {"done", "no-queue", "invalid-key", "over-cap"};
 }
 
 /// @brief Effects of one command, for the leader's dispatch state.
@@ -93,16 +99,6 @@
 [[nodiscard]] const Organisation *
 findOrganisationByKey(const CellState &State, const std::string &KeyDigest);
 
-/// @brief Finds the organisation of a job.
-/// @return The organisation, or null if the job has none or the configuration
-/// no longer has it; valid while the configuration is unchanged.
-[[nodiscard]] const Organisation *findOwner(const CellState &State,
-                                            const Job &JobRow);
-
-/// @brief Returns what the assigned tasks of an organisation use.
-[[nodiscard]] OrganisationLoad loadOf(const CellState &State,
-                                      const std::string &Organisation);
-
 /// @brief Tells whether the jobs of a queue belong to organisations.
 [[nodiscard]] bool requiresKey(const CellConfiguration &Configuration,
                                const JobQueue &Queue) noexcept;
--- a/test/job/organisation_use_test.cpp
+++ b/test/job/organisation_use_test.cpp
@@ -1,5 +1,5 @@
 #include "mulberryramp/core/random.hpp"
-#include "mulberryramp/job/state.hpp"
+#include "mulberryramp/job/organisation_accounts.hpp"
 #include "mulberryramp/wire/codec.hpp"
 #include "support/cell_parts.hpp"
 
@@ -169,3 +169,78 @@
     CHECK(loadOf(Fixture.State, "a").Used.MilliCpus <= 6000);
   }
 }
+
+/// Guards against jobs beyond the owed rate that are not marked, and against a
+/// clock of a new leader that is behind and would stop the bucket.
+TEST(JobOrganisationUse, JobsBeyondTheOwedRateAreExcess) {
+  CapFixture Fixture{0, 2};
+  const auto IsExcess = [&Fixture](const std::string &Name, Millis At) {
+    const JobId Id = Fixture.submit(Name, stepOf(1, 1), TestTime + At);
+    return Fixture.State.Jobs[Id].IsExcess;
+  };
+  CHECK_FALSE(IsExcess("j1", Millis{0}));
+  CHECK_FALSE(IsExcess("j2", Millis{0}));
+  CHECK_TRUE(IsExcess("j3", Millis{0}));
+  CHECK_TRUE(IsExcess("j4", Millis{499}));
+  CHECK_FALSE(IsExcess("j5", Millis{500}));
+  CHECK_TRUE(IsExcess("j6", Millis{-2000}));
+  CHECK_FALSE(IsExcess("j7", Millis{-1500}));
+  CHECK_TRUE(IsExcess("j8", Millis{-1499}));
+}
+
+/// Guards against a new leader or a restored voter that starts with other
+/// buckets than the rest, and a snapshot of the previous build that is refused.
+TEST(JobOrganisationUse, SnapshotsKeepTheBuckets) {
+  CapFixture Fixture{0, 1};
+  Fixture.submit("j1", stepOf(1, 1));
+  const auto Restored = decode<CellState>(encode(Fixture.State));
+  CHECK(Restored.has_value());
+  CHECK(Restored->Rates == Fixture.State.Rates);
+  CHECK_EQUAL(1, Restored->Rates.size());
+  struct FormerState {
+    CellConfiguration Configuration;
+    Table<WorkerInstance> Workers;
+    Table<Job> Jobs;
+
+    static constexpr auto fields() {
+      return std::make_tuple(&FormerState::Configuration, &FormerState::Workers,
+                             &FormerState::Jobs);
+    }
+  };
+  const auto FromFormer = decode<CellState>(encode(FormerState{}));
+  CHECK(FromFormer.has_value());
+  CHECK(FromFormer->Rates.empty());
+}
+
+/// Guards against rates that differ from the weight over a long time: each
+/// weight, large or below one, gets its jobs and the depth of the bucket.
+TEST(JobOrganisationUse, TheRateOfRegularJobsIsTheWeight) {
+  for (const double Weight : {0.0, 0.001, 0.3, 1.0, 31.0, 250.5}) {
+    RateBucket Bucket = fullBucket(Weight, TestTime);
+    std::int64_t Regular = 0;
+    constexpr std::int64_t Seconds = 10000;
+    for (std::int64_t At = 0; At < Seconds * 1000; At += 1) {
+      Regular += takeJob(Bucket, Weight, TestTime + Millis{At}) ? 1 : 0;
+    }
+    const double Owed = Weight * Seconds;
+    CHECK(static_cast<double>(Regular) >= Owed - 1);
+    CHECK(static_cast<double>(Regular) <= Owed + std::max(1.0, Weight));
+  }
+}
+
+/// Guards against a gang that waits for ever, as it is larger than the cap. The
+/// cap may change between the check on submission and the entry.
+TEST(JobOrganisationUse, AGangLargerThanTheCapIsRefused) {
+  CapFixture Fixture{3500};
+  StepSpec Gang = stepOf(4, 1000);
+  Gang.IsGang = true;
+  CHECK_FALSE(Fixture.submit("j", Gang).isSet());
+  JobSpec Spec;
+  Spec.Steps = {Gang};
+  const CellChange Change =
+      applyCommand(Fixture.State,
+                   SubmitJobCommand{"j", "host", "/q/", Spec, TestTime, "ka"});
+  CHECK(CommandOutcome::OverCap == Change.Outcome);
+  Gang.Tasks = 3;
+  CHECK_TRUE(Fixture.submit("j", Gang).isSet());
+}
