Plan starts under caps and by shares of organisations

Cause: the planner knew neither caps nor organisations, so one organisation could take the whole pool. Change: collectShares adds attempts that are presumed lost to the replicated sums; single tasks and gangs start only within the cap, and a step that its cap holds back keeps the room that it needs, so that gangs and wide tasks do not starve beside small ones. Excess jobs come after all others. While a pool is contended, the steps of one priority come in the order of the weighted dominant shares, read again after each step (StepOrder). Without organisations the order is that of PendingStep and nothing is computed. A submission with a gang over the cap is answered Refused (503) at once.

Ruled out: a hold only for late steps, as late steps are planned after those that are not, and the property test on wide tasks starved.

--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
+#include "mulberryramp/job/organisation_accounts.hpp"
+
 #include <utility>
 
 /// @file
@@ -85,6 +87,12 @@
            makeReply(CellVerdict::NotFound, "no job name"));
     return;
   }
+  const Organisation *Owner = requiresKey(State.Configuration, Queue)
+                                  ? findOrganisationByKey(State, Call.Key)
+                                  : nullptr;
+  if (Owner != nullptr && refuseOverCap(Caller, Name, Call.Spec, *Owner)) {
+    return;
+  }
   Events.push_back(
       "event=submit job=" + Name + " queue=" + Queue.Prefix +
       " steps=" + std::to_string(Call.Spec.Steps.size()) +
@@ -93,6 +101,31 @@
                                    Call.Spec, WallNow, Call.Key});
 }
 
+bool CellNode::refuseOverCap(const PendingCaller &Caller,
+                             const std::string &Name, const JobSpec &Spec,
+                             const Organisation &Owner) {
+  const auto Step = findGangOverCap(Spec, Owner.Cap);
+  if (!Step) {
+    return false;
+  }
+  const StepSpec &Gang = Spec.Steps[*Step];
+  const std::string Sizes =
+      "step=" + std::to_string(*Step) + " tasks=" + std::to_string(Gang.Tasks) +
+      " cpu=" + std::to_string(Gang.Need.MilliCpus) +
+      " memory=" + std::to_string(Gang.Need.MemoryMb) +
+      " accelerators=" + std::to_string(Gang.Need.Accelerators) +
+      " cap_cpu=" + std::to_string(Owner.Cap.MilliCpus) +
+      " cap_memory=" + std::to_string(Owner.Cap.MemoryMb) +
+      " cap_accelerators=" + std::to_string(Owner.Cap.Accelerators);
+  Events.push_back("event=submit-refused job=" + Name + " organisation=" +
+                   Owner.Name + " reason=gang-over-cap " + Sizes);
+  answer(
+      Caller.From, Caller.Id,
+      makeReply(CellVerdict::Refused,
+                "a gang is larger than the cap of the organisation: " + Sizes));
+  return true;
+}
+
 void CellNode::cancelJob(const PendingCaller &Caller, JobId Id,
                          WallTime WallNow) {
   const Job &JobRow = State.Jobs[Id];
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -466,6 +466,7 @@
   Status.Launches = Dispatch.Launches.size();
   Status.OpenCalls = Relay.openCalls();
   Status.Counters = Dispatch.Counters;
+  Status.Organisations = Dispatch.Organisations;
   if (Group) {
     const Replica &Member = Group->replica();
     Status.Role = nameOf(Member.Role);
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -58,6 +58,7 @@
   std::size_t Launches = 0;
   std::size_t OpenCalls = 0;
   DispatchCounters Counters;
+  std::vector<OrganisationStatus> Organisations; ///< Only on the leader.
 };
 
 /// @brief One node of a cell; not safe for concurrent use.
@@ -156,6 +157,9 @@
   void serve(const PendingCaller &Caller, const DeregisterWorkerCall &Call);
   void submitJob(const PendingCaller &Caller, const JobQueue &Queue,
                  std::string Name, const JobCall &Call, WallTime WallNow);
+  /// Refuses a job with a gang that is larger than the cap, as it cannot run.
+  bool refuseOverCap(const PendingCaller &Caller, const std::string &Name,
+                     const JobSpec &Spec, const Organisation &Owner);
   void cancelJob(const PendingCaller &Caller, JobId Id, WallTime WallNow);
   [[nodiscard]] std::uint32_t countPending(const JobQueue &Queue) const;
   [[nodiscard]] bool belongsToQueue(JobId Id, const JobQueue &Queue) const;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -52,6 +52,15 @@
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
 
+/// Notes what an orphan counts towards the cap of its organisation, as its job
+/// may be purged before the orphan is over.
+void noteNeed(OrphanedStart &Orphan, const CellState &State) {
+  if (const Job *Owner = State.Jobs.find(Orphan.Key.Job)) {
+    Orphan.Organisation = Owner->Organisation;
+    Orphan.Need = Owner->Spec.Steps[Orphan.Key.Step].Need;
+  }
+}
+
 /// Rebuilds the orphan of a task from the state. The worker may have crashed
 /// under it.
 void recoverOrphan(DispatchState &Dispatch, const CellState &State,
@@ -66,6 +75,7 @@
   Orphan.Name = nameTask(State, Key);
   Orphan.Attempt = Task.LostAttempt;
   Orphan.StartedAt = Now;
+  noteNeed(Orphan, State);
   SessionIt->second.Orphans.push_back(std::move(Orphan));
 }
 
@@ -111,6 +121,7 @@
       Orphan.Attempt = End.Attempt;
       Orphan.WasConfirmed = LaunchIt->second.Phase == LaunchPhase::Confirmed;
       Orphan.StartedAt = LaunchIt->second.StartedAt;
+      noteNeed(Orphan, State);
       SessionIt->second.Orphans.push_back(std::move(Orphan));
     }
     SessionIt->second.Tasks.erase(End.Key);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -101,6 +101,8 @@
   std::uint64_t StopOrder = 0; ///< Id of the open stop order, or 0.
   Instant StopSentAt;
   std::optional<Instant> StopAckedAt;
+  std::string Organisation; ///< That of its job.
+  Resources Need;           ///< `StepSpec::Need` of its step.
 };
 
 /// @brief Reading of a worker clock. At that moment the clock showed at least
@@ -259,6 +261,16 @@
   std::uint64_t WorkerCrashes = 0;
 };
 
+/// @brief What an organisation used and waited for after the last plan, for
+/// metrics.
+struct OrganisationStatus {
+  std::string Name;
+  Resources Used;
+  Resources Cap; ///< An amount of 0 is no limit.
+  std::uint64_t WaitingTasks = 0;
+  double WeightedShare = 0; ///< Dominant share divided by the weight.
+};
+
 /// @brief Volatile scheduling state of the leader of a cell: orders, leases and
 /// advice. A new leader rebuilds it from the replicated state and the workers.
 struct DispatchState {
@@ -275,6 +287,11 @@
   std::map<StepKey, StepAdvice> Advice;
   std::map<StepKey, StepTimes> Times;
   std::map<StepKey, StepReservation> Reservations;
+  /// Organisations that use something or wait; empty if the configuration has
+  /// no organisations.
+  std::vector<OrganisationStatus> Organisations;
+  /// Organisations that their cap holds back, with the last plan that it did.
+  std::map<std::string, Instant> HeldByCapAt;
   std::map<NodeId, AdviceNode> Nodes;
   std::map<std::uint64_t, PendingQuery> PendingQueries;
   std::uint64_t NextId = 1;
--- a/src/mulberryramp/cell/pending_steps.cpp
+++ b/src/mulberryramp/cell/pending_steps.cpp
@@ -42,6 +42,7 @@
   void collectStepsOfRun(JobId Id, const Job &JobRow, const JobRun &Run) {
     PendingStep Pending;
     Pending.Priority = JobRow.Queue.Priority;
+    Pending.IsExcess = JobRow.IsExcess;
     Pending.SoftDeadline = softDeadlineOf(JobRow, Run.Number);
     const WallTime Due = dueTime(JobRow, Run.Number);
     Pending.IsFarOverdue =
@@ -100,9 +101,10 @@
 } // namespace
 
 bool operator<(const PendingStep &Lhs, const PendingStep &Rhs) {
-  return std::tie(Lhs.IsFarOverdue, Lhs.Priority, Lhs.IsLate, Lhs.SoftDeadline,
-                  Lhs.Key) < std::tie(Rhs.IsFarOverdue, Rhs.Priority,
-                                      Rhs.IsLate, Rhs.SoftDeadline, Rhs.Key);
+  return std::tie(Lhs.IsExcess, Lhs.IsFarOverdue, Lhs.Priority, Lhs.IsLate,
+                  Lhs.SoftDeadline, Lhs.Key) <
+         std::tie(Rhs.IsExcess, Rhs.IsFarOverdue, Rhs.Priority, Rhs.IsLate,
+                  Rhs.SoftDeadline, Rhs.Key);
 }
 
 WallTime softDeadlineOf(const Job &JobRow, std::uint32_t Run) {
--- a/src/mulberryramp/cell/pending_steps.hpp
+++ b/src/mulberryramp/cell/pending_steps.hpp
@@ -22,6 +22,7 @@
 struct PendingStep {
   StepKey Key;
   std::uint32_t Priority = 0;
+  bool IsExcess = false; ///< See `Job::IsExcess`.
   bool IsFarOverdue = false;
   bool IsLate = false; ///< It can no longer meet its soft deadline.
   WallTime SoftDeadline;
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -6,6 +6,7 @@
 #include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/cell/reservation.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
+#include "mulberryramp/cell/step_order.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -53,9 +54,11 @@
     Unresolved = collectUnresolvedTasks(Dispatch, Now);
     const PendingSteps Steps =
         collectPendingSteps(Dispatch, State, Now, WallNow);
-    for (const PendingStep &Pending : Steps.Ready) {
-      planStep(Pending);
-    }
+    forEachInOrder(Dispatch, State, Schedulable, Steps.Ready, Now,
+                   [this](const PendingStep &Pending, OrganisationUse *Used) {
+                     Use = Used;
+                     planStep(Pending);
+                   });
     for (const PendingStep &Pending : Steps.SoonReady) {
       prefetchAdvice(Pending.Key);
     }
@@ -166,6 +169,16 @@
     Snapshot.Available -= requiredResources(Step);
     Snapshot.LongRunningTasks += Step.IsLongRunning ? 1 : 0;
     Assignments.push_back({Key, Attempt, Snapshot.Worker});
+    if (Use != nullptr) {
+      addTasks(*Use, Step.Need, 1);
+      Use->WaitingTasks -= 1;
+    }
+  }
+
+  /// Tells whether tasks of the current step may start together under the cap
+  /// of its organisation.
+  bool fitsInOwnCap(const StepSpec &Spec, std::size_t Tasks) const {
+    return Use == nullptr || fitsInCap(*Use, Spec.Need, Tasks);
   }
 
   static TaskCounts countTasks(const JobStep &Step) {
@@ -194,6 +207,15 @@
       Dispatch.Reservations.erase(Key);
       return;
     }
+    if (Use != nullptr && holdForStep(*Use, Spec)) {
+      // The first such step of an organisation keeps its tickets. Queries for
+      // the others would delay those of steps that may start.
+      if (Advice != nullptr && !Use->IsHeldByCap) {
+        queryWorkers(Key, Owner, Spec, Step, Unplaced);
+      }
+      Use->IsHeldByCap = true;
+      return;
+    }
     if (!Pending.IsFarOverdue &&
         needsReservation(Spec, Schedulable.Pools[Owner.Queue.Pool].Largest) &&
         reserveWorkers(Key, Owner, Spec, Advice, Unplaced)) {
@@ -380,7 +402,7 @@
       const bool IsSuspect = isSuspect(Candidate, Task);
       const bool IsTrial = isCrashSuspect(Task);
       const bool MayFit = HasRoom && (HasRoomForSuspect || !IsSuspect) &&
-                          (Trials != 0 || !IsTrial);
+                          (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
       WorkerSnapshot *Chosen = MayFit
                                    ? pickBestWorker(Owner, Spec, Advice, &Task,
                                                     nullptr, Counts, IsSuspect)
@@ -410,6 +432,9 @@
     if (Step.Assigned != 0) {
       return 0;
     }
+    if (!fitsInOwnCap(Spec, Step.Tasks.size())) {
+      return Step.Tasks.size();
+    }
     if (Spec.PrefersSameRack) {
       std::set<std::string> Racks;
       for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
@@ -433,6 +458,7 @@
                    const std::string *Rack) {
     const std::vector<WorkerSnapshot> SavedSnapshots = Schedulable.Rows;
     const std::size_t AssignmentCount = Assignments.size();
+    const OrganisationUse SavedUse = Use == nullptr ? OrganisationUse{} : *Use;
     std::uint32_t Attempt = 0;
     for (const JobTask &Task : Step.Tasks) {
       Attempt = std::max(Attempt, Task.Attempt + 1);
@@ -445,6 +471,9 @@
       if (Chosen == nullptr) {
         Schedulable.Rows = SavedSnapshots;
         Assignments.resize(AssignmentCount);
+        if (Use != nullptr) {
+          *Use = SavedUse;
+        }
         return false;
       }
       Counts[Chosen->Worker] += 1;
@@ -543,6 +572,9 @@
   Instant Now;
   WallTime WallNow;
   SchedulableWorkers Schedulable;
+  /// Use of the organisation of the current step; null if the configuration has
+  /// no organisations.
+  OrganisationUse *Use = nullptr;
   std::set<TaskKey> Unresolved; ///< See `collectUnresolvedTasks`.
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
