Check caps of organisations in the cell explorer

The new kind of fault change-cap gives all jobs one of two organisations and lowers and raises their caps. At each start the tasks that run for the organisation on all workers may be one more than its cap. The kind is not part of the default schedules, so that their seeds keep their meaning.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell_world.hpp"
 
+#include "cell/cap_schedule.hpp"
 #include "cell/fake_worker.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/core/random.hpp"
@@ -27,6 +28,8 @@
 /// Duration of a schedule with tasks that crash workers. Each crash takes a
 /// worker away for up to 5 s, until three jobs with five crashes are given up.
 constexpr Millis ScheduleTimeWithCrashes{ScheduleTime + Millis{3 * 5 * 5000}};
+/// Duration of a schedule with caps, which has twice as many jobs.
+constexpr Millis ScheduleTimeWithCaps{ScheduleTime + Millis{30000}};
 constexpr Millis ReportInterval{500};
 constexpr Millis MaxCancelDelay{3000};
 /// A capacity that has shrunk binds starts this long after it was reported, and
@@ -157,6 +160,7 @@
         injectFaults();
       }
       restoreCapacities();
+      changeCaps();
       issueCalls();
       deliver();
       for (auto &[Id, Voter] : VotersById) {
@@ -226,13 +230,37 @@
   }
 
   void configure() {
-    CellConfiguration Configuration = makeTestConfiguration(1, MaxAttempts);
+    CellConfiguration Configuration =
+        makeTestConfiguration(ConfigurationVersion, MaxAttempts);
     Configuration.Queues.front().LatencyTarget = Millis{500};
+    if (hasCaps()) {
+      Caps.addTo(Configuration);
+    }
     Frontend->call(NextCall, ConfigureCall{Configuration}, Now);
     ConfigureId = NextCall;
     NextCall += 1;
   }
 
+  [[nodiscard]] bool hasCaps() const {
+    return Options.Faults.contains(CellFault::ChangeCap);
+  }
+
+  /// Changes the caps; raises them once the faults are over.
+  void changeCaps() {
+    if (!hasCaps() || (Now < FaultsEnd && Rng.below(300) != 0) ||
+        AreCapsFinal) {
+      return;
+    }
+    AreCapsFinal = Now >= FaultsEnd;
+    if (AreCapsFinal) {
+      Caps.raise();
+    } else {
+      Caps.change(Rng);
+    }
+    ConfigurationVersion += 1;
+    configure();
+  }
+
   // Faults.
 
   bool shouldInject(CellFault Kind, std::uint64_t OneIn) {
@@ -447,7 +475,7 @@
 
   void issueCalls() {
     if (Frontend->isReadyForCallers(Now) && Now < FaultsEnd &&
-        Rng.below(90) == 0) {
+        Rng.below(hasCaps() ? 45 : 90) == 0) {
       submit();
     }
     if (shouldInject(CellFault::Cancel, 150) && !Jobs.empty() &&
@@ -482,7 +510,10 @@
 
   void call(JobVerb Verb, const std::string &Name, const JobSpec &Spec) {
     Calls[NextCall] = {Verb, Name, Now};
-    Frontend->call(NextCall, JobCall{Verb, "host", "/q/" + Name, Spec}, Now);
+    Frontend->call(NextCall,
+                   JobCall{Verb, "host", "/q/" + Name, Spec,
+                           hasCaps() ? Caps.keyOf(Name) : ""},
+                   Now);
     NextCall += 1;
   }
 
@@ -545,6 +576,9 @@
         configure();
         continue;
       }
+      if (Response.CallId == ConfigureId) {
+        Caps.onAcknowledged(Now);
+      }
       const auto It = Calls.find(Response.CallId);
       if (It != Calls.end()) {
         onReply(It->second, Response.Reply);
@@ -965,6 +999,7 @@
       checkStart(Event, Step, Text);
       if (!Event.IsLate) {
         checkCapacityAtStart(Workers.at(Worker), Text);
+        checkCapAtStart(Event.Task.Job);
       }
       break;
     case WorkerEvent::Type::Ended:
@@ -1044,6 +1079,22 @@
     }
   }
 
+  void checkCapAtStart(const std::string &Job) {
+    if (!hasCaps()) {
+      return;
+    }
+    std::map<std::string, std::int64_t> RunningTasks;
+    for (const auto &[Name, State] : Workers) {
+      for (const auto &[Task, Attempt] : State.Worker->running()) {
+        RunningTasks[Task.Job] += 1;
+      }
+    }
+    const std::string Violation = Caps.checkStart(Job, RunningTasks, Now);
+    if (!Violation.empty()) {
+      recordViolation(Violation);
+    }
+  }
+
   /// Checks that no member starts after the end of another member was
   /// acknowledged, and that members of two attempts never run at once.
   void checkGangStart(const WorkerEvent &Event, const StepSpec &Step,
@@ -1138,7 +1189,8 @@
   Instant FaultsEnd{Now + FaultPeriod};
   Instant End{Now + (Options.Faults.contains(CellFault::CrashingTask)
                          ? ScheduleTimeWithCrashes
-                         : ScheduleTime)};
+                     : hasCaps() ? ScheduleTimeWithCaps
+                                 : ScheduleTime)};
   std::map<NodeId, VoterState> VotersById;
   std::map<NodeId, std::uint64_t> ProcessGenerations;
   NodeId NextVoterId = VoterCount + 1;
@@ -1159,6 +1211,9 @@
   std::uint64_t NextCall = 1;
   int LongRunningJobs = 0;
   std::uint64_t ConfigureId = 0;
+  std::uint64_t ConfigurationVersion = 1;
+  CapSchedule Caps{TaskCpus, Options.IsCapTrap};
+  bool AreCapsFinal = false;
   NodeId LastLeader = 0;
   std::map<GangKey, GangAttempt> Gangs;
   std::set<TaskName> DoneTasks;
@@ -1182,6 +1237,7 @@
   }
   Faults.erase(CellFault::CrashingTask);
   Faults.erase(CellFault::CrashRack);
+  Faults.erase(CellFault::ChangeCap);
   return Faults;
 }
 
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -35,18 +35,19 @@
               ///< arrives, and what it sent before may leave them afterwards.
   CrashingTask, ///< Callers submit jobs with tasks that crash workers.
   CrashRack,    ///< Half of the workers crash at once.
-  ShrinkWorker  ///< The capacity of a worker shrinks and grows again.
+  ShrinkWorker, ///< The capacity of a worker shrinks and grows again.
+  ChangeCap     ///< Jobs belong to organisations, whose caps change.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 18>
+constexpr std::array<std::string_view, 19>
 nameTable(CellFault /*Kind*/) noexcept {
-  return {"kill-node",         "wipe-node",      "replace-node",
-          "pause-node",        "cut-node",       "stall-disk",
-          "cut-worker",        "restart-worker", "late-orders",
-          "lose-messages",     "power-off",      "cancel",
-          "reset-connections", "cut-path",       "freeze-node",
-          "crashing-task",     "crash-rack",     "shrink-worker"};
+  return {
+      "kill-node",         "wipe-node",     "replace-node", "pause-node",
+      "cut-node",          "stall-disk",    "cut-worker",   "restart-worker",
+      "late-orders",       "lose-messages", "power-off",    "cancel",
+      "reset-connections", "cut-path",      "freeze-node",  "crashing-task",
+      "crash-rack",        "shrink-worker", "change-cap"};
 }
 
 /// @brief Seed and faults of a schedule.
@@ -55,6 +56,8 @@
   std::set<CellFault> Faults; ///< Kinds of faults to inject.
   bool IsTraced =
       false; ///< Prints the log lines of the nodes and the worker events.
+  /// The cell gets higher caps than the invariant assumes, which has to fail.
+  bool IsCapTrap = false;
 };
 
 /// @brief Violated invariants and counts of a schedule.
@@ -71,8 +74,8 @@
   std::uint64_t FailedBystanders = 0;
 };
 
-/// @brief Lists the faults of a default schedule: all except `CrashingTask` and
-/// `CrashRack`.
+/// @brief Lists the faults of a default schedule: all except `CrashingTask`,
+/// `CrashRack` and `ChangeCap`.
 [[nodiscard]] std::set<CellFault> allCellFaults();
 
 /// @brief Runs a schedule. The same options give the same result.
--- a/test/cell/explore_main.cpp
+++ b/test/cell/explore_main.cpp
@@ -79,6 +79,7 @@
       cxxopts::value<std::uint64_t>()->default_value("100"))(
       "faults", "comma-separated kinds of faults; all if empty",
       cxxopts::value<std::string>()->default_value(""))(
+      "trap-cap", "give the cell higher caps than the invariant assumes")(
       "trace", "print the log lines of the nodes and the worker events")(
       "h,help", "print this help");
   try {
@@ -90,6 +91,7 @@
     const auto FirstSeed = Args["first-seed"].as<std::uint64_t>();
     const auto EndSeed = FirstSeed + Args["count"].as<std::uint64_t>();
     const auto Faults = readFaults(Args["faults"].as<std::string>());
+    const bool IsCapTrap = Args.count("trap-cap") != 0;
     const bool IsTraced = Args.count("trace") != 0;
     Totals Total;
     std::mutex Mutex;
@@ -100,7 +102,7 @@
       Threads.emplace_back([&] {
         for (std::uint64_t Seed = NextSeed++; Seed < EndSeed;
              Seed = NextSeed++) {
-          const CellScheduleOptions Schedule{Seed, Faults, IsTraced};
+          const CellScheduleOptions Schedule{Seed, Faults, IsTraced, IsCapTrap};
           const CellScheduleResult Result = runCellSchedule(Schedule);
           const std::lock_guard Lock{Mutex};
           addResult(Total, Schedule, Result);
