Export use, cap and waiting tasks of organisations as metrics

Operators need to see which organisation its cap holds back and which one is served least. Test: unit_tests -g Celld.

--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -1,5 +1,6 @@
 #include "celld/cell_metrics.hpp"
 
+#include "celld/organisation_metrics.hpp"
 #include "mulberryramp/telemetry/gauges.hpp"
 
 #include <prometheus/histogram.h>
@@ -8,6 +9,7 @@
 
 struct CellMetrics::Impl : Gauges {
   prometheus::Histogram *Calls = nullptr;
+  OrganisationMetrics Organisations;
 };
 
 CellMetrics::CellMetrics() : Pimpl{std::make_unique<Impl>()} {
@@ -71,6 +73,7 @@
           "Messages to other nodes that were dropped", Links.DroppedMessages);
   Out.set("mulberryramp_storage_failures_total", "Failed storage writes",
           StorageFailures);
+  Out.Organisations.update(Out.Registry, Node.Organisations);
   return Out.Gauges::render();
 }
 
