--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/job/state.hpp"
 
+#include "mulberryramp/job/organisation_accounts.hpp"
+
 #include <algorithm>
 
 namespace mulberryramp {
@@ -53,6 +55,7 @@
   Task.State = JobTaskState::Waiting;
   Step.Assigned -= 1;
   State.Jobs[Key.Job].AssignedTasks -= 1;
+  removeLoad(State, State.Jobs[Key.Job], specAt(State, Key));
   if (WorkerInstance *Worker = State.Workers.find(Task.Worker)) {
     Worker->Used -= requiredResources(specAt(State, Key));
     Worker->Tasks -= 1;
@@ -252,8 +255,10 @@
 
 void indexOrganisations(CellState &State) {
   State.OrganisationsByKey.clear();
+  State.OrganisationsByName.clear();
   const auto &Organisations = State.Configuration.Organisations;
   for (std::size_t Index = 0; Index < Organisations.size(); ++Index) {
+    State.OrganisationsByName[Organisations[Index].Name] = Index;
     for (const std::string &Digest : Organisations[Index].KeyDigests) {
       State.OrganisationsByKey[Digest] = Index;
     }
@@ -278,12 +283,19 @@
     Change.Outcome = CommandOutcome::InvalidKey;
     return Change;
   }
+  if (HasOwner && findGangOverCap(Command.Spec, Owner->Cap)) {
+    Change.Outcome = CommandOutcome::OverCap;
+    return Change;
+  }
   Job NewJob;
   NewJob.Name = Command.Name;
   NewJob.Spec = Command.Spec;
   NewJob.Queue = *Queue;
   NewJob.AcceptedAt = Command.At;
-  NewJob.Organisation = HasOwner ? Owner->Name : "";
+  if (HasOwner) {
+    NewJob.Organisation = Owner->Name;
+    NewJob.IsExcess = !takeOwedJob(State, *Owner, Command.At);
+  }
   if (NewJob.Spec.RepeatCount == 0) {
     createRun(NewJob);
   }
@@ -308,6 +320,7 @@
   }
   State.Configuration = Command.Configuration;
   indexOrganisations(State);
+  pruneRates(State);
   for (const JobId Id : State.Jobs.ids()) {
     Job &JobRow = State.Jobs[Id];
     const JobQueue *Queue = findQueueById(
@@ -388,7 +401,8 @@
   return isStepReady(*Owner, *findRun(*Owner, Assigned.Key.Run),
                      Assigned.Key.Step) &&
          Worker->Report.Pool == Owner->Queue.Pool &&
-         fitsIn(requiredResources(Step), availableResources(*Worker));
+         fitsIn(requiredResources(Step), availableResources(*Worker)) &&
+         isUnderCap(State, *Owner, Assigned.Key);
 }
 
 CellChange apply(CellState &State, const AssignTasksCommand &Command) {
@@ -402,6 +416,7 @@
     Task.Attempt = Assigned.Attempt;
     Task.Worker = Assigned.Worker;
     stepAt(State, Assigned.Key).Assigned += 1;
+    addLoad(State, State.Jobs[Assigned.Key.Job], specAt(State, Assigned.Key));
     Job &Owner = State.Jobs[Assigned.Key.Job];
     Owner.AssignedTasks += 1;
     Owner.Phase = JobPhase::Running;
@@ -454,6 +469,7 @@
 }
 
 void rebuildIndex(CellState &State) {
+  rebuildLoads(State);
   State.JobNames.clear();
   State.WorkerNames.clear();
   State.UnfinishedJobs.clear();
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/core/table.hpp"
 #include "mulberryramp/job/command.hpp"
+#include "mulberryramp/job/organisation_use.hpp"
 
 #include <cstdint>
 #include <map>
@@ -24,10 +25,20 @@
   std::set<JobId> UnfinishedJobs; ///< Derived: jobs that are not terminal.
   /// Derived: index in `Configuration.Organisations` by key digest.
   std::unordered_map<std::string, std::size_t> OrganisationsByKey;
+  /// Derived: index in `Configuration.Organisations` by name.
+  std::unordered_map<std::string, std::size_t> OrganisationsByName;
+  /// Derived: what the assigned tasks of each organisation use; those of public
+  /// queues under an empty name. Organisations without such tasks have no row.
+  std::map<std::string, OrganisationLoad> Loads;
 
+  /// Buckets of the organisations that have submitted jobs, in the order of
+  /// their names.
+  std::vector<OrganisationRate> Rates;
+
+  static constexpr std::size_t MandatoryFields = 3; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
-                           &CellState::Jobs);
+                           &CellState::Jobs, &CellState::Rates);
   }
 };
 
@@ -36,12 +47,13 @@
   Done,       ///< It took effect, or its effect was there before.
   NoQueue,    ///< The queue of the job does not exist.
   InvalidKey, ///< The key belongs to no organisation.
+  OverCap,    ///< A gang of the job is larger than the cap of its organisation.
 };
 
 /// @brief Names of the outcomes, by value.
-constexpr std::array<std::string_view, 3>
+constexpr std::array<std::string_view, 4>
 nameTable(CommandOutcome /*Outcome*/) noexcept {
-  return {"done", "no-queue", "invalid-key"};
+  return {"done", "no-queue", "invalid-key", "over-cap"};
 }
 
 /// @brief Effects of one command, for the leader's dispatch state.
