--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -14,6 +14,15 @@
 /// ignored, as it would replace the actual worker for good.
 constexpr Millis MaxStartTimeLead{std::chrono::hours{24}};
 
+/// Tells whether a caller may read and cancel a job of its queue. A job without
+/// an organisation was accepted while its queue needed no key; if the queue
+/// needs one now, each organisation may use the job, as its owner is not known.
+/// @param Caller Organisation of the caller; null if the queue needs no key.
+bool isVisibleTo(const Job &JobRow, const Organisation *Caller) {
+  return Caller == nullptr || JobRow.Organisation.empty() ||
+         JobRow.Organisation == Caller->Name;
+}
+
 } // namespace
 
 bool CellNode::belongsToQueue(JobId Id, const JobQueue &Queue) const {
@@ -61,9 +70,8 @@
     return;
   }
   const JobId Existing = findJob(State, Name);
-  const bool IsInQueue =
-      Existing.isSet() && belongsToQueue(Existing, *Queue) &&
-      (Owner == nullptr || State.Jobs[Existing].Organisation == Owner->Name);
+  const bool IsInQueue = Existing.isSet() && belongsToQueue(Existing, *Queue) &&
+                         isVisibleTo(State.Jobs[Existing], Owner);
   if (Call.Verb == JobVerb::Submit && !Existing.isSet()) {
     submitJob(Caller, *Queue, Name, Call, WallNow);
   } else if (!IsInQueue) {
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -31,6 +31,19 @@
          std::holds_alternative<AppendEntriesReply>(Body);
 }
 
+/// Reply to the caller of a command that was applied.
+CellReply replyTo(CommandOutcome Outcome) {
+  switch (Outcome) {
+  case CommandOutcome::NoQueue:
+    return makeReply(CellVerdict::NotFound, "no such queue");
+  case CommandOutcome::InvalidKey:
+    return makeReply(CellVerdict::Unauthenticated, "unknown key");
+  case CommandOutcome::Done:
+    break;
+  }
+  return makeReply(CellVerdict::Done);
+}
+
 } // namespace
 
 ReplicaOptions makeCellReplicaOptions(std::size_t MaxVoterFailures) {
@@ -246,8 +259,10 @@
   const bool IsOwn =
       Dispatch.IsActive && LogEntry.InTerm == Dispatch.FencingToken;
   Dispatch.HoldsLease = isLeading(CurrentTime);
+  std::vector<CommandOutcome> Outcomes;
   for (const CellCommand &Command : *Commands) {
     const CellChange Change = applyCommand(State, Command);
+    Outcomes.push_back(Change.Outcome);
     if (!Dispatch.IsActive) {
       continue;
     }
@@ -260,7 +275,10 @@
   if (WaitersIt == Waiters.end()) {
     return;
   }
+  // The commands of callers are the first ones of an entry, see `propose`.
+  auto OutcomeIt = Outcomes.begin();
   for (const PendingCaller &Caller : WaitersIt->second) {
+    const CommandOutcome Outcome = *OutcomeIt++;
     if (Caller.Report) {
       const WorkerInstanceId Worker = findWorker(State, Caller.Report->Name);
       if (Worker.isSet() && State.Workers[Worker].Report.StartTimeMs ==
@@ -268,7 +286,7 @@
         onWorkerReport(Dispatch, Worker, *Caller.Report, CurrentTime);
       }
     }
-    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
+    answer(Caller.From, Caller.Id, replyTo(Outcome));
   }
   Waiters.erase(WaitersIt);
 }
--- a/test/cell/relay_test.cpp
+++ b/test/cell/relay_test.cpp
@@ -111,10 +111,12 @@
 
 /// Guards against a caller being told that a job was not accepted although an
 /// earlier transmission of the same call was: its reply was lost, and meanwhile
-/// the queue was removed.
+/// the queue or the key was removed, or the key was moved to another
+/// organisation, to which the job is unknown.
 TEST(CellRelay, ADenialAfterAnEarlierTransmissionIsUnknown) {
   for (const CellVerdict Verdict :
-       {CellVerdict::Refused, CellVerdict::NotFound}) {
+       {CellVerdict::Refused, CellVerdict::NotFound, CellVerdict::Gone,
+        CellVerdict::Unauthenticated, CellVerdict::Overloaded}) {
     RelayFixture Fixture;
     Fixture.announceLeader(1);
     Fixture.Relay.call(7, JobCall{}, Fixture.Now);
