Log, count and order denials of calls

A denial left no trace, and a request with an invalid body or method was answered 400 or 405 by the node that received it, before its key was checked.

Each denied call writes a line event=denied with the queue, the first eight digits of the digest and the reason; at most 10 lines a second, the next line tells how many were left out. event=configure tells how many keys were added, moved and removed and names the removed ones; event=submit and event=cancel name the key. Nodes count the calls they answered by outcome, and voters export the numbers of keys and organisations.

An invalid request of a caller is checked by the leader first (verb Check): an unknown route is 404, an invalid key 401, and only then is its own error sent. Without organisations its error is sent as before, but it needs a leader. Ruled out: a flag in NodeWelcome that tells frontends whether keys are checked, since it would be outdated for as long as a frontend is partitioned. Repeated Authorization headers are combined and hold no key.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -65,8 +65,11 @@
   HttpServer *Http = nullptr;
   std::uint64_t ExchangeId = 0; ///< Id of the request in `Http`.
   CallType Type;
-  std::string Path; ///< For log lines.
+  std::string Path;        ///< For log lines.
+  bool IsOfCaller = false; ///< The call is a `JobCall`.
   Instant ReceivedAt;
+  /// Error of a request that is invalid itself; sent if its check is passed.
+  std::optional<HttpResponse> Rejection;
 };
 
 std::vector<NodeId> seedNodes(const CellSettings &Settings) {
@@ -322,15 +325,20 @@
 void CellDaemon::Impl::onCall(Listener Source, HttpServer &Http,
                               std::uint64_t ExchangeId,
                               const HttpRequest &Request) {
+  OpenRequest Pending;
   auto Call = Protocol->decodeCall(Source, Request);
   if (!Call) {
     event("event=rejected method=" + Request.Method + " path=" + Request.Path +
           " status=" + std::to_string(Call.error().Status) +
           " reason=" + Call.error().Body);
-    Http.respond(ExchangeId, std::move(Call.error()));
-    return;
+    auto Check = Protocol->decodeCheck(Source, Request);
+    if (!Check) {
+      Http.respond(ExchangeId, std::move(Call.error()));
+      return;
+    }
+    Pending.Rejection = std::move(Call.error());
+    Call = std::move(*Check);
   }
-  OpenRequest Pending;
   Pending.Http = &Http;
   Pending.ExchangeId = ExchangeId;
   Pending.Type.VariantIndex = Call->index();
@@ -338,6 +346,7 @@
   Pending.ReceivedAt = SuspendAwareClock::now();
   if (const auto *JobRequest = std::get_if<JobCall>(&*Call)) {
     Pending.Type.Verb = JobRequest->Verb;
+    Pending.IsOfCaller = true;
   }
   const std::uint64_t Id = NextCall;
   NextCall += 1;
@@ -360,6 +369,9 @@
   OpenRequests.erase(It);
   const auto Duration = SuspendAwareClock::now() - Pending.ReceivedAt;
   Telemetry.observeCall(std::chrono::duration<double>(Duration).count());
+  if (Pending.IsOfCaller) {
+    Telemetry.countCall(Done.Reply.Verdict);
+  }
   if (Done.Reply.Verdict == CellVerdict::Refused ||
       Done.Reply.Verdict == CellVerdict::Overloaded ||
       Done.Reply.Verdict == CellVerdict::Unknown) {
@@ -367,9 +379,13 @@
           " verdict=" + std::string{nameOf(Done.Reply.Verdict)} + " after_ms=" +
           std::to_string(Duration.count()) + " reason=" + Done.Reply.Text);
   }
+  const bool IsRejected =
+      Pending.Rejection && Done.Reply.Verdict == CellVerdict::Done;
   Pending.Http->respond(
       Pending.ExchangeId,
-      Protocol->encodeReply(Pending.Type, Done.Reply, controlAddress()));
+      IsRejected
+          ? *Pending.Rejection
+          : Protocol->encodeReply(Pending.Type, Done.Reply, controlAddress()));
 }
 
 void CellDaemon::Impl::sendPeer(const CellMessage &Message) {
--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -2,12 +2,16 @@
 
 #include "mulberryramp/telemetry/gauges.hpp"
 
+#include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 
 namespace mulberryramp {
 
 struct CellMetrics::Impl : Gauges {
   prometheus::Histogram *Calls = nullptr;
+  prometheus::Counter *Served = nullptr;
+  prometheus::Counter *Unauthenticated = nullptr;
+  prometheus::Counter *Refused = nullptr;
 };
 
 CellMetrics::CellMetrics() : Pimpl{std::make_unique<Impl>()} {
@@ -18,6 +22,13 @@
                       .Help("Time from a call to its answer")
                       .Register(Pimpl->Registry)
                       .Add({}, BucketBounds);
+  auto &Outcomes = prometheus::BuildCounter()
+                       .Name("mulberryramp_calls_total")
+                       .Help("Calls of callers that this node answered")
+                       .Register(Pimpl->Registry);
+  Pimpl->Served = &Outcomes.Add({{"outcome", "served"}});
+  Pimpl->Unauthenticated = &Outcomes.Add({{"outcome", "unauthenticated"}});
+  Pimpl->Refused = &Outcomes.Add({{"outcome", "refused"}});
 }
 
 CellMetrics::~CellMetrics() = default;
@@ -26,6 +37,24 @@
   Pimpl->Calls->Observe(Seconds);
 }
 
+void CellMetrics::countCall(CellVerdict Verdict) {
+  switch (Verdict) {
+  case CellVerdict::Done:
+  case CellVerdict::NotFound:
+  case CellVerdict::Gone:
+    Pimpl->Served->Increment();
+    break;
+  case CellVerdict::Unauthenticated:
+    Pimpl->Unauthenticated->Increment();
+    break;
+  case CellVerdict::Refused:
+  case CellVerdict::Unknown:
+  case CellVerdict::Overloaded:
+    Pimpl->Refused->Increment();
+    break;
+  }
+}
+
 std::string CellMetrics::render(const CellNodeStatus &Node,
                                 const LinkCounters &Links,
                                 std::uint64_t StorageFailures) {
@@ -41,6 +70,12 @@
   Out.set("mulberryramp_cell_configuration_version",
           "Version of the active configuration on this node",
           Node.Configuration);
+  Out.set("mulberryramp_cell_organisations",
+          "Organisations in the active configuration on this node",
+          static_cast<std::uint64_t>(Node.Organisations));
+  Out.set("mulberryramp_cell_keys",
+          "Keys of organisations in the active configuration on this node",
+          static_cast<std::uint64_t>(Node.Keys));
   Out.set("mulberryramp_cell_workers", "Registered workers",
           static_cast<std::uint64_t>(Node.Workers));
   Out.set("mulberryramp_cell_jobs", "Jobs in the replicated state",
--- a/src/celld/cell_metrics.hpp
+++ b/src/celld/cell_metrics.hpp
@@ -20,6 +20,10 @@
   /// @param Seconds Time from the call to its answer.
   void observeCall(double Seconds);
 
+  /// @brief Counts a call of a caller by its outcome: served (also if its queue
+  /// or job does not exist), unauthenticated or refused.
+  void countCall(CellVerdict Verdict);
+
   /// @brief Updates and renders all metrics.
   /// @param Node Current state of the node.
   /// @param Links Counters of the links to other nodes.
--- a/src/celld/gateway.hpp
+++ b/src/celld/gateway.hpp
@@ -7,6 +7,7 @@
 
 #include <tl/expected.hpp>
 
+#include <optional>
 #include <string>
 
 namespace mulberryramp {
@@ -35,6 +36,13 @@
   [[nodiscard]] virtual tl::expected<CellCall, HttpResponse>
   decodeCall(Listener Source, const HttpRequest &Request) const = 0;
 
+  /// @brief Decodes the check that decides how a request that `decodeCall`
+  /// rejects is answered: whether its caller may use the queue is told first,
+  /// and the error of the request only if it may.
+  /// @return The check, or nothing if the error is answered at once.
+  [[nodiscard]] virtual std::optional<CellCall>
+  decodeCheck(Listener Source, const HttpRequest &Request) const = 0;
+
   /// @brief Encodes the answer to a call.
   /// @param Call Properties of the call.
   /// @param Reply Answer of the cell.
--- a/src/mulberryramp/cell/call.hpp
+++ b/src/mulberryramp/cell/call.hpp
@@ -15,11 +15,17 @@
 namespace mulberryramp {
 
 /// @brief Operation of a caller on a job.
-enum class JobVerb : std::uint8_t { Submit, Read, Cancel };
+enum class JobVerb : std::uint8_t {
+  Submit,
+  Read,
+  Cancel,
+  Check ///< No operation; only checks the queue and the key of a call that is
+        ///< invalid itself.
+};
 
 /// @brief Names of the operations, by value.
-constexpr std::array<std::string_view, 3> nameTable(JobVerb /*Verb*/) noexcept {
-  return {"submit", "read", "cancel"};
+constexpr std::array<std::string_view, 4> nameTable(JobVerb /*Verb*/) noexcept {
+  return {"submit", "read", "cancel", "check"};
 }
 
 /// @brief Call about a job or a queue. The host and a prefix of the path select
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -1,5 +1,8 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
+#include "mulberryramp/core/digest.hpp"
+
+#include <unordered_map>
 #include <utility>
 
 /// @file
@@ -23,8 +26,51 @@
          JobRow.Organisation == Caller->Name;
 }
 
+/// Number of removed keys that one log line shows.
+constexpr std::size_t MaxShownKeys = 16;
+
+/// Describes how a configuration changes the keys, for the log.
+std::string describeKeyChange(const CellState &State,
+                              const CellConfiguration &Next) {
+  std::unordered_map<std::string_view, std::string_view> Owners;
+  for (const Organisation &Row : Next.Organisations) {
+    for (const std::string &Digest : Row.KeyDigests) {
+      Owners.emplace(Digest, Row.Name);
+    }
+  }
+  std::size_t Kept = 0;
+  std::size_t Moved = 0;
+  std::string Removed;
+  std::size_t RemovedCount = 0;
+  for (const Organisation &Row : State.Configuration.Organisations) {
+    for (const std::string &Digest : Row.KeyDigests) {
+      const auto OwnerIt = Owners.find(Digest);
+      if (OwnerIt != Owners.end()) {
+        Kept += 1;
+        Moved += OwnerIt->second != Row.Name ? 1 : 0;
+        continue;
+      }
+      RemovedCount += 1;
+      if (RemovedCount <= MaxShownKeys) {
+        Removed += (Removed.empty() ? "" : ",") + abbreviateDigest(Digest);
+      }
+    }
+  }
+  return " organisations=" + std::to_string(Next.Organisations.size()) +
+         " keys_added=" + std::to_string(Owners.size() - Kept) +
+         " keys_moved=" + std::to_string(Moved) +
+         " keys_removed=" + std::to_string(RemovedCount) +
+         " removed=" + (Removed.empty() ? "-" : Removed);
+}
+
 } // namespace
 
+void CellNode::logDenial(const DeniedCall &Call) {
+  if (auto Line = Denials.add(Call, CurrentTime)) {
+    Events.push_back(std::move(*Line));
+  }
+}
+
 bool CellNode::belongsToQueue(JobId Id, const JobQueue &Queue) const {
   const JobQueue &QueueOfJob = State.Jobs[Id].Queue;
   return QueueOfJob.Host == Queue.Host && QueueOfJob.Prefix == Queue.Prefix;
@@ -44,6 +90,11 @@
 void CellNode::serve(const PendingCaller &Caller, const JobCall &Call,
                      WallTime WallNow) {
   const JobQueue *Queue = matchQueue(State.Configuration, Call.Host, Call.Path);
+  if (Call.Verb == JobVerb::Check && State.Configuration.Version != 0 &&
+      !State.Configuration.RequiresKeys) {
+    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
+    return;
+  }
   if (Queue == nullptr) {
     const bool IsConfigured = State.Configuration.Version != 0;
     answer(Caller.From, Caller.Id,
@@ -56,11 +107,18 @@
   if (requiresKey(State.Configuration, *Queue)) {
     Owner = findOrganisationByKey(State, Call.Key);
     if (Owner == nullptr) {
+      logDenial({Caller.From, Call.Verb, Queue->Prefix, Call.Key,
+                 Call.Key.empty() ? "no-key" : "unknown-key",
+                 State.Configuration.Version});
       answer(Caller.From, Caller.Id,
              makeReply(CellVerdict::Unauthenticated, "unknown key"));
       return;
     }
   }
+  if (Call.Verb == JobVerb::Check) {
+    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
+    return;
+  }
   const std::string Name = Call.Path.substr(Queue->Prefix.size());
   if (Name.empty() && Call.Verb == JobVerb::Read) {
     CellReply Reply;
@@ -77,7 +135,7 @@
   } else if (!IsInQueue) {
     answer(Caller.From, Caller.Id, makeReply(CellVerdict::Gone, "no such job"));
   } else if (Call.Verb == JobVerb::Cancel) {
-    cancelJob(Caller, Existing, WallNow);
+    cancelJob(Caller, Existing, Call.Key, WallNow);
   } else {
     CellReply Status;
     Status.Phase = State.Jobs[Existing].Phase;
@@ -93,22 +151,23 @@
            makeReply(CellVerdict::NotFound, "no job name"));
     return;
   }
-  Events.push_back(
-      "event=submit job=" + Name + " queue=" + Queue.Prefix +
-      " steps=" + std::to_string(Call.Spec.Steps.size()) +
-      " configuration=" + std::to_string(State.Configuration.Version));
+  Events.push_back("event=submit job=" + Name + " queue=" + Queue.Prefix +
+                   " steps=" + std::to_string(Call.Spec.Steps.size()) +
+                   " key=" + abbreviateDigest(Call.Key) + " configuration=" +
+                   std::to_string(State.Configuration.Version));
   propose(Caller, SubmitJobCommand{std::move(Name), Queue.Host, Queue.Prefix,
                                    Call.Spec, WallNow, Call.Key});
 }
 
 void CellNode::cancelJob(const PendingCaller &Caller, JobId Id,
-                         WallTime WallNow) {
+                         const std::string &Key, WallTime WallNow) {
   const Job &JobRow = State.Jobs[Id];
   if (isTerminal(JobRow.Phase)) {
     answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
     return;
   }
-  Events.push_back("event=cancel job=" + JobRow.Name);
+  Events.push_back("event=cancel job=" + JobRow.Name +
+                   " key=" + abbreviateDigest(Key));
   propose(Caller, CancelJobCommand{JobRow.Name, WallNow});
 }
 
@@ -121,7 +180,8 @@
   Events.push_back(
       "event=configure version=" + std::to_string(Call.Configuration.Version) +
       " queues=" + std::to_string(Call.Configuration.Queues.size()) +
-      " former=" + std::to_string(State.Configuration.Version));
+      " former=" + std::to_string(State.Configuration.Version) +
+      describeKeyChange(State, Call.Configuration));
   propose(Caller, ConfigureCommand{Call.Configuration});
 }
 
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -263,6 +263,11 @@
   for (const CellCommand &Command : *Commands) {
     const CellChange Change = applyCommand(State, Command);
     Outcomes.push_back(Change.Outcome);
+    if (IsOwn && Change.Outcome == CommandOutcome::InvalidKey) {
+      const auto &Denied = std::get<SubmitJobCommand>(Command);
+      logDenial({0, JobVerb::Submit, Denied.Prefix, Denied.Key,
+                 "removed-before-entry", State.Configuration.Version});
+    }
     if (!Dispatch.IsActive) {
       continue;
     }
@@ -479,6 +484,8 @@
   Status.Role = "relay";
   Status.Leader = leader();
   Status.Configuration = State.Configuration.Version;
+  Status.Organisations = State.Configuration.Organisations.size();
+  Status.Keys = State.OrganisationsByKey.size();
   Status.Workers = State.Workers.size();
   Status.Jobs = State.Jobs.size();
   Status.Launches = Dispatch.Launches.size();
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberryramp/cell/denial_log.hpp"
 #include "mulberryramp/cell/dispatcher.hpp"
 #include "mulberryramp/cell/relay.hpp"
 #include "mulberryramp/node/hosted_group.hpp"
@@ -53,6 +54,8 @@
   LogIndex CommitIndex = 0;
   std::size_t Voters = 0;
   std::uint64_t Configuration = 0;
+  std::size_t Organisations = 0; ///< In the active configuration.
+  std::size_t Keys = 0;          ///< In the active configuration.
   std::size_t Workers = 0;
   std::size_t Jobs = 0;
   std::size_t Launches = 0;
@@ -156,7 +159,9 @@
   void serve(const PendingCaller &Caller, const DeregisterWorkerCall &Call);
   void submitJob(const PendingCaller &Caller, const JobQueue &Queue,
                  std::string Name, const JobCall &Call, WallTime WallNow);
-  void cancelJob(const PendingCaller &Caller, JobId Id, WallTime WallNow);
+  void cancelJob(const PendingCaller &Caller, JobId Id, const std::string &Key,
+                 WallTime WallNow);
+  void logDenial(const DeniedCall &Call);
   [[nodiscard]] std::uint32_t countPending(const JobQueue &Queue) const;
   [[nodiscard]] bool belongsToQueue(JobId Id, const JobQueue &Queue) const;
 
@@ -187,6 +192,7 @@
   std::uint64_t NextQueryId = 1;
   std::vector<AdviceQuery> Queries;
   std::vector<std::string> Events;
+  DenialLog Denials;
 
   bool IsWriting = false;
   /// Sent after the current write.
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <optional>
+#include <strings.h>
 #include <unistd.h>
 #include <utility>
 
@@ -50,6 +51,18 @@
   return MHD_YES;
 }
 
+/// Combines repeated headers as RFC 9110 has it, so that a request with two
+/// keys has no valid one.
+MHD_Result addAuthorization(void *Output, MHD_ValueKind /*Kind*/,
+                            const char *Name, const char *Value) {
+  if (strcasecmp(Name, MHD_HTTP_HEADER_AUTHORIZATION) == 0) {
+    auto &Combined = *static_cast<std::string *>(Output);
+    Combined += Combined.empty() ? "" : ", ";
+    Combined += Value == nullptr ? "" : Value;
+  }
+  return MHD_YES;
+}
+
 } // namespace internal
 
 struct HttpServer::Impl {
@@ -73,10 +86,9 @@
     const char *Host = MHD_lookup_connection_value(Connection, MHD_HEADER_KIND,
                                                    MHD_HTTP_HEADER_HOST);
     Exchange->Request.Host = Host == nullptr ? "" : Host;
-    const char *Authorization = MHD_lookup_connection_value(
-        Connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
-    Exchange->Request.Authorization =
-        Authorization == nullptr ? "" : Authorization;
+    MHD_get_connection_values(Connection, MHD_HEADER_KIND,
+                              internal::addAuthorization,
+                              &Exchange->Request.Authorization);
     MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND,
                               internal::addQueryParameter,
                               &Exchange->Request.Query);
--- a/test/cell/identity_test.cpp
+++ b/test/cell/identity_test.cpp
@@ -2,6 +2,7 @@
 #include "mulberryramp/core/digest.hpp"
 #include "support/cell_parts.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -150,7 +151,19 @@
     }
   }
 
+  [[nodiscard]] std::size_t countEvents(const std::string &Part) const {
+    return static_cast<std::size_t>(std::count_if(
+        Events.begin(), Events.end(), [&Part](const std::string &Line) {
+          return Line.find(Part) != std::string::npos;
+        }));
+  }
+
+  [[nodiscard]] bool hasEvent(const std::string &Part) const {
+    return countEvents(Part) != 0;
+  }
+
   Instant Now{Millis{100000}};
+  std::vector<std::string> Events; ///< Log lines of all voters.
   std::map<NodeId, std::unique_ptr<CellNode>> Voters;
   std::set<NodeId> Paused;
   std::set<NodeId> Isolated; ///< Exchange no messages with other nodes.
@@ -170,6 +183,7 @@
     for (CellMessage &Message : Output.Messages) {
       Messages.push_back(std::move(Message));
     }
+    Events.insert(Events.end(), Output.Events.begin(), Output.Events.end());
     for (LocalReply &Reply : Output.Replies) {
       Replies[Reply.CallId] = std::move(Reply.Reply);
     }
@@ -200,6 +214,10 @@
     CHECK(CellVerdict::Done == Cell.ask(Verb, "/open/o", ""));
   }
   CHECK(CellVerdict::Done == Cell.ask(JobVerb::Submit, "/q/j", "k1"));
+  // A request that is invalid itself is checked first.
+  CHECK(CellVerdict::Unauthenticated == Cell.ask(JobVerb::Check, "/q/j", "k"));
+  CHECK(CellVerdict::NotFound == Cell.ask(JobVerb::Check, "/other/j", "k1"));
+  CHECK(CellVerdict::Done == Cell.ask(JobVerb::Check, "/q/j", "k1"));
   // Both keys belong to the organisation of the job.
   CHECK(CellVerdict::Done == Cell.ask(JobVerb::Read, "/q/j", "k2"));
   CHECK(CellVerdict::Done == Cell.ask(JobVerb::Read, "/q/", "k2"));
@@ -212,6 +230,8 @@
   Cell.configure(makeTestConfiguration(1, 1));
   CHECK(CellVerdict::Done == Cell.ask(JobVerb::Submit, "/q/j", ""));
   CHECK(CellVerdict::Done == Cell.ask(JobVerb::Read, "/q/j", "any"));
+  // An invalid request is answered with its error on any route, as before.
+  CHECK(CellVerdict::Done == Cell.ask(JobVerb::Check, "/other/j", ""));
   Cell.configure(makeConfiguration(2, {}));
   for (const char *Key : {"", "any"}) {
     CHECK(CellVerdict::Unauthenticated ==
@@ -266,6 +286,39 @@
   CHECK(CellVerdict::Gone == Cell.ask(JobVerb::Read, "/q/j", "k"));
 }
 
+/// Guards against keys in the log, a log flooded by a caller that repeats its
+/// call, and denials that leave no trace.
+TEST(CellIdentity, DeniedCallsAreLoggedWithTheirDigestOnlyAndBounded) {
+  KeyCell Cell;
+  Cell.configure(makeConfiguration(1, {{"a", {"first", "second"}}}));
+  const NodeId Leader = Cell.leader();
+  Cell.Events.clear();
+  Cell.configure(makeConfiguration(2, {{"a", {"second", "third"}}}));
+  const std::string Key = abbreviateDigest(sha256("first"));
+  CHECK(
+      Cell.hasEvent("keys_added=1 keys_moved=0 keys_removed=1 removed=" + Key));
+  CHECK(CellVerdict::Unauthenticated ==
+        Cell.ask(JobVerb::Read, "/q/j", "first"));
+  CHECK(CellVerdict::Unauthenticated == Cell.ask(JobVerb::Read, "/q/j", ""));
+  CHECK(Cell.hasEvent("verb=read queue=/q/ key=" + Key +
+                      " reason=unknown-key configuration=2 omitted=0"));
+  CHECK(Cell.hasEvent("key=- reason=no-key"));
+  Cell.stepFor(Millis{1000});
+  Cell.Events.clear();
+  for (int Call = 0; Call < 100; ++Call) {
+    Cell.send(Leader, makeCall(JobVerb::Submit, "/q/j", "first"));
+  }
+  Cell.stepFor(Millis{100});
+  CHECK_EQUAL(MaxDenialsPerSecond, Cell.countEvents("event=denied"));
+  Cell.stepFor(Millis{1000});
+  CHECK(CellVerdict::Unauthenticated ==
+        Cell.ask(JobVerb::Submit, "/q/j", "first"));
+  CHECK(Cell.hasEvent("omitted=90"));
+  for (const char *Text : {"first", "second", "third"}) {
+    CHECK_EQUAL(0, Cell.countEvents(Text));
+  }
+}
+
 /// Guards against a leader that was partitioned from the others serving a key
 /// that they have revoked: its lease has to be over before.
 TEST(CellIdentity, APartitionedFormerLeaderServesNoRevokedKey) {
--- a/test/platform/organisation_test.cpp
+++ b/test/platform/organisation_test.cpp
@@ -204,6 +204,27 @@
   CHECK(sha256(Key) == std::get<JobCall>(*Call).Key);
 }
 
+/// Guards against a caller without a valid key being told what is wrong with
+/// its request: the check of its key comes first.
+TEST(PlatformOrganisations, AnInvalidRequestIsCheckedBeforeItsErrorIsTold) {
+  const PlatformGateway Protocol;
+  for (const char *Method : {"PUT", "POST", "PATCH"}) {
+    const HttpRequest Request{Method, "/p/x", {}, "{", "h:80", "Bearer k"};
+    CHECK(!Protocol.decodeCall(Listener::Callers, Request).has_value());
+    const auto Check = Protocol.decodeCheck(Listener::Callers, Request);
+    const auto &Call = std::get<JobCall>(*Check);
+    CHECK(JobVerb::Check == Call.Verb);
+    STRCMP_EQUAL("h", Call.Host.c_str());
+    STRCMP_EQUAL("/p/x", Call.Path.c_str());
+    CHECK(sha256("k") == Call.Key);
+    // Calls of workers and operators have no key.
+    CHECK(!Protocol.decodeCheck(Listener::Control, Request).has_value());
+  }
+  CellReply Denied;
+  Denied.Verdict = CellVerdict::Unauthenticated;
+  CHECK_EQUAL(401, Protocol.encodeReply({}, Denied, "").Status);
+}
+
 /// A header that is no key must match no organisation, and never fail a node.
 TEST(PlatformOrganisations, MalformedHeadersHoldNoKey) {
   for (const std::string &Header :
