Change keys of organisations in the explorer

No schedule changed organisations while voters failed, so nothing showed that a key that was removed stays removed at a paused or partitioned former leader.

The new fault kind change-keys removes, moves and adds keys by configurations. Calls with each key go through the frontend and through all voters, and two invariants are checked without any allowance for time: no call that was sent after a removal was acknowledged is served, and no call with a key that was valid all the time is denied. KeyTrap loses the removals or additions of a configuration; a test shows that each invariant then fails.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/fake_worker.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/core/digest.hpp"
 #include "mulberryramp/core/random.hpp"
 #include "mulberryramp/storage/group_store.hpp"
 #include "support/cell_parts.hpp"
@@ -29,6 +30,7 @@
 constexpr Millis ScheduleTimeWithCrashes{ScheduleTime + Millis{3 * 5 * 5000}};
 constexpr Millis ReportInterval{500};
 constexpr Millis MaxCancelDelay{3000};
+constexpr Millis KeyProbeInterval{50};
 /// A capacity that has shrunk binds starts this long after it was reported, and
 /// one report interval.
 constexpr Millis ContactWindow{3000};
@@ -147,6 +149,9 @@
           Name, capacityOf(WorkerCpus), Options.Seed * 31 + Index, Now);
     }
     LastLeader = 0;
+    if (Options.Faults.contains(CellFault::ChangeKeys)) {
+      Keys.emplace(Options.Seed, Options.Trap);
+    }
   }
 
   CellScheduleResult run() {
@@ -228,6 +233,10 @@
   void configure() {
     CellConfiguration Configuration = makeTestConfiguration(1, MaxAttempts);
     Configuration.Queues.front().LatencyTarget = Millis{500};
+    if (Keys) {
+      Configuration = Keys->configuration(std::move(Configuration));
+      Keys->onSent(Now);
+    }
     Frontend->call(NextCall, ConfigureCall{Configuration}, Now);
     ConfigureId = NextCall;
     NextCall += 1;
@@ -288,6 +297,10 @@
 
   void injectFaults() {
     injectNodeFaults();
+    if (shouldInject(CellFault::ChangeKeys, 150) && !Keys->isOpen()) {
+      Keys->change();
+      configure();
+    }
     const std::string Name = "w" + std::to_string(Rng.below(WorkerCount));
     WorkerState &State = Workers.at(Name);
     if (shouldInject(CellFault::PartitionWorker, 1200)) {
@@ -470,6 +483,32 @@
       }
       retryCancels();
     }
+    if (Keys && Now >= NextKeyProbeAt) {
+      NextKeyProbeAt = Now + KeyProbeInterval;
+      probeKey();
+    }
+  }
+
+  /// Reads the queue with a key that may be invalid, through the frontend or
+  /// through a voter, which may be a former leader.
+  void probeKey() {
+    NodeId Id = 0;
+    VoterState &Voter = randomVoter(Id);
+    const bool UsesVoter = Rng.percent(50) && Voter.Node;
+    const std::string Key = Keys->randomKey();
+    KeyProbes[NextCall] = {Key, Now};
+    (UsesVoter ? *Voter.Node : *Frontend)
+        .call(NextCall, JobCall{JobVerb::Read, "host", "/q/", {}, sha256(Key)},
+              Now);
+    NextCall += 1;
+  }
+
+  void checkKey(const std::string &Key, Instant SentAt, CellVerdict Verdict) {
+    Result.KeyChecks += 1;
+    const std::string Violation = Keys->check(Key, SentAt, Now, Verdict);
+    if (!Violation.empty()) {
+      recordViolation(Violation);
+    }
   }
 
   void retryCancels() {
@@ -482,7 +521,11 @@
 
   void call(JobVerb Verb, const std::string &Name, const JobSpec &Spec) {
     Calls[NextCall] = {Verb, Name, Now};
-    Frontend->call(NextCall, JobCall{Verb, "host", "/q/" + Name, Spec}, Now);
+    JobCall Body{Verb, "host", "/q/" + Name, Spec};
+    if (Keys) {
+      Body.Key = sha256(KeyWorld::keyOf(Name));
+    }
+    Frontend->call(NextCall, std::move(Body), Now);
     NextCall += 1;
   }
 
@@ -545,6 +588,16 @@
         configure();
         continue;
       }
+      if (Keys && Response.CallId == ConfigureId) {
+        Keys->onAcknowledged(Now);
+        ConfigureId = 0;
+        continue;
+      }
+      if (const auto Probe = KeyProbes.extract(Response.CallId)) {
+        checkKey(Probe.mapped().first, Probe.mapped().second,
+                 Response.Reply.Verdict);
+        continue;
+      }
       const auto It = Calls.find(Response.CallId);
       if (It != Calls.end()) {
         onReply(It->second, Response.Reply);
@@ -556,6 +609,9 @@
   void onReply(const OpenCallerCall &Call, const CellReply &Reply) {
     const std::string &Name = Call.Job;
     TrackedJob &Job = Jobs.at(Name);
+    if (Keys) {
+      checkKey(KeyWorld::keyOf(Name), Call.SentAt, Reply.Verdict);
+    }
     if (Call.Verb == JobVerb::Submit) {
       Job.IsAccepted = Job.IsAccepted || Reply.Verdict == CellVerdict::Done;
       return;
@@ -1159,6 +1215,10 @@
   std::uint64_t NextCall = 1;
   int LongRunningJobs = 0;
   std::uint64_t ConfigureId = 0;
+  std::optional<KeyWorld> Keys; ///< Set if callers need keys.
+  /// Key and time of the open calls that only check a key, by call.
+  std::map<std::uint64_t, std::pair<std::string, Instant>> KeyProbes;
+  Instant NextKeyProbeAt;
   NodeId LastLeader = 0;
   std::map<GangKey, GangAttempt> Gangs;
   std::set<TaskName> DoneTasks;
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cell/key_world.hpp"
+
 #include <array>
 #include <cstdint>
 #include <set>
@@ -35,18 +37,19 @@
               ///< arrives, and what it sent before may leave them afterwards.
   CrashingTask, ///< Callers submit jobs with tasks that crash workers.
   CrashRack,    ///< Half of the workers crash at once.
-  ShrinkWorker  ///< The capacity of a worker shrinks and grows again.
+  ShrinkWorker, ///< The capacity of a worker shrinks and grows again.
+  ChangeKeys    ///< Configurations remove, move and add keys of organisations.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 18>
+constexpr std::array<std::string_view, 19>
 nameTable(CellFault /*Kind*/) noexcept {
-  return {"kill-node",         "wipe-node",      "replace-node",
-          "pause-node",        "cut-node",       "stall-disk",
-          "cut-worker",        "restart-worker", "late-orders",
-          "lose-messages",     "power-off",      "cancel",
-          "reset-connections", "cut-path",       "freeze-node",
-          "crashing-task",     "crash-rack",     "shrink-worker"};
+  return {
+      "kill-node",         "wipe-node",     "replace-node", "pause-node",
+      "cut-node",          "stall-disk",    "cut-worker",   "restart-worker",
+      "late-orders",       "lose-messages", "power-off",    "cancel",
+      "reset-connections", "cut-path",      "freeze-node",  "crashing-task",
+      "crash-rack",        "shrink-worker", "change-keys"};
 }
 
 /// @brief Seed and faults of a schedule.
@@ -55,6 +58,7 @@
   std::set<CellFault> Faults; ///< Kinds of faults to inject.
   bool IsTraced =
       false; ///< Prints the log lines of the nodes and the worker events.
+  KeyTrap Trap = KeyTrap::None; ///< Only for tests of the invariants.
 };
 
 /// @brief Violated invariants and counts of a schedule.
@@ -69,6 +73,7 @@
   std::uint64_t MaxTaskCrashesOfJob = 0;
   /// Jobs without a crashing task that ended as failed.
   std::uint64_t FailedBystanders = 0;
+  std::uint64_t KeyChecks = 0; ///< Answers whose key was checked.
 };
 
 /// @brief Lists the faults of a default schedule: all except `CrashingTask` and
--- a/test/cell/explore_main.cpp
+++ b/test/cell/explore_main.cpp
@@ -22,6 +22,7 @@
   std::uint64_t LeaderChanges = 0;
   std::uint64_t TaskCrashes = 0;
   std::uint64_t FailedBystanders = 0;
+  std::uint64_t KeyChecks = 0;
 };
 
 std::set<CellFault> readFaults(const std::string &Text) {
@@ -49,6 +50,7 @@
   Total.LeaderChanges += Result.LeaderChanges;
   Total.TaskCrashes += Result.TaskCrashes;
   Total.FailedBystanders += Result.FailedBystanders;
+  Total.KeyChecks += Result.KeyChecks;
   if (Result.TaskCrashes != 0) {
     std::cout << "seed " << Options.Seed << ": workers crashed by tasks "
               << Result.TaskCrashes << ", by tasks of one job at most "
@@ -113,6 +115,7 @@
     std::cout << "submitted " << Total.Submitted << ", completed "
               << Total.Completed << ", starts " << Total.Starts
               << ", leader changes " << Total.LeaderChanges << '\n'
+              << "answers with a checked key " << Total.KeyChecks << '\n'
               << "workers crashed by tasks " << Total.TaskCrashes
               << ", failed jobs without a crashing task "
               << Total.FailedBystanders << '\n'
