--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -3,6 +3,7 @@
 #include "celld/organisation_metrics.hpp"
 #include "mulberryramp/telemetry/gauges.hpp"
 
+#include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 
 namespace mulberryramp {
@@ -10,6 +11,9 @@
 struct CellMetrics::Impl : Gauges {
   prometheus::Histogram *Calls = nullptr;
   OrganisationMetrics Organisations;
+  prometheus::Counter *Served = nullptr;
+  prometheus::Counter *Unauthenticated = nullptr;
+  prometheus::Counter *Refused = nullptr;
 };
 
 CellMetrics::CellMetrics() : Pimpl{std::make_unique<Impl>()} {
@@ -20,6 +24,13 @@
                       .Help("Time from a call to its answer")
                       .Register(Pimpl->Registry)
                       .Add({}, BucketBounds);
+  auto &Outcomes = prometheus::BuildCounter()
+                       .Name("mulberryramp_calls_total")
+                       .Help("Calls of callers that this node answered")
+                       .Register(Pimpl->Registry);
+  Pimpl->Served = &Outcomes.Add({{"outcome", "served"}});
+  Pimpl->Unauthenticated = &Outcomes.Add({{"outcome", "unauthenticated"}});
+  Pimpl->Refused = &Outcomes.Add({{"outcome", "refused"}});
 }
 
 CellMetrics::~CellMetrics() = default;
@@ -28,6 +39,24 @@
   Pimpl->Calls->Observe(Seconds);
 }
 
+void CellMetrics::countCall(CellVerdict Verdict) {
+  switch (Verdict) {
+  case CellVerdict::Done:
+  case CellVerdict::NotFound:
+  case CellVerdict::Gone:
+    Pimpl->Served->Increment();
+    break;
+  case CellVerdict::Unauthenticated:
+    Pimpl->Unauthenticated->Increment();
+    break;
+  case CellVerdict::Refused:
+  case CellVerdict::Unknown:
+  case CellVerdict::Overloaded:
+    Pimpl->Refused->Increment();
+    break;
+  }
+}
+
 std::string CellMetrics::render(const CellNodeStatus &Node,
                                 const LinkCounters &Links,
                                 std::uint64_t StorageFailures) {
@@ -43,6 +72,12 @@
   Out.set("mulberryramp_cell_configuration_version",
           "Version of the active configuration on this node",
           Node.Configuration);
+  Out.set("mulberryramp_cell_organisations",
+          "Organisations in the active configuration on this node",
+          static_cast<std::uint64_t>(Node.Organisations));
+  Out.set("mulberryramp_cell_keys",
+          "Keys of organisations in the active configuration on this node",
+          static_cast<std::uint64_t>(Node.Keys));
   Out.set("mulberryramp_cell_workers", "Registered workers",
           static_cast<std::uint64_t>(Node.Workers));
   Out.set("mulberryramp_cell_jobs", "Jobs in the replicated state",
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -1,7 +1,9 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
+#include "mulberryramp/core/digest.hpp"
 #include "mulberryramp/job/organisation_accounts.hpp"
 
+#include <unordered_map>
 #include <utility>
 
 /// @file
@@ -16,8 +18,60 @@
 /// ignored, as it would replace the actual worker for good.
 constexpr Millis MaxStartTimeLead{std::chrono::hours{24}};
 
+/// Tells whether a caller may read and cancel a job of its queue. A job without
+/// an organisation was accepted while its queue needed no key; if the queue
+/// needs one now, each organisation may use the job, as its owner is not known.
+/// @param Caller Organisation of the caller; null if the queue needs no key.
+bool isVisibleTo(const Job &JobRow, const Organisation *Caller) {
+  return Caller == nullptr || JobRow.Organisation.empty() ||
+         JobRow.Organisation == Caller->Name;
+}
+
+/// Number of removed keys that one log line shows.
+constexpr std::size_t MaxShownKeys = 16;
+
+/// Describes how a configuration changes the keys, for the log.
+std::string describeKeyChange(const CellState &State,
+                              const CellConfiguration &Next) {
+  std::unordered_map<std::string_view, std::string_view> Owners;
+  for (const Organisation &Row : Next.Organisations) {
+    for (const std::string &Digest : Row.KeyDigests) {
+      Owners.emplace(Digest, Row.Name);
+    }
+  }
+  std::size_t Kept = 0;
+  std::size_t Moved = 0;
+  std::string Removed;
+  std::size_t RemovedCount = 0;
+  for (const Organisation &Row : State.Configuration.Organisations) {
+    for (const std::string &Digest : Row.KeyDigests) {
+      const auto OwnerIt = Owners.find(Digest);
+      if (OwnerIt != Owners.end()) {
+        Kept += 1;
+        Moved += OwnerIt->second != Row.Name ? 1 : 0;
+        continue;
+      }
+      RemovedCount += 1;
+      if (RemovedCount <= MaxShownKeys) {
+        Removed += (Removed.empty() ? "" : ",") + abbreviateDigest(Digest);
+      }
+    }
+  }
+  return " organisations=" + std::to_string(Next.Organisations.size()) +
+         " keys_added=" + std::to_string(Owners.size() - Kept) +
+         " keys_moved=" + std::to_string(Moved) +
+         " keys_removed=" + std::to_string(RemovedCount) +
+         " removed=" + (Removed.empty() ? "-" : Removed);
+}
+
 } // namespace
 
+void CellNode::logDenial(const DeniedCall &Call) {
+  if (auto Line = Denials.add(Call, CurrentTime)) {
+    Events.push_back(std::move(*Line));
+  }
+}
+
 bool CellNode::belongsToQueue(JobId Id, const JobQueue &Queue) const {
   const JobQueue &QueueOfJob = State.Jobs[Id].Queue;
   return QueueOfJob.Host == Queue.Host && QueueOfJob.Prefix == Queue.Prefix;
@@ -37,6 +91,11 @@
 void CellNode::serve(const PendingCaller &Caller, const JobCall &Call,
                      WallTime WallNow) {
   const JobQueue *Queue = matchQueue(State.Configuration, Call.Host, Call.Path);
+  if (Call.Verb == JobVerb::Check && State.Configuration.Version != 0 &&
+      !State.Configuration.RequiresKeys) {
+    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
+    return;
+  }
   if (Queue == nullptr) {
     const bool IsConfigured = State.Configuration.Version != 0;
     answer(Caller.From, Caller.Id,
@@ -49,11 +108,18 @@
   if (requiresKey(State.Configuration, *Queue)) {
     Owner = findOrganisationByKey(State, Call.Key);
     if (Owner == nullptr) {
+      logDenial({Caller.From, Call.Verb, Queue->Prefix, Call.Key,
+                 Call.Key.empty() ? "no-key" : "unknown-key",
+                 State.Configuration.Version});
       answer(Caller.From, Caller.Id,
              makeReply(CellVerdict::Unauthenticated, "unknown key"));
       return;
     }
   }
+  if (Call.Verb == JobVerb::Check) {
+    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
+    return;
+  }
   const std::string Name = Call.Path.substr(Queue->Prefix.size());
   if (Name.empty() && Call.Verb == JobVerb::Read) {
     CellReply Reply;
@@ -63,15 +129,14 @@
     return;
   }
   const JobId Existing = findJob(State, Name);
-  const bool IsInQueue =
-      Existing.isSet() && belongsToQueue(Existing, *Queue) &&
-      (Owner == nullptr || State.Jobs[Existing].Organisation == Owner->Name);
+  const bool IsInQueue = Existing.isSet() && belongsToQueue(Existing, *Queue) &&
+                         isVisibleTo(State.Jobs[Existing], Owner);
   if (Call.Verb == JobVerb::Submit && !Existing.isSet()) {
     submitJob(Caller, *Queue, Name, Call, WallNow);
   } else if (!IsInQueue) {
     answer(Caller.From, Caller.Id, makeReply(CellVerdict::Gone, "no such job"));
   } else if (Call.Verb == JobVerb::Cancel) {
-    cancelJob(Caller, Existing, WallNow);
+    cancelJob(Caller, Existing, Call.Key, WallNow);
   } else {
     CellReply Status;
     Status.Phase = State.Jobs[Existing].Phase;
@@ -93,10 +158,10 @@
   if (Owner != nullptr && refuseOverCap(Caller, Name, Call.Spec, *Owner)) {
     return;
   }
-  Events.push_back(
-      "event=submit job=" + Name + " queue=" + Queue.Prefix +
-      " steps=" + std::to_string(Call.Spec.Steps.size()) +
-      " configuration=" + std::to_string(State.Configuration.Version));
+  Events.push_back("event=submit job=" + Name + " queue=" + Queue.Prefix +
+                   " steps=" + std::to_string(Call.Spec.Steps.size()) +
+                   " key=" + abbreviateDigest(Call.Key) + " configuration=" +
+                   std::to_string(State.Configuration.Version));
   propose(Caller, SubmitJobCommand{std::move(Name), Queue.Host, Queue.Prefix,
                                    Call.Spec, WallNow, Call.Key});
 }
@@ -127,13 +192,14 @@
 }
 
 void CellNode::cancelJob(const PendingCaller &Caller, JobId Id,
-                         WallTime WallNow) {
+                         const std::string &Key, WallTime WallNow) {
   const Job &JobRow = State.Jobs[Id];
   if (isTerminal(JobRow.Phase)) {
     answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
     return;
   }
-  Events.push_back("event=cancel job=" + JobRow.Name);
+  Events.push_back("event=cancel job=" + JobRow.Name +
+                   " key=" + abbreviateDigest(Key));
   propose(Caller, CancelJobCommand{JobRow.Name, WallNow});
 }
 
@@ -146,7 +212,8 @@
   Events.push_back(
       "event=configure version=" + std::to_string(Call.Configuration.Version) +
       " queues=" + std::to_string(Call.Configuration.Queues.size()) +
-      " former=" + std::to_string(State.Configuration.Version));
+      " former=" + std::to_string(State.Configuration.Version) +
+      describeKeyChange(State, Call.Configuration));
   propose(Caller, ConfigureCommand{Call.Configuration});
 }
 
