--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -74,7 +74,7 @@
           Node.Configuration);
   Out.set("mulberryramp_cell_organisations",
           "Organisations in the active configuration on this node",
-          static_cast<std::uint64_t>(Node.Organisations));
+          static_cast<std::uint64_t>(Node.OrganisationCount));
   Out.set("mulberryramp_cell_keys",
           "Keys of organisations in the active configuration on this node",
           static_cast<std::uint64_t>(Node.Keys));
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -38,6 +38,9 @@
     return makeReply(CellVerdict::NotFound, "no such queue");
   case CommandOutcome::InvalidKey:
     return makeReply(CellVerdict::Unauthenticated, "unknown key");
+  case CommandOutcome::OverCap:
+    return makeReply(CellVerdict::Refused,
+                     "a gang is larger than the cap of its organisation");
   case CommandOutcome::Done:
     break;
   }
@@ -484,7 +487,7 @@
   Status.Role = "relay";
   Status.Leader = leader();
   Status.Configuration = State.Configuration.Version;
-  Status.Organisations = State.Configuration.Organisations.size();
+  Status.OrganisationCount = State.Configuration.Organisations.size();
   Status.Keys = State.OrganisationsByKey.size();
   Status.Workers = State.Workers.size();
   Status.Jobs = State.Jobs.size();
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -54,8 +54,8 @@
   LogIndex CommitIndex = 0;
   std::size_t Voters = 0;
   std::uint64_t Configuration = 0;
-  std::size_t Organisations = 0; ///< In the active configuration.
-  std::size_t Keys = 0;          ///< In the active configuration.
+  std::size_t OrganisationCount = 0; ///< In the active configuration.
+  std::size_t Keys = 0;              ///< In the active configuration.
   std::size_t Workers = 0;
   std::size_t Jobs = 0;
   std::size_t Launches = 0;
