Answer each caller of a cell by the outcome of its own command

Cause: a call was checked against the applied state and answered Done when its entry was committed.

Change: applyCommand returns an outcome for submissions, cancels, configurations, registrations and drains. Waiting callers are linked to the index of their entry and the position of their command there, so that the link does not depend on how proposals are divided into entries. The relay treats Gone as contradicted if an earlier transmission of a submission may have been accepted.

Ruled out: a check of uncommitted configurations before the proposal, as it would have to be repeated for each command and each way out of the log.

--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -14,8 +14,44 @@
 /// ignored, as it would replace the actual worker for good.
 constexpr Millis MaxStartTimeLead{std::chrono::hours{24}};
 
+/// Builds the reply to the caller of a committed command.
+CellReply replyToCommitted(CommandOutcome Outcome) {
+  switch (Outcome) {
+  case CommandOutcome::Done:
+    return makeReply(CellVerdict::Done);
+  case CommandOutcome::NoQueue:
+    return makeReply(CellVerdict::NotFound, "no such queue");
+  case CommandOutcome::InvalidKey:
+    return makeReply(CellVerdict::Unauthenticated, "unknown key");
+  case CommandOutcome::NoJob:
+    return makeReply(CellVerdict::Gone, "no such job");
+  case CommandOutcome::NoWorker:
+    return makeReply(CellVerdict::Refused, "no such worker");
+  case CommandOutcome::Overtaken:
+    return makeReply(CellVerdict::Done, "already overtaken");
+  }
+  return makeReply(CellVerdict::Unknown);
+}
+
 } // namespace
 
+void CellNode::answerCommitted(const PendingCaller &Caller,
+                               const CellChange &Change) {
+  if (Caller.Report) {
+    const WorkerInstanceId Worker = findWorker(State, Caller.Report->Name);
+    if (Worker.isSet() && State.Workers[Worker].Report.StartTimeMs ==
+                              Caller.Report->StartTimeMs) {
+      onWorkerReport(Dispatch, Worker, *Caller.Report, CurrentTime);
+    }
+  }
+  if (Change.Outcome != CommandOutcome::Done) {
+    Events.push_back("event=no-effect caller=" + std::to_string(Caller.From) +
+                     " call=" + std::to_string(Caller.Id) +
+                     " outcome=" + std::string{nameOf(Change.Outcome)});
+  }
+  answer(Caller.From, Caller.Id, replyToCommitted(Change.Outcome));
+}
+
 bool CellNode::belongsToQueue(JobId Id, const JobQueue &Queue) const {
   const JobQueue &QueueOfJob = State.Jobs[Id].Queue;
   return QueueOfJob.Host == Queue.Host && QueueOfJob.Prefix == Queue.Prefix;
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -206,8 +206,8 @@
 }
 
 void CellNode::propose(const PendingCaller &Caller, CellCommand Command) {
+  ProposalWaiters.emplace(Proposals.size(), Caller);
   Proposals.push_back(std::move(Command));
-  ProposalWaiters.push_back(Caller);
 }
 
 void CellNode::onLeadership(const Replica &Member) {
@@ -220,13 +220,11 @@
 }
 
 void CellNode::dropWaiters() {
-  for (const auto &[Index, Waiting] : Waiters) {
-    for (const PendingCaller &Caller : Waiting) {
-      send(Caller.From, RelayedReply{Caller.Id, false, true, {}});
-    }
+  for (const auto &[Position, Caller] : Waiters) {
+    send(Caller.From, RelayedReply{Caller.Id, false, true, {}});
   }
   Waiters.clear();
-  for (const PendingCaller &Caller : ProposalWaiters) {
+  for (const auto &[Position, Caller] : ProposalWaiters) {
     send(Caller.From, RelayedReply{Caller.Id, false, false, {}});
   }
   ProposalWaiters.clear();
@@ -246,7 +244,8 @@
   const bool IsOwn =
       Dispatch.IsActive && LogEntry.InTerm == Dispatch.FencingToken;
   Dispatch.HoldsLease = isLeading(CurrentTime);
-  for (const CellCommand &Command : *Commands) {
+  for (std::size_t Position = 0; Position < Commands->size(); ++Position) {
+    const CellCommand &Command = (*Commands)[Position];
     const CellChange Change = applyCommand(State, Command);
     if (!Dispatch.IsActive) {
       continue;
@@ -255,22 +254,12 @@
       Dispatch.HasUncommittedStarts = false;
     }
     onStateChange(Dispatch, State, Change, CurrentTime);
-  }
-  const auto WaitersIt = Waiters.find(LogEntry.Index);
-  if (WaitersIt == Waiters.end()) {
-    return;
-  }
-  for (const PendingCaller &Caller : WaitersIt->second) {
-    if (Caller.Report) {
-      const WorkerInstanceId Worker = findWorker(State, Caller.Report->Name);
-      if (Worker.isSet() && State.Workers[Worker].Report.StartTimeMs ==
-                                Caller.Report->StartTimeMs) {
-        onWorkerReport(Dispatch, Worker, *Caller.Report, CurrentTime);
-      }
+    const auto WaiterIt = Waiters.find({LogEntry.Index, Position});
+    if (WaiterIt != Waiters.end()) {
+      answerCommitted(WaiterIt->second, Change);
+      Waiters.erase(WaiterIt);
     }
-    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
   }
-  Waiters.erase(WaitersIt);
 }
 
 void CellNode::onRestore(const std::string &Data) {
@@ -306,6 +295,18 @@
   return !IsShuttingDown && Relay.hasRecentLeader(Now);
 }
 
+/// Links the callers of `Count` commands, from the one at `First` of
+/// `Proposals` on, to the entry that holds these commands.
+void CellNode::awaitCommit(LogIndex Index, std::size_t First,
+                           std::size_t Count) {
+  const auto Begin = ProposalWaiters.lower_bound(First);
+  const auto End = ProposalWaiters.lower_bound(First + Count);
+  for (auto It = Begin; It != End; ++It) {
+    Waiters.emplace(std::pair{Index, It->first - First}, std::move(It->second));
+  }
+  ProposalWaiters.erase(Begin, End);
+}
+
 void CellNode::proposePending() {
   Proposals.insert(Proposals.end(),
                    std::make_move_iterator(Dispatch.Commands.begin()),
@@ -321,10 +322,7 @@
     dropWaiters();
     return;
   }
-  if (!ProposalWaiters.empty()) {
-    Waiters[*Index] = std::move(ProposalWaiters);
-  }
-  ProposalWaiters.clear();
+  awaitCommit(*Index, 0, Proposals.size());
   Proposals.clear();
 }
 
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// @file
@@ -146,6 +147,7 @@
   void onCall(NodeId From, const RelayedCall &Call, WallTime WallNow);
   void onAdviceQuery(NodeId From, const AdviceQuery &Query);
   void answer(NodeId To, std::uint64_t Id, CellReply Reply);
+  void answerCommitted(const PendingCaller &Caller, const CellChange &Change);
   void propose(const PendingCaller &Caller, CellCommand Command);
   void serve(const PendingCaller &Caller, const JobCall &Call,
              WallTime WallNow);
@@ -163,6 +165,7 @@
   void stepGroup(Instant Now, WallTime WallNow);
   void proposePending();
   void dropWaiters();
+  void awaitCommit(LogIndex Index, std::size_t First, std::size_t Count);
   void sendReplicaMessages(CellOutput &Output);
   void beginWrite(CellOutput &Output);
   void send(NodeId To, CellBody Body);
@@ -176,9 +179,11 @@
   Instant CurrentTime; ///< Time of the current step or message.
 
   std::vector<CellCommand> Proposals; ///< Commands for the next log entry.
-  std::vector<PendingCaller> ProposalWaiters; ///< Callers of `Proposals`.
-  /// Callers that wait for the commit of an entry, by index.
-  std::map<LogIndex, std::vector<PendingCaller>> Waiters;
+  /// Callers of `Proposals`, by position; the leader's own have none.
+  std::map<std::size_t, PendingCaller> ProposalWaiters;
+  /// Callers that wait for the commit of their command, by the index of its
+  /// entry and its position there.
+  std::map<std::pair<LogIndex, std::size_t>, PendingCaller> Waiters;
   std::vector<CellMessage> Outbox;
   /// Nodes to notify of a new leader, with the time of their last hello.
   std::map<NodeId, Instant> Subscribers;
--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -58,6 +58,7 @@
   return Call.EarlierMayHaveActed && isSubmission(Call.Body) &&
          (Reply.Verdict == CellVerdict::Refused ||
           Reply.Verdict == CellVerdict::NotFound ||
+          Reply.Verdict == CellVerdict::Gone ||
           Reply.Verdict == CellVerdict::Unauthenticated ||
           Reply.Verdict == CellVerdict::Overloaded);
 }
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -262,12 +262,8 @@
 
 CellChange apply(CellState &State, const SubmitJobCommand &Command) {
   CellChange Change;
-  Change.Job = findJob(State, Command.Name);
   const JobQueue *Queue =
       findQueueById(State.Configuration, Command.Host, Command.Prefix);
-  if (Change.Job.isSet()) {
-    return Change;
-  }
   if (Queue == nullptr) {
     Change.Outcome = CommandOutcome::NoQueue;
     return Change;
@@ -278,6 +274,15 @@
     Change.Outcome = CommandOutcome::InvalidKey;
     return Change;
   }
+  Change.Job = findJob(State, Command.Name);
+  if (Change.Job.isSet()) {
+    const Job &Existing = State.Jobs[Change.Job];
+    const bool IsInQueue = Existing.Queue.Host == Command.Host &&
+                           Existing.Queue.Prefix == Command.Prefix &&
+                           (!HasOwner || Existing.Organisation == Owner->Name);
+    Change.Outcome = IsInQueue ? CommandOutcome::Done : CommandOutcome::NoJob;
+    return Change;
+  }
   Job NewJob;
   NewJob.Name = Command.Name;
   NewJob.Spec = Command.Spec;
@@ -296,15 +301,19 @@
 CellChange apply(CellState &State, const CancelJobCommand &Command) {
   CellChange Change;
   Change.Job = findJob(State, Command.Name);
-  if (Change.Job.isSet() && !isTerminal(State.Jobs[Change.Job].Phase)) {
+  if (!Change.Job.isSet()) {
+    Change.Outcome = CommandOutcome::NoJob;
+  } else if (!isTerminal(State.Jobs[Change.Job].Phase)) {
     endJob(State, Change.Job, JobPhase::Cancelled, Command.At, Change);
   }
   return Change;
 }
 
 CellChange apply(CellState &State, const ConfigureCommand &Command) {
+  CellChange Change;
   if (Command.Configuration.Version <= State.Configuration.Version) {
-    return {};
+    Change.Outcome = CommandOutcome::Overtaken;
+    return Change;
   }
   State.Configuration = Command.Configuration;
   indexOrganisations(State);
@@ -316,7 +325,7 @@
       JobRow.Queue = *Queue;
     }
   }
-  return {};
+  return Change;
 }
 
 CellChange apply(CellState &State, const RegisterWorkerCommand &Command) {
@@ -324,6 +333,9 @@
   const WorkerInstanceId Previous = findWorker(State, Command.Report.Name);
   if (Previous.isSet() && State.Workers[Previous].Report.StartTimeMs >=
                               Command.Report.StartTimeMs) {
+    const bool IsKnown = State.Workers[Previous].Report.StartTimeMs ==
+                         Command.Report.StartTimeMs;
+    Change.Outcome = IsKnown ? CommandOutcome::Done : CommandOutcome::Overtaken;
     return Change;
   }
   std::vector<WorkerInstanceId> Ended;
@@ -354,10 +366,13 @@
 }
 
 CellChange apply(CellState &State, const DrainWorkerCommand &Command) {
+  CellChange Change;
   if (WorkerInstance *Worker = State.Workers.find(Command.Worker)) {
     Worker->Report.IsDraining = true;
+  } else {
+    Change.Outcome = CommandOutcome::NoWorker;
   }
-  return {};
+  return Change;
 }
 
 CellChange apply(CellState &State, const UpdateCapacityCommand &Command) {
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -36,12 +36,16 @@
   Done,       ///< It took effect, or its effect was there before.
   NoQueue,    ///< The queue of the job does not exist.
   InvalidKey, ///< The key belongs to no organisation.
+  NoJob,      ///< No such job in the queue; its name may be taken in another.
+  NoWorker,   ///< The worker instance is not registered.
+  Overtaken   ///< A later version or instance took effect before.
 };
 
 /// @brief Names of the outcomes, by value.
-constexpr std::array<std::string_view, 3>
+constexpr std::array<std::string_view, 6>
 nameTable(CommandOutcome /*Outcome*/) noexcept {
-  return {"done", "no-queue", "invalid-key"};
+  return {"done",   "no-queue",  "invalid-key",
+          "no-job", "no-worker", "overtaken"};
 }
 
 /// @brief Effects of one command, for the leader's dispatch state.
--- a/test/cell/relay_test.cpp
+++ b/test/cell/relay_test.cpp
@@ -114,7 +114,7 @@
 /// the queue was removed.
 TEST(CellRelay, ADenialAfterAnEarlierTransmissionIsUnknown) {
   for (const CellVerdict Verdict :
-       {CellVerdict::Refused, CellVerdict::NotFound}) {
+       {CellVerdict::Refused, CellVerdict::NotFound, CellVerdict::Gone}) {
     RelayFixture Fixture;
     Fixture.announceLeader(1);
     Fixture.Relay.call(7, JobCall{}, Fixture.Now);
