--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -47,13 +47,17 @@
   Done,       ///< It took effect, or its effect was there before.
   NoQueue,    ///< The queue of the job does not exist.
   InvalidKey, ///< The key belongs to no organisation.
-  OverCap,    ///< A gang of the job is larger than the cap of its organisation.
+  NoJob,      ///< No such job in the queue; its name may be taken in another.
+  NoWorker,   ///< The worker instance is not registered.
+  Overtaken,  ///< A later version or instance took effect before.
+  OverCap     ///< A gang of the job is larger than the cap of its organisation.
 };
 
 /// @brief Names of the outcomes, by value.
-constexpr std::array<std::string_view, 4>
+constexpr std::array<std::string_view, 7>
 nameTable(CommandOutcome /*Outcome*/) noexcept {
-  return {"done", "no-queue", "invalid-key", "over-cap"};
+  return {"done",      "no-queue",  "invalid-key", "no-job",
+          "no-worker", "overtaken", "over-cap"};
 }
 
 /// @brief Effects of one command, for the leader's dispatch state.
