Count unknown tasks that a worker lists towards the cap

A new leader rebuilds orphans from the state only, which has no copy of a task that another copy has completed. Such a copy now counts from the first list of its worker that shows it until a list is without it.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -339,6 +339,23 @@
   }
 }
 
+/// Notes a listed task that is not assigned to the worker, unless it counts as
+/// an orphan already.
+void noteUnknownTask(WorkerSession &Session, const CellState &State,
+                     const RunningTask &Running) {
+  const bool IsOrphan = std::any_of(
+      Session.Orphans.begin(), Session.Orphans.end(),
+      [&Running](const OrphanedStart &Orphan) {
+        return Running.Task == Orphan.Name && Running.Attempt == Orphan.Attempt;
+      });
+  const Job *Owner = State.Jobs.find(findJob(State, Running.Task.Job));
+  if (!IsOrphan && Owner != nullptr &&
+      Running.Task.Step < Owner->Spec.Steps.size()) {
+    Session.UnknownTasks.push_back(
+        {Owner->Organisation, Owner->Spec.Steps[Running.Task.Step].Need});
+  }
+}
+
 void onRenewResult(DispatchState &Dispatch, const CellState &State,
                    const OpenOrder &Order, const OrderResult &Result,
                    WorkerSession &Session, Instant Now, WallTime WallNow) {
@@ -362,6 +379,7 @@
   Session.AckSent = std::max(Session.AckSent, Order.LastAckedEnd);
   std::set<TaskKey> Listed;
   bool HasUnknownTasks = false;
+  Session.UnknownTasks.clear();
   for (const RunningTask &Running : Result.Running) {
     const auto Key = keyOf(State, Running.Task);
     const auto LaunchIt =
@@ -372,6 +390,7 @@
         LaunchIt->second.Assignment.Attempt == Running.Attempt;
     if (!IsAssigned) {
       HasUnknownTasks = true;
+      noteUnknownTask(Session, State, Running);
       sendStopOfUnknownTask(Dispatch, Worker, Order.Worker, Running, Now);
       continue;
     }
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -105,6 +105,13 @@
   Resources Need;           ///< `StepSpec::Need` of its step.
 };
 
+/// @brief A task that a worker runs although the leader knows no start of it,
+/// such as an orphan of the previous leader.
+struct UnknownTask {
+  std::string Organisation; ///< That of its job.
+  Resources Need;           ///< `StepSpec::Need` of its step.
+};
+
 /// @brief Reading of a worker clock. At that moment the clock showed at least
 /// this value.
 struct ClockSample {
@@ -166,6 +173,9 @@
   std::set<TaskKey> Tasks; ///< Keys of its launches.
   /// No start is sent to the worker until this list is empty.
   std::vector<OrphanedStart> Orphans;
+  /// Tasks of its last list that are neither assigned to it nor in `Orphans`.
+  /// They are stopped, but count towards the caps until a list is without them.
+  std::vector<UnknownTask> UnknownTasks;
 };
 
 /// @brief Identifies a step of one run of a job.
--- a/src/mulberryramp/cell/organisation_shares.cpp
+++ b/src/mulberryramp/cell/organisation_shares.cpp
@@ -95,6 +95,9 @@
         addTasks(rowOf(Shares, State, Orphan.Organisation), Orphan.Need, 1);
       }
     }
+    for (const UnknownTask &Task : Session.UnknownTasks) {
+      addTasks(rowOf(Shares, State, Task.Organisation), Task.Need, 1);
+    }
   }
   return Shares;
 }
--- a/test/cell/organisation_shares_test.cpp
+++ b/test/cell/organisation_shares_test.cpp
@@ -316,9 +316,11 @@
   Session.Orphans = {Orphan, Orphan};
   Session.Orphans.front().WasConfirmed = true;
   Session.LeaseEnd = World.Now + 2 * RoundTime;
+  Session.UnknownTasks = {{"a", Resources{500}}};
   World.MayHold = true;
   World.round();
-  CHECK_EQUAL(2000, World.used("a"));
+  CHECK_EQUAL(1000, World.used("a"));
+  Session.UnknownTasks.clear();
   World.round();
   CHECK_EQUAL(3000, World.used("a"));
 }
