Fail no job for crashes that its task did not cause

Change: an end `crashed` is recorded only if the attempt was the only suspect and its worker crashed within 500 ms after a start that this leader sent. JobTask::SoleCrashes (appended) counts these, and the job fails after max(2, MaxAttempts) of them; no other crash fails a job. From the second crash on a task waits 1 s to 30 s, doubled after each crash, and up to half of that more, which differs from task to task. A new leader derives the wait from the replicated counts. A crash is dated to the first unanswered order since the instance was last verified: an answer of the next instance moved it to the time of registration.

Ruled out: counting starts that were not confirmed, and crashes of workers that broke no connection off, as crashes after the start: it is not known that the task ran.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -63,6 +63,9 @@
   }
   Session.ConsecutiveMisses += 1;
   Session.LastMissAt = Now;
+  if (Session.UnverifiedSince == Instant{}) {
+    Session.UnverifiedSince = Now;
+  }
   Dispatch.LastMissAt = Now;
   Session.IsInstanceVerified = false;
   Session.NextRenewalAt =
@@ -358,6 +361,7 @@
     return;
   }
   Session.IsInstanceVerified = true;
+  Session.UnverifiedSince = Instant{};
   Session.AreConnectionsVerified = true;
   Session.AckSent = std::max(Session.AckSent, Order.LastAckedEnd);
   std::set<TaskKey> Listed;
--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/crash_attribution.hpp"
 
 #include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/core/random.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,12 +16,18 @@
 /// Crashes are kept for this long, as the workers of a rack return one by one.
 constexpr Millis MaxRestartTime{10000};
 
+/// Backoff of a suspect after its second crash, and its longest one.
+constexpr Millis MinTrialBackoff{1000};
+constexpr Millis MaxTrialBackoff{30000};
+
 /// An attempt that ran, or may have run, on the crashed worker.
 struct CrashedAttempt {
   TaskKey Key;
   std::uint32_t Attempt = 0;
-  bool IsCertain = false;       ///< It is known to have run at the crash.
-  bool IsRecent = false;        ///< It was started shortly before the crash.
+  bool IsCertain = false; ///< It is known to have run at the crash.
+  bool IsRecent = false;  ///< It was started, or recovered, shortly before it.
+  /// This leader sent its start at a known time that is shortly before it.
+  bool HasKnownStart = false;
   TaskLaunch *Launch = nullptr; ///< Null for an orphan.
 };
 
@@ -47,9 +54,12 @@
                                             Instant CrashedAt, Instant Now) {
   const bool IsCrashSeen = Session.HasBrokenOff && Now < Session.LeaseEnd;
   std::vector<CrashedAttempt> Attempts;
-  const auto Add = [&](CrashedAttempt Attempt, Instant StartedAt) {
+  const auto Add = [&](CrashedAttempt Attempt, Instant StartedAt,
+                       bool IsRecovered) {
     Attempt.IsCertain = Attempt.IsCertain && IsCrashSeen;
     Attempt.IsRecent = StartedAt + CrashWindow >= CrashedAt;
+    Attempt.HasKnownStart =
+        !IsRecovered && Attempt.IsRecent && StartedAt <= CrashedAt;
     if (Attempt.IsRecent || !isLongRunning(State, Attempt.Key)) {
       Attempts.push_back(Attempt);
     }
@@ -58,14 +68,15 @@
     TaskLaunch &Launch = Dispatch.Launches.at(Key);
     if (!Launch.IsEndProposed || Launch.IsPresumedLost) {
       Add({Key, Launch.Assignment.Attempt,
-           Launch.Phase == LaunchPhase::Confirmed, false, &Launch},
-          Launch.StartedAt);
+           Launch.Phase == LaunchPhase::Confirmed, false, false, &Launch},
+          Launch.StartedAt, Launch.IsRecovered);
     }
   }
   for (const OrphanedStart &Orphan : Session.Orphans) {
     if (!Orphan.IsCrashCounted) {
-      Add({Orphan.Key, Orphan.Attempt, Orphan.WasConfirmed, false, nullptr},
-          Orphan.StartedAt);
+      Add({Orphan.Key, Orphan.Attempt, Orphan.WasConfirmed, false, false,
+           nullptr},
+          Orphan.StartedAt, Orphan.IsRecovered);
     }
   }
   return Attempts;
@@ -113,7 +124,19 @@
   if (!Attempt.IsCertain || !isProbableCause(Attempt, HasRecent)) {
     return EndKind::PossiblyCrashed;
   }
-  return IsOnlyCause ? EndKind::Crashed : EndKind::CrashedWithOthers;
+  return IsOnlyCause && Attempt.HasKnownStart ? EndKind::Crashed
+                                              : EndKind::CrashedWithOthers;
+}
+
+/// Spreads the trials of different tasks. Two that wait equally long would
+/// crash their workers at the same time again and again, so that neither is the
+/// only suspect.
+Millis trialDelay(const TaskKey &Key, const JobTask &Task, Millis Backoff) {
+  const std::uint64_t Place = (std::uint64_t{Key.Job.Slot} << 32U) ^
+                              (std::uint64_t{Key.Step} << 16U) ^ Key.Task;
+  Random Spread{Place * 31 + Task.Crashes + Task.PossibleCrashes};
+  const auto MaxDelay = static_cast<std::uint64_t>(Backoff.count() / 2);
+  return Millis{static_cast<std::int64_t>(Spread.below(MaxDelay))};
 }
 
 } // namespace
@@ -122,7 +145,7 @@
                     const WorkerSession &Session, const WorkerReport &Next,
                     bool IsSameWorker, Instant Now) {
   const Instant CrashedAt =
-      Session.ConsecutiveMisses == 0 ? Now : Session.SilentSince;
+      Session.UnverifiedSince == Instant{} ? Now : Session.UnverifiedSince;
   const std::vector<CrashedAttempt> Attempts =
       collectAttempts(Dispatch, State, Session, CrashedAt, Now);
   if (Attempts.empty()) {
@@ -141,7 +164,11 @@
   const bool HasCommonCause =
       recordRecentCrash(Dispatch, State, Next.Rack, CrashedAt);
   const bool IsOnlyCause = Causes.size() == 1 && !HasCommonCause;
+  std::erase_if(Dispatch.LastCrashAt, [CrashedAt](const auto &Crash) {
+    return CrashedAt - Crash.second > MaxTrialBackoff;
+  });
   for (const CrashedAttempt &Attempt : Attempts) {
+    Dispatch.LastCrashAt[Attempt.Key] = CrashedAt;
     const EndKind Kind = endOf(Attempt, HasRecent, IsOnlyCause);
     if (IsSameWorker && Attempt.Launch != nullptr &&
         !Attempt.Launch->IsEndProposed) {
@@ -180,6 +207,39 @@
   return isCrashSuspect(Task) || Unresolved.contains(Key);
 }
 
+Millis trialBackoff(const JobTask &Task) noexcept {
+  Millis Backoff{0};
+  for (std::uint32_t Crash = 2; Crash <= Task.Crashes + Task.PossibleCrashes &&
+                                Backoff < MaxTrialBackoff;
+       ++Crash) {
+    Backoff = std::clamp(Backoff * 2, MinTrialBackoff, MaxTrialBackoff);
+  }
+  return Backoff;
+}
+
+bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
+                const JobTask &Task, Instant Now) {
+  const Millis Backoff = trialBackoff(Task);
+  if (Backoff == Millis{0}) {
+    return true;
+  }
+  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
+  return Now - (CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
+                                                      : CrashIt->second) >=
+         Backoff + trialDelay(Key, Task, Backoff);
+}
+
+bool isGangTrialDue(const DispatchState &Dispatch, const StepKey &Key,
+                    const JobStep &Step, Instant Now) {
+  for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+    if (!isTrialDue(Dispatch, {Key.Job, Key.Run, Key.Step, Index},
+                    Step.Tasks[Index], Now)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void proposeCrashEnds(DispatchState &Dispatch, WallTime WallNow) {
   if (Dispatch.CrashEnds.empty()) {
     return;
--- a/src/mulberryramp/cell/crash_attribution.hpp
+++ b/src/mulberryramp/cell/crash_attribution.hpp
@@ -41,6 +41,21 @@
 [[nodiscard]] bool maySuspectCrash(const std::set<TaskKey> &Unresolved,
                                    const TaskKey &Key, const JobTask &Task);
 
+/// @brief Computes how long after a crash a suspect is started again: 1 s after
+/// the second crash, twice as long after each further one, at most 30 s.
+[[nodiscard]] Millis trialBackoff(const JobTask &Task) noexcept;
+
+/// @brief Tells whether the backoff of a task after its last crash is over,
+/// with up to half of it added, which differs from task to task. For a crash
+/// that an earlier leader saw it begins with the term of this leader.
+[[nodiscard]] bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
+                              const JobTask &Task, Instant Now);
+
+/// @brief Tells whether `isTrialDue` holds for all members of a gang.
+[[nodiscard]] bool isGangTrialDue(const DispatchState &Dispatch,
+                                  const StepKey &Key, const JobStep &Step,
+                                  Instant Now);
+
 /// @brief Proposes the queued ends of attempts whose worker crashed.
 void proposeCrashEnds(DispatchState &Dispatch, WallTime WallNow);
 
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -65,6 +65,7 @@
   Orphan.Key = Key;
   Orphan.Name = nameTask(State, Key);
   Orphan.Attempt = Task.LostAttempt;
+  Orphan.IsRecovered = true;
   Orphan.StartedAt = Now;
   SessionIt->second.Orphans.push_back(std::move(Orphan));
 }
@@ -110,6 +111,7 @@
       Orphan.Name = nameTask(State, End.Key);
       Orphan.Attempt = End.Attempt;
       Orphan.WasConfirmed = LaunchIt->second.Phase == LaunchPhase::Confirmed;
+      Orphan.IsRecovered = LaunchIt->second.IsRecovered;
       Orphan.StartedAt = LaunchIt->second.StartedAt;
       SessionIt->second.Orphans.push_back(std::move(Orphan));
     }
@@ -266,6 +268,7 @@
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
+  Dispatch.BeganAt = Now;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
     const WorkerInstance &Worker = State.Workers[Id];
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -97,6 +97,7 @@
   std::uint32_t Attempt = 0;
   bool WasConfirmed = false;   ///< The worker ran it.
   bool IsCrashCounted = false; ///< The crash of its worker was attributed.
+  bool IsRecovered = false;    ///< See `TaskLaunch::IsRecovered`.
   Instant StartedAt;           ///< When its start was sent.
   std::uint64_t StopOrder = 0; ///< Id of the open stop order, or 0.
   Instant StopSentAt;
@@ -138,6 +139,9 @@
   std::uint32_t ConsecutiveMisses = 0;
   Instant LastMissAt;  ///< When an order last went unanswered.
   Instant SilentSince; ///< When the first of these orders went unanswered.
+  /// When the first order since this instance was last verified went
+  /// unanswered; zero if none. Answers after that may be of the next instance.
+  Instant UnverifiedSince;
   /// The first of these orders failed before its timeout: the worker closed or
   /// refused a connection, as a process that ends does.
   bool HasBrokenOff = false;
@@ -292,6 +296,9 @@
   std::vector<WorkerCrash> RecentCrashes; ///< Pruned when one is added.
   /// Ends of attempts whose worker crashed, to be proposed in the next step.
   std::vector<TaskEnd> CrashEnds;
+  Instant BeganAt; ///< When this node began to dispatch.
+  /// When the last worker crashed under a task, as far as this leader saw it.
+  std::map<TaskKey, Instant> LastCrashAt;
   DispatchCounters Counters;
 
   /// Output, drained by the node after each step.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -462,10 +462,11 @@
     std::size_t Trials = trialsOf(Key, Step);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       const JobTask &Task = Step.Tasks[Index];
-      if (Task.State != JobTaskState::Waiting) {
+      const TaskKey Candidate{Key.Job, Key.Run, Key.Step, Index};
+      if (Task.State != JobTaskState::Waiting ||
+          !isTrialDue(Dispatch, Candidate, Task, Now)) {
         continue;
       }
-      const TaskKey Candidate{Key.Job, Key.Run, Key.Step, Index};
       const bool IsSuspect = isSuspect(Candidate, Task);
       const bool IsTrial = isCrashSuspect(Task);
       const bool MayFit = HasRoom && (HasRoomForSuspect || !IsSuspect) &&
@@ -496,7 +497,7 @@
   std::size_t planGang(const StepKey &Key, const Job &Owner,
                        const StepSpec &Spec, const JobStep &Step,
                        const StepAdvice *Advice) {
-    if (Step.Assigned != 0) {
+    if (Step.Assigned != 0 || !isGangTrialDue(Dispatch, Key, Step, Now)) {
       return 0;
     }
     if (Spec.PrefersSameRack) {
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -115,9 +115,10 @@
   GangTimedOut, ///< The gang was not complete within its timeout.
   Lost,         ///< No end is known; may still run if presumed lost.
   Refused,      ///< The worker did not start it.
-  /// The worker crashed under it, and no other attempt may be the cause.
+  /// The worker crashed shortly after its start, and no other attempt may be
+  /// the cause.
   Crashed,
-  /// The worker crashed under it, and others may be the cause as well.
+  /// The worker crashed under it, and there may be another cause.
   CrashedWithOthers,
   /// The worker crashed, and the attempt may have run there.
   PossiblyCrashed
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -55,13 +55,17 @@
   /// known; null if there is none.
   std::uint32_t LostAttempt = 0;
   WorkerInstanceId LostOn;
+  /// Number of workers that crashed shortly after they started it while no
+  /// other attempt may have been the cause; they are among `Crashes`.
+  std::uint32_t SoleCrashes = 0;
 
   static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(
-        &JobTask::State, &JobTask::Attempt, &JobTask::Failures,
-        &JobTask::Worker, &JobTask::Checkpoint, &JobTask::Crashes,
-        &JobTask::PossibleCrashes, &JobTask::LostAttempt, &JobTask::LostOn);
+    return std::make_tuple(&JobTask::State, &JobTask::Attempt,
+                           &JobTask::Failures, &JobTask::Worker,
+                           &JobTask::Checkpoint, &JobTask::Crashes,
+                           &JobTask::PossibleCrashes, &JobTask::LostAttempt,
+                           &JobTask::LostOn, &JobTask::SoleCrashes);
   }
 };
 
@@ -114,10 +118,10 @@
 
   static constexpr std::size_t MandatoryFields = 9; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&Job::Name, &Job::Spec, &Job::Queue,
-                           &Job::AcceptedAt, &Job::Phase, &Job::Runs,
-                           &Job::NextRun, &Job::AssignedTasks, &Job::FinishedAt,
-                           &Job::Organisation, &Job::IsExcess);
+    return std::make_tuple(
+        &Job::Name, &Job::Spec, &Job::Queue, &Job::AcceptedAt, &Job::Phase,
+        &Job::Runs, &Job::NextRun, &Job::AssignedTasks, &Job::FinishedAt,
+        &Job::Organisation, &Job::IsExcess);
   }
 };
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -6,15 +6,9 @@
 
 namespace {
 
-/// A task is given up after this many workers crashed under it, if it alone may
-/// have caused the last crash. A long-running task meets more crashes that it
-/// did not cause.
-constexpr std::uint32_t MaxCrashesOfOnlySuspect = 2;
-/// A task is given up after this many workers crashed under it.
-constexpr std::uint32_t MaxCrashes = 3;
-/// A task is given up after this many crashes of workers where it ran or may
-/// have run.
-constexpr std::uint32_t MaxPossibleCrashes = 4;
+/// A task is given up after at least this many crashes as the only suspect. A
+/// worker may crash for its own reasons just after a start.
+constexpr std::uint32_t MinSoleCrashesToFail = 2;
 
 JobTask *taskAt(CellState &State, const TaskKey &Key) {
   return const_cast<JobTask *>(findTask(State, Key)); // NOLINT: non-const.
@@ -123,8 +117,10 @@
   }
 }
 
-/// Counts the crash of a worker under a task. A task that crashes its workers
-/// would take down one after another, so its job fails.
+/// Counts the crash of a worker under a task. A crash as the only suspect
+/// counts as a failed attempt, because a task that crashes its workers would
+/// take down one after another. Any other crash fails no job: its cause is not
+/// known.
 void recordCrash(CellState &State, const TaskEnd &End, JobTask &Task,
                  WallTime At, CellChange &Change) {
   if (End.Kind == EndKind::PossiblyCrashed) {
@@ -132,13 +128,14 @@
   } else {
     Task.Crashes += 1;
   }
-  const bool IsOnlySuspect =
-      End.Kind == EndKind::Crashed && !specAt(State, End.Key).IsLongRunning;
-  const bool IsCause =
-      (IsOnlySuspect && Task.Crashes >= MaxCrashesOfOnlySuspect) ||
-      Task.Crashes >= MaxCrashes ||
-      Task.Crashes + Task.PossibleCrashes >= MaxPossibleCrashes;
-  if (IsCause && !isTerminal(State.Jobs[End.Key.Job].Phase)) {
+  if (End.Kind != EndKind::Crashed) {
+    return;
+  }
+  Task.SoleCrashes += 1;
+  const Job &JobRow = State.Jobs[End.Key.Job];
+  if (Task.SoleCrashes >=
+          std::max(MinSoleCrashesToFail, JobRow.Queue.MaxAttempts) &&
+      !isTerminal(JobRow.Phase)) {
     endJob(State, End.Key.Job, JobPhase::Failed, At, Change);
   }
 }
--- a/test/cell/fake_worker.cpp
+++ b/test/cell/fake_worker.cpp
@@ -40,6 +40,16 @@
                                               "." + std::to_string(Task.Task);
 }
 
+std::vector<TaskName> FakeWorker::startedSince(Instant Since) const {
+  std::vector<TaskName> Tasks;
+  for (const auto &[Task, Running] : RunningAttempts) {
+    if (Running.StartedAt >= Since) {
+      Tasks.push_back(Task);
+    }
+  }
+  return Tasks;
+}
+
 std::optional<TaskName> FakeWorker::findDueCrash(Instant Now) const {
   for (const auto &[Task, Running] : RunningAttempts) {
     if (Running.CrashesAt && Now >= *Running.CrashesAt) {
--- a/test/cell/fake_worker.hpp
+++ b/test/cell/fake_worker.hpp
@@ -76,6 +76,9 @@
   /// @brief Lists the running tasks with their attempts.
   [[nodiscard]] std::vector<std::pair<TaskName, std::uint32_t>> running() const;
 
+  /// @brief Returns the running tasks that were started since a point in time.
+  [[nodiscard]] std::vector<TaskName> startedSince(Instant Since) const;
+
   /// @brief Changes the capacity that its reports state. Attempts that run are
   /// not affected.
   void setCapacity(const Resources &NewCapacity) { Capacity = NewCapacity; }
