Show a job as queued again while none of its tasks has begun

Cause: an assignment set the phase of a job to running, and a refused start did not take it back, so that the job was not counted as pending either.

Change: Job::IsUnstarted (appended) is true from the first assignment to the first end that is not `refused`. A refused start of such a job without other assigned tasks makes it queued.

Ruled out: deriving it from the attempts of the tasks, which do not tell a refused from a lost start; treating lost starts as not begun, as they may have run. Jobs of stored states without the field stay running.

Measured: AJobIsQueuedAgainOnceAllItsStartsAreRefused failed without the change; unit_tests -g JobState passes.

--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -115,13 +115,16 @@
   std::string Organisation;
   /// Submitted beyond the rate that its organisation is owed.
   bool IsExcess = false;
+  /// It was assigned and no task is known to have begun. False while it was
+  /// never assigned, and for jobs stored before this field existed.
+  bool IsUnstarted = false;
 
   static constexpr std::size_t MandatoryFields = 9; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(
         &Job::Name, &Job::Spec, &Job::Queue, &Job::AcceptedAt, &Job::Phase,
         &Job::Runs, &Job::NextRun, &Job::AssignedTasks, &Job::FinishedAt,
-        &Job::Organisation, &Job::IsExcess);
+        &Job::Organisation, &Job::IsExcess, &Job::IsUnstarted);
   }
 };
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -53,6 +53,17 @@
   }
 }
 
+/// Records whether a task of a job has begun. A refused start has not, so that
+/// a job without any other is queued again.
+void recordBegin(Job &JobRow, EndKind Kind) {
+  if (Kind != EndKind::Refused) {
+    JobRow.IsUnstarted = false;
+  } else if (JobRow.IsUnstarted && JobRow.AssignedTasks == 0 &&
+             JobRow.Phase == JobPhase::Running) {
+    JobRow.Phase = JobPhase::Queued;
+  }
+}
+
 void markDone(JobStep &Step, JobTask &Task) {
   Task.State = JobTaskState::Done;
   Task.Checkpoint.clear();
@@ -182,6 +193,7 @@
   }
   Change.Ended.push_back(End);
   unassignTask(State, End.Key, *Task);
+  recordBegin(State.Jobs[End.Key.Job], End.Kind);
   const StepSpec &Spec = specAt(State, End.Key);
   if (!End.Checkpoint.empty()) {
     Task->Checkpoint = End.Checkpoint;
@@ -238,6 +250,7 @@
   }
   forEachTaskOn(State, Id, [&](const TaskKey &Key, JobTask &Task) {
     unassignTask(State, Key, Task);
+    recordBegin(State.Jobs[Key.Job], EndKind::Lost);
     Change.Ended.push_back({Key, Task.Attempt, EndKind::Lost, ""});
   });
   const auto NameIt = State.WorkerNames.find(Worker->Report.Name);
@@ -416,6 +429,7 @@
     stepAt(State, Assigned.Key).Assigned += 1;
     Job &Owner = State.Jobs[Assigned.Key.Job];
     Owner.AssignedTasks += 1;
+    Owner.IsUnstarted = Owner.IsUnstarted || Owner.Phase == JobPhase::Queued;
     Owner.Phase = JobPhase::Running;
     WorkerInstance &Worker = State.Workers[Assigned.Worker];
     Worker.Used += requiredResources(specAt(State, Assigned.Key));
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -194,6 +194,64 @@
   CHECK(JobPhase::Failed == Fixture.job(Id).Phase);
 }
 
+/// Guards against a job being shown as running, and not counted as pending,
+/// although workers refused all its starts.
+TEST(JobState, AJobIsQueuedAgainOnceAllItsStartsAreRefused) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Id = Fixture.submit("j", {step(2)});
+  Fixture.start({Id, 0, 0, 0}, 1, Worker);
+  Fixture.start({Id, 0, 0, 1}, 1, Worker);
+  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Refused);
+  CHECK(JobPhase::Running == Fixture.job(Id).Phase);
+  Fixture.end({Id, 0, 0, 1}, 1, EndKind::Refused);
+  CHECK(JobPhase::Queued == Fixture.job(Id).Phase);
+  Fixture.start({Id, 0, 0, 0}, 2, Worker);
+  CHECK(JobPhase::Running == Fixture.job(Id).Phase);
+  Fixture.end({Id, 0, 0, 0}, 2, EndKind::Refused);
+  CHECK(JobPhase::Queued == Fixture.job(Id).Phase);
+}
+
+/// Guards against a job being shown as queued although one of its tasks has
+/// begun, or may have.
+TEST(JobState, AJobWithATaskThatMayHaveBegunIsNotQueuedAgain) {
+  for (const EndKind Kind : {EndKind::Done, EndKind::Failed, EndKind::Lost,
+                             EndKind::Stopped, EndKind::PossiblyCrashed}) {
+    CellFixture Fixture;
+    const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+    const JobId Id = Fixture.submit("j", {step(2)});
+    Fixture.start({Id, 0, 0, 0}, 1, Worker);
+    Fixture.start({Id, 0, 0, 1}, 1, Worker);
+    Fixture.end({Id, 0, 0, 0}, 1, Kind);
+    Fixture.end({Id, 0, 0, 1}, 1, EndKind::Refused);
+    CHECK(JobPhase::Running == Fixture.job(Id).Phase);
+  }
+}
+
+/// As above, for a worker that is deregistered with its tasks.
+TEST(JobState, AJobWhoseWorkerIsGoneIsNotQueuedAgain) {
+  CellFixture Fixture;
+  const WorkerInstanceId Gone = Fixture.registerWorker("w", 1);
+  const WorkerInstanceId Other = Fixture.registerWorker("v", 1, "other:1");
+  const JobId Id = Fixture.submit("j", {step(1)});
+  Fixture.start({Id, 0, 0, 0}, 1, Gone);
+  applyCommand(Fixture.State, DeregisterWorkerCommand{Gone});
+  Fixture.start({Id, 0, 0, 0}, 2, Other);
+  Fixture.end({Id, 0, 0, 0}, 2, EndKind::Refused);
+  CHECK(JobPhase::Running == Fixture.job(Id).Phase);
+}
+
+/// A job of a stored state has no record of whether a task has begun.
+TEST(JobState, AJobStoredWithoutThatRecordIsNotQueuedAgain) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Id = Fixture.submit("j", {step(1)});
+  Fixture.start({Id, 0, 0, 0}, 1, Worker);
+  Fixture.State.Jobs[Id].IsUnstarted = false;
+  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Refused);
+  CHECK(JobPhase::Running == Fixture.job(Id).Phase);
+}
+
 /// An attempt that was presumed lost may still run. Its failure arrives after
 /// the next attempt has started and counts towards the maximum of attempts.
 TEST(JobState, LateFailureOfAnAttemptPresumedLostCounts) {
