--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -75,6 +75,7 @@
   Orphan.Key = Key;
   Orphan.Name = nameTask(State, Key);
   Orphan.Attempt = Task.LostAttempt;
+  Orphan.IsRecovered = true;
   Orphan.StartedAt = Now;
   noteNeed(Orphan, State);
   SessionIt->second.Orphans.push_back(std::move(Orphan));
@@ -121,6 +122,7 @@
       Orphan.Name = nameTask(State, End.Key);
       Orphan.Attempt = End.Attempt;
       Orphan.WasConfirmed = LaunchIt->second.Phase == LaunchPhase::Confirmed;
+      Orphan.IsRecovered = LaunchIt->second.IsRecovered;
       Orphan.StartedAt = LaunchIt->second.StartedAt;
       noteNeed(Orphan, State);
       SessionIt->second.Orphans.push_back(std::move(Orphan));
@@ -279,6 +281,7 @@
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
+  Dispatch.BeganAt = Now;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
     const WorkerInstance &Worker = State.Workers[Id];
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -8,15 +8,9 @@
 
 namespace {
 
-/// A task is given up after this many workers crashed under it, if it alone may
-/// have caused the last crash. A long-running task meets more crashes that it
-/// did not cause.
-constexpr std::uint32_t MaxCrashesOfOnlySuspect = 2;
-/// A task is given up after this many workers crashed under it.
-constexpr std::uint32_t MaxCrashes = 3;
-/// A task is given up after this many crashes of workers where it ran or may
-/// have run.
-constexpr std::uint32_t MaxPossibleCrashes = 4;
+/// A task is given up after at least this many crashes as the only suspect. A
+/// worker may crash for its own reasons just after a start.
+constexpr std::uint32_t MinSoleCrashesToFail = 2;
 
 JobTask *taskAt(CellState &State, const TaskKey &Key) {
   return const_cast<JobTask *>(findTask(State, Key)); // NOLINT: non-const.
@@ -62,6 +56,17 @@
   }
 }
 
+/// Records whether a task of a job has begun. A refused start has not, so that
+/// a job without any other is queued again.
+void recordBegin(Job &JobRow, EndKind Kind) {
+  if (Kind != EndKind::Refused) {
+    JobRow.IsUnstarted = false;
+  } else if (JobRow.IsUnstarted && JobRow.AssignedTasks == 0 &&
+             JobRow.Phase == JobPhase::Running) {
+    JobRow.Phase = JobPhase::Queued;
+  }
+}
+
 void markDone(JobStep &Step, JobTask &Task) {
   Task.State = JobTaskState::Done;
   Task.Checkpoint.clear();
@@ -126,8 +131,10 @@
   }
 }
 
-/// Counts the crash of a worker under a task. A task that crashes its workers
-/// would take down one after another, so its job fails.
+/// Counts the crash of a worker under a task. A crash as the only suspect
+/// counts as a failed attempt, because a task that crashes its workers would
+/// take down one after another. Any other crash fails no job: its cause is not
+/// known.
 void recordCrash(CellState &State, const TaskEnd &End, JobTask &Task,
                  WallTime At, CellChange &Change) {
   if (End.Kind == EndKind::PossiblyCrashed) {
@@ -135,13 +142,14 @@
   } else {
     Task.Crashes += 1;
   }
-  const bool IsOnlySuspect =
-      End.Kind == EndKind::Crashed && !specAt(State, End.Key).IsLongRunning;
-  const bool IsCause =
-      (IsOnlySuspect && Task.Crashes >= MaxCrashesOfOnlySuspect) ||
-      Task.Crashes >= MaxCrashes ||
-      Task.Crashes + Task.PossibleCrashes >= MaxPossibleCrashes;
-  if (IsCause && !isTerminal(State.Jobs[End.Key.Job].Phase)) {
+  if (End.Kind != EndKind::Crashed) {
+    return;
+  }
+  Task.SoleCrashes += 1;
+  const Job &JobRow = State.Jobs[End.Key.Job];
+  if (Task.SoleCrashes >=
+          std::max(MinSoleCrashesToFail, JobRow.Queue.MaxAttempts) &&
+      !isTerminal(JobRow.Phase)) {
     endJob(State, End.Key.Job, JobPhase::Failed, At, Change);
   }
 }
@@ -188,6 +196,7 @@
   }
   Change.Ended.push_back(End);
   unassignTask(State, End.Key, *Task);
+  recordBegin(State.Jobs[End.Key.Job], End.Kind);
   const StepSpec &Spec = specAt(State, End.Key);
   if (!End.Checkpoint.empty()) {
     Task->Checkpoint = End.Checkpoint;
@@ -244,6 +253,7 @@
   }
   forEachTaskOn(State, Id, [&](const TaskKey &Key, JobTask &Task) {
     unassignTask(State, Key, Task);
+    recordBegin(State.Jobs[Key.Job], EndKind::Lost);
     Change.Ended.push_back({Key, Task.Attempt, EndKind::Lost, ""});
   });
   const auto NameIt = State.WorkerNames.find(Worker->Report.Name);
@@ -275,19 +285,20 @@
   }
   const bool HasOwner = requiresKey(State.Configuration, *Queue);
   const Organisation *Owner = findOrganisationByKey(State, Command.Key);
-  if (HasOwner && Owner == nullptr) {
-    Change.Outcome = CommandOutcome::InvalidKey;
-    return Change;
-  }
   Change.Job = findJob(State, Command.Name);
   if (Change.Job.isSet()) {
     const Job &Existing = State.Jobs[Change.Job];
     const bool IsInQueue = Existing.Queue.Host == Command.Host &&
                            Existing.Queue.Prefix == Command.Prefix &&
-                           (!HasOwner || Existing.Organisation == Owner->Name);
+                           (!HasOwner || Owner == nullptr ||
+                            Existing.Organisation == Owner->Name);
     Change.Outcome = IsInQueue ? CommandOutcome::Done : CommandOutcome::NoJob;
     return Change;
   }
+  if (HasOwner && Owner == nullptr) {
+    Change.Outcome = CommandOutcome::InvalidKey;
+    return Change;
+  }
   if (HasOwner && findGangOverCap(Command.Spec, Owner->Cap)) {
     Change.Outcome = CommandOutcome::OverCap;
     return Change;
@@ -434,6 +445,7 @@
     addLoad(State, State.Jobs[Assigned.Key.Job], specAt(State, Assigned.Key));
     Job &Owner = State.Jobs[Assigned.Key.Job];
     Owner.AssignedTasks += 1;
+    Owner.IsUnstarted = Owner.IsUnstarted || Owner.Phase == JobPhase::Queued;
     Owner.Phase = JobPhase::Running;
     WorkerInstance &Worker = State.Workers[Assigned.Worker];
     Worker.Used += requiredResources(specAt(State, Assigned.Key));
