Know a restarted worker only by its own report

Cause: a renewal that was answered with a later start time registered the new instance with a copy of the report of the previous one, and the report of the new instance changed only the capacity.

Change: an instance that a renewal discovers is unannounced: name, start time, address and pool only. No task is started there or assigned to it. The first report with its start time replaces the record. Progress that the previous instance listed is forgotten, crashes are attributed to the rack of the crashed instance, and a late report no longer clears the drain state of a session.

Ruled out: registering only after the report, which would delay the reconciliation of the tasks by up to a report interval.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -346,11 +346,19 @@
   if (Result.StartTimeMs != 0 &&
       Result.StartTimeMs != Worker.Report.StartTimeMs) {
     // Another instance under the same name: its answers count only after it is
-    // registered.
+    // registered. It may be of another kind, so labels, rack, capacity and
+    // drain state are those of its own first report.
     if (Result.StartTimeMs > Worker.Report.StartTimeMs) {
-      RegisterWorkerCommand Register{Worker.Report};
+      RegisterWorkerCommand Register;
+      Register.Report.Name = Worker.Report.Name;
       Register.Report.StartTimeMs = Result.StartTimeMs;
-      Register.Report.Sequence = 0; // Each instance counts its own reports.
+      Register.Report.Pool = Worker.Report.Pool;
+      Register.Report.Address = Worker.Report.Address;
+      Register.IsUnannounced = true;
+      Dispatch.Events.push_back(
+          "event=worker-restarted worker=" + Worker.Report.Name +
+          " found_by=renewal start=" + std::to_string(Result.StartTimeMs) +
+          " former=" + std::to_string(Worker.Report.StartTimeMs));
       Dispatch.Commands.emplace_back(std::move(Register));
     }
     Session.IsInstanceVerified = false;
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -136,12 +136,15 @@
   }
   const WorkerInstanceId Id = findWorker(State, Call.Report.Name);
   const WorkerInstance *Instance = State.Workers.find(Id);
-  if (Instance == nullptr ||
+  const bool IsFirstReport =
+      Instance != nullptr && Instance->IsUnannounced &&
+      Call.Report.StartTimeMs == Instance->Report.StartTimeMs;
+  if (Instance == nullptr || IsFirstReport ||
       Call.Report.StartTimeMs > Instance->Report.StartTimeMs) {
     // A worker of a pool that no job can use might still end another one that
     // has the same address. It is registered by the first report after a
     // configuration names its pool.
-    if (!isPoolInUse(State, Call.Report.Pool)) {
+    if (!IsFirstReport && !isPoolInUse(State, Call.Report.Pool)) {
       answer(Caller.From, Caller.Id,
              makeReply(CellVerdict::Done, "unused pool"));
       return;
--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -87,8 +87,7 @@
   std::int64_t Workers = 0;
   std::int64_t Affected = 0;
   for (const auto &[Id, Session] : Dispatch.Sessions) {
-    const WorkerInstance *Worker = State.Workers.find(Id);
-    if (Worker != nullptr && Worker->Report.Rack == Rack) {
+    if (State.Workers.contains(Id) && Session.Rack == Rack) {
       Workers += 1;
       Affected +=
           Session.ConsecutiveMisses != 0 && IsSameTime(Session.SilentSince) ? 1
@@ -139,7 +138,7 @@
     }
   }
   const bool HasCommonCause =
-      recordRecentCrash(Dispatch, State, Next.Rack, CrashedAt);
+      recordRecentCrash(Dispatch, State, Session.Rack, CrashedAt);
   const bool IsOnlyCause = Causes.size() == 1 && !HasCommonCause;
   for (const CrashedAttempt &Attempt : Attempts) {
     const EndKind Kind = endOf(Attempt, HasRecent, IsOnlyCause);
@@ -156,7 +155,7 @@
   }
   Dispatch.Counters.WorkerCrashes += 1;
   Dispatch.Events.push_back("event=worker-crashed next=" + Next.Name +
-                            " rack=" + Next.Rack +
+                            " rack=" + Session.Rack +
                             " attempts=" + std::to_string(Attempts.size()) +
                             " suspects=" + std::to_string(Causes.size()) +
                             " rack_crashed=" + (HasCommonCause ? "yes" : "no"));
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -28,13 +28,19 @@
 /// Bound on the difference between the wall clocks of two machines.
 constexpr Millis MaxClockSkew{3000};
 
+/// Sets the fields of a session that are recorded of its instance.
+void setReportedFields(WorkerSession &Session, const WorkerReport &Recorded) {
+  Session.Rack = Recorded.Rack;
+  Session.IsDraining = Recorded.IsDraining;
+  Session.ProposedCapacity = Recorded.Capacity;
+  Session.CapacitySequence = Recorded.Sequence;
+}
+
 WorkerSession &openSession(DispatchState &Dispatch, WorkerInstanceId Worker,
                            const WorkerInstance &Instance, Instant Now) {
   WorkerSession &Session = Dispatch.Sessions[Worker];
   Session.EndsProposed = Instance.LastAckedEnd;
-  Session.IsDraining = Instance.Report.IsDraining;
-  Session.ProposedCapacity = Instance.Report.Capacity;
-  Session.CapacitySequence = Instance.Report.Sequence;
+  setReportedFields(Session, Instance.Report);
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
   Session.LeaseEnd = Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease);
@@ -148,17 +154,32 @@
                      leaseBound(Dispatch.Options, Dispatch.Options.MaxLease);
 }
 
+/// Forgets what the previous instance of a worker listed about an attempt. If
+/// the new instance runs it, it has started it again.
+void forgetProgress(TaskLaunch &Launch, Instant Now) {
+  Launch.Baseline.reset();
+  Launch.ProgressPercent = 0;
+  Launch.ProgressAt = Now;
+  Launch.ListedAt = Instant{};
+  Launch.Gauge = 0;
+  Launch.OverLimitSince = Instant{};
+  Launch.IsProbed = false;
+}
+
 /// Moves the launches and orphans of a worker to its new instance. An order
 /// that was sent to the previous instance may still start there, so what was
 /// stopped is stopped again on the new one.
 void transferLaunches(DispatchState &Dispatch, WorkerInstanceId From,
-                      WorkerInstanceId To, Instant Now) {
+                      WorkerInstanceId To, bool IsUnannounced, Instant Now) {
   const auto PreviousSession = Dispatch.Sessions.find(From);
   if (PreviousSession == Dispatch.Sessions.end()) {
     return;
   }
   WorkerSession &Session = Dispatch.Sessions[To];
   Dispatch.TouchedWorkers.insert(To);
+  if (IsUnannounced) {
+    Session.Rack = PreviousSession->second.Rack;
+  }
   Session.Tasks = std::move(PreviousSession->second.Tasks);
   Session.Orphans = std::move(PreviousSession->second.Orphans);
   for (OrphanedStart &Orphan : Session.Orphans) {
@@ -174,6 +195,7 @@
     Launch.StopOrder = 0;
     Launch.StopSentAt = Instant{};
     Launch.StopAckedAt.reset();
+    forgetProgress(Launch, Now);
   }
   Dispatch.Sessions.erase(From);
 }
@@ -202,7 +224,11 @@
 /// instance that has announced its exit did not crash.
 void attributeCrashes(DispatchState &Dispatch, const CellState &State,
                       const CellChange &Change, Instant Now) {
-  const WorkerReport &Next = State.Workers[Change.Worker].Report;
+  const WorkerReport &Next =
+      State
+          .Workers[Change.Worker.isSet() ? Change.Worker
+                                         : Change.AnnouncedWorker]
+          .Report;
   for (const auto &[Id, Session] : Dispatch.Sessions) {
     if (!State.Workers.contains(Id) && !Session.IsDraining) {
       attributeCrash(Dispatch, State, Session, Next,
@@ -292,7 +318,7 @@
 void onStateChange(DispatchState &Dispatch, const CellState &State,
                    const CellChange &Change, Instant Now) {
   Dispatch.NeedsPlan = true;
-  if (Change.Worker.isSet()) {
+  if (Change.Worker.isSet() || Change.AnnouncedWorker.isSet()) {
     attributeCrashes(Dispatch, State, Change, Now);
   }
   for (const TaskEnd &End : Change.Ended) {
@@ -311,10 +337,21 @@
         openSession(Dispatch, Change.Worker, State.Workers[Change.Worker], Now);
     Session.IsReconciled = !Change.ReplacedInstance.isSet();
     if (Change.ReplacedInstance.isSet()) {
-      transferLaunches(Dispatch, Change.ReplacedInstance, Change.Worker, Now);
+      transferLaunches(Dispatch, Change.ReplacedInstance, Change.Worker,
+                       State.Workers[Change.Worker].IsUnannounced, Now);
     }
-    Dispatch.Events.push_back("event=worker-joined worker=" +
-                              State.Workers[Change.Worker].Report.Name);
+    Dispatch.Events.push_back(
+        "event=worker-joined worker=" +
+        State.Workers[Change.Worker].Report.Name + " announced=" +
+        (State.Workers[Change.Worker].IsUnannounced ? "no" : "yes"));
+  }
+  if (Change.AnnouncedWorker.isSet()) {
+    const WorkerReport &Announced =
+        State.Workers[Change.AnnouncedWorker].Report;
+    setReportedFields(Dispatch.Sessions[Change.AnnouncedWorker], Announced);
+    Dispatch.Events.push_back(
+        "event=worker-announced worker=" + Announced.Name + " rack=" +
+        Announced.Rack + " draining=" + (Announced.IsDraining ? "yes" : "no"));
   }
   if (Dispatch.Sessions.size() != State.Workers.size()) {
     removeStaleSessions(Dispatch, State);
@@ -338,7 +375,8 @@
   }
   Session.Sequence = Report.Sequence;
   Session.Remaining = Report.Remaining;
-  Session.IsDraining = Report.IsDraining;
+  // A report that was sent before the drain may reach a new leader late.
+  Session.IsDraining = Session.IsDraining || Report.IsDraining;
   Session.ReportedAt = Now;
   if (!Session.Clock) {
     Dispatch.NeedsPlan = true;
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -112,6 +112,9 @@
 
 /// @brief Volatile state that the leader keeps for one worker instance.
 struct WorkerSession {
+  /// Rack to which crashes are attributed; that of the previous instance until
+  /// this one is announced.
+  std::string Rack;
   std::optional<ClockSample> Clock;
   bool IsReconciled = false; ///< Its task list matches the state.
   /// This instance answered since the last missed order. Numbers of task ends
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -426,7 +426,8 @@
   return Session.IsReconciled && Session.Orphans.empty() &&
          Session.ConsecutiveMisses == 0 && Session.Clock &&
          !State.Workers[Worker].Report.IsDraining &&
-         Now >= Session.BackoffUntil && !isRenewalOverdue(Session, Now) &&
+         !State.Workers[Worker].IsUnannounced && Now >= Session.BackoffUntil &&
+         !isRenewalOverdue(Session, Now) &&
          Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
 }
 
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -56,11 +56,17 @@
 /// the task lists of the new instance show which tasks it runs. Earlier
 /// instances under other names at the same address have ended and are
 /// deregistered.
+///
+/// A report of an instance that is registered as unannounced replaces what is
+/// recorded of it.
 struct RegisterWorkerCommand {
   WorkerReport Report;
+  bool IsUnannounced = false; ///< `WorkerInstance::IsUnannounced`.
 
+  static constexpr std::size_t MandatoryFields = 1; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&RegisterWorkerCommand::Report);
+    return std::make_tuple(&RegisterWorkerCommand::Report,
+                           &RegisterWorkerCommand::IsUnannounced);
   }
 };
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -319,26 +319,51 @@
   return {};
 }
 
-CellChange apply(CellState &State, const RegisterWorkerCommand &Command) {
-  CellChange Change;
-  const WorkerInstanceId Previous = findWorker(State, Command.Report.Name);
-  if (Previous.isSet() && State.Workers[Previous].Report.StartTimeMs >=
-                              Command.Report.StartTimeMs) {
-    return Change;
-  }
+/// Deregisters the earlier instances under other names at the address of a
+/// worker.
+/// @param Current Instance under the name of the worker, which stays.
+void deregisterPredecessors(CellState &State, const WorkerReport &Report,
+                            WorkerInstanceId Current, CellChange &Change) {
   std::vector<WorkerInstanceId> Ended;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
     const WorkerReport &Other = State.Workers[Id].Report;
-    if (Id != Previous && Other.Address == Command.Report.Address &&
-        Other.StartTimeMs < Command.Report.StartTimeMs) {
+    if (Id != Current && Other.Address == Report.Address &&
+        Other.StartTimeMs < Report.StartTimeMs) {
       Ended.push_back(Id);
     }
   }
   for (const WorkerInstanceId Id : Ended) {
     deregisterWorker(State, Id, Change);
   }
+}
+
+/// Records the first report of an unannounced instance. Its drain state is its
+/// own, as nothing was copied from the previous instance.
+void announceWorker(CellState &State, WorkerInstanceId Id,
+                    const WorkerReport &Report, CellChange &Change) {
+  deregisterPredecessors(State, Report, Id, Change);
+  WorkerInstance &Worker = State.Workers[Id];
+  Worker.Report = Report;
+  Worker.IsUnannounced = false;
+  Change.AnnouncedWorker = Id;
+}
+
+CellChange apply(CellState &State, const RegisterWorkerCommand &Command) {
+  CellChange Change;
+  const WorkerInstanceId Previous = findWorker(State, Command.Report.Name);
+  if (const WorkerInstance *Known = State.Workers.find(Previous);
+      Known != nullptr &&
+      Known->Report.StartTimeMs >= Command.Report.StartTimeMs) {
+    if (Known->IsUnannounced && !Command.IsUnannounced &&
+        Known->Report.StartTimeMs == Command.Report.StartTimeMs) {
+      announceWorker(State, Previous, Command.Report, Change);
+    }
+    return Change;
+  }
+  deregisterPredecessors(State, Command.Report, Previous, Change);
   WorkerInstance NewInstance;
   NewInstance.Report = Command.Report;
+  NewInstance.IsUnannounced = Command.IsUnannounced;
   const WorkerInstanceId Id = State.Workers.insert(std::move(NewInstance));
   if (Previous.isSet()) {
     forEachTaskOn(State, Previous,
@@ -380,7 +405,8 @@
   const WorkerInstance *Worker = State.Workers.find(Assigned.Worker);
   const JobTask *Task = findTask(State, Assigned.Key);
   if (Owner == nullptr || Worker == nullptr || Task == nullptr ||
-      isTerminal(Owner->Phase) || Task->State != JobTaskState::Waiting ||
+      Worker->IsUnannounced || isTerminal(Owner->Phase) ||
+      Task->State != JobTaskState::Waiting ||
       Assigned.Attempt <= Task->Attempt) {
     return false;
   }
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -52,6 +52,8 @@
   std::vector<JobId> FinishedJobs;     ///< Jobs that became terminal.
   JobId Job;               ///< Job that the command names, if it exists.
   WorkerInstanceId Worker; ///< Registered worker instance.
+  WorkerInstanceId
+      AnnouncedWorker; ///< Unannounced instance whose report was recorded.
   std::vector<WorkerInstanceId>
       WorkersToReconcile; ///< Workers that may run unassigned attempts.
   WorkerInstanceId
--- a/src/mulberryramp/job/worker.hpp
+++ b/src/mulberryramp/job/worker.hpp
@@ -44,11 +44,16 @@
   Resources Used;                 ///< Sum over all assigned tasks.
   std::uint64_t LastAckedEnd = 0; ///< Ends up to this number are recorded.
   std::uint32_t Tasks = 0;        ///< Number of assigned tasks.
+  /// It was discovered by a renewal and has not reported yet, so that only the
+  /// name, start time, address and pool of `Report` are set.
+  bool IsUnannounced = false;
 
+  static constexpr std::size_t MandatoryFields = 4; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&WorkerInstance::Report, &WorkerInstance::Used,
                            &WorkerInstance::LastAckedEnd,
-                           &WorkerInstance::Tasks);
+                           &WorkerInstance::Tasks,
+                           &WorkerInstance::IsUnannounced);
   }
 };
 
--- a/test/cell/new_instance_test.cpp
+++ b/test/cell/new_instance_test.cpp
@@ -1,4 +1,5 @@
 #include "mulberryramp/cell/answers.hpp"
+#include "mulberryramp/cell/message.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "support/cell_parts.hpp"
 
@@ -180,3 +181,41 @@
   Fixture.answerStart(false);
   CHECK_EQUAL(16, Fixture.renew());
 }
+
+/// Guards against the progress of the previous instance being compared with
+/// that of an attempt that a new instance has started again, and against a rack
+/// that is not its own.
+TEST(CellNewInstance, AnInstanceThatARenewalDiscoversIsUnannounced) {
+  RestartedWorkerFixture Fixture;
+  Fixture.answer(WorkerOrderKind::Start, OrderVerdict::Done);
+  TaskLaunch &Launch = Fixture.Dispatch.Launches.begin()->second;
+  Launch.ProgressPercent = 80;
+  Launch.ListedAt = Fixture.Now;
+  Fixture.Dispatch.Sessions.begin()->second.Rack = "r1";
+  Fixture.StartTimeMs = 2;
+  Fixture.reconcile();
+  for (const CellCommand &Command :
+       std::exchange(Fixture.Dispatch.Commands, {})) {
+    onStateChange(Fixture.Dispatch, Fixture.State,
+                  applyCommand(Fixture.State, Command), Fixture.Now);
+  }
+  const WorkerInstanceId Worker = findWorker(Fixture.State, "w");
+  const WorkerInstance &Instance = Fixture.State.Workers[Worker];
+  CHECK_EQUAL(2, Instance.Report.StartTimeMs);
+  CHECK(Instance.IsUnannounced);
+  CHECK(Instance.Report.Capacity == Resources{});
+  CHECK_EQUAL(1, Instance.Tasks);
+  CHECK_EQUAL(0, Launch.ProgressPercent);
+  CHECK(Launch.ListedAt == Instant{});
+  // The crash hit the rack of the previous instance.
+  STRCMP_EQUAL("r1", Fixture.Dispatch.Sessions.at(Worker).Rack.c_str());
+  Fixture.reconcile();
+  CHECK(!isSchedulable(Fixture.Dispatch, Fixture.State, Worker, Fixture.Now));
+  // A new leader knows only the replicated state.
+  Fixture.State = *decodeCellState(encodeCellState(Fixture.State));
+  beginDispatch(Fixture.Dispatch, Fixture.State, 2, Fixture.Now,
+                Fixture.wallNow());
+  Fixture.reconcile();
+  CHECK(!isSchedulable(Fixture.Dispatch, Fixture.State, Worker, Fixture.Now));
+  CHECK(Fixture.isEndProposed());
+}
--- a/test/cell/worker_report_test.cpp
+++ b/test/cell/worker_report_test.cpp
@@ -2,6 +2,8 @@
 #include "mulberryramp/storage/group_store.hpp"
 #include "support/cell_parts.hpp"
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,7 +24,9 @@
   std::uint64_t NextCall = 1;
   WorkerReport Good = makeTestReport("good", 4000);
   CellNode Node{options(), bootstrapGroup({{Leader, 1}}), Now};
+  bool IsReporting = true; ///< The worker sends reports.
   std::set<TaskName> Running;
+  std::map<TaskName, std::uint32_t> Attempts;
   std::vector<WorkerOrder> Starts;
   std::set<std::string> OrderedWorkers;
 
@@ -48,7 +52,26 @@
     NextCall += 1;
   }
 
-  void submit(const std::string &Name) {
+  /// The worker crashes and starts again under its name and address.
+  void restart() {
+    Running.clear();
+    Good.StartTimeMs = Now.time_since_epoch().count();
+    Good.Sequence = 0;
+    Good.Clock = 0;
+  }
+
+  void report() {
+    Good.Sequence += 1;
+    call(WorkerReportCall{Good});
+  }
+
+  [[nodiscard]] bool hasStarted(const std::string &Job) const {
+    return std::any_of(
+        Starts.begin(), Starts.end(),
+        [&Job](const WorkerOrder &Start) { return Start.Task.Job == Job; });
+  }
+
+  void submit(const std::string &Name, const std::string &Label = "") {
     JobCall Call;
     Call.Verb = JobVerb::Submit;
     Call.Host = "host";
@@ -56,6 +79,7 @@
     StepSpec Step;
     Step.Need.MilliCpus = 1000;
     Step.Estimate = Millis{60000};
+    Step.Label = Label;
     Call.Spec.Steps.push_back(Step);
     call(std::move(Call));
   }
@@ -68,6 +92,7 @@
     if (Order.Kind == WorkerOrderKind::Start) {
       Starts.push_back(Order);
       Running.insert(Order.Task);
+      Attempts[Order.Task] = Order.Attempt;
     }
     OrderResult Result;
     Result.Id = Order.Id;
@@ -77,7 +102,7 @@
     for (const TaskName &Task : Running) {
       RunningTask Listed;
       Listed.Task = Task;
-      Listed.Attempt = 1;
+      Listed.Attempt = Attempts[Task];
       Result.Running.push_back(Listed);
     }
     Node.onOrderDone(Result, Now, WallTime{Now.time_since_epoch()});
@@ -87,9 +112,8 @@
     const Instant End = Now + Time;
     for (; Now < End; Now += Millis{10}) {
       Good.Clock += 10;
-      if (Now.time_since_epoch().count() % 500 == 0) {
-        Good.Sequence += 1;
-        call(WorkerReportCall{Good});
+      if (IsReporting && Now.time_since_epoch().count() % 500 == 0) {
+        report();
       }
       const WallTime WallNow{Now.time_since_epoch()};
       const CellOutput Output = Node.step(Now, WallNow);
@@ -141,3 +165,69 @@
   Cell.run(Millis{3000});
   CHECK_EQUAL(1, Cell.Starts.size());
 }
+
+/// Guards against starts on a worker of another kind: a renewal discovered a
+/// worker that had restarted, and the labels of the previous instance were kept
+/// for good.
+TEST(WorkerReports, ARestartedWorkerIsKnownOnlyByItsOwnReport) {
+  OneWorkerCell Cell;
+  Cell.Good.Labels = {"a"};
+  Cell.restart();
+  Cell.run(Millis{1500});
+  Cell.submit("occupies", "a");
+  Cell.run(Millis{500});
+  CHECK(Cell.hasStarted("occupies"));
+  Cell.IsReporting = false;
+  Cell.restart();
+  Cell.Good.Labels = {"b"};
+  Cell.submit("former-kind", "a");
+  Cell.submit("new-kind", "b");
+  Cell.submit("any-kind");
+  Cell.run(Millis{2000});
+  CHECK_EQUAL(1, Cell.Starts.size());
+  Cell.report();
+  Cell.run(Millis{1000});
+  CHECK(!Cell.hasStarted("former-kind"));
+  CHECK(Cell.hasStarted("new-kind"));
+  CHECK(Cell.hasStarted("any-kind"));
+}
+
+/// Guards against a worker that stays out of service: it restarted while it was
+/// draining, and the new instance took over the drain state.
+TEST(WorkerReports, AWorkerThatRestartsWhileItDrainsIsNotDraining) {
+  OneWorkerCell Cell;
+  Cell.run(Millis{1500});
+  Cell.submit("occupies");
+  Cell.run(Millis{500});
+  CHECK_EQUAL(1, Cell.Starts.size());
+  Cell.Good.IsDraining = true;
+  Cell.run(Millis{1000});
+  Cell.IsReporting = false;
+  Cell.restart();
+  Cell.Good.IsDraining = false;
+  Cell.run(Millis{2000});
+  Cell.report();
+  Cell.submit("next");
+  Cell.run(Millis{1000});
+  CHECK(Cell.hasStarted("next"));
+}
+
+/// Guards against a report of the previous instance that arrives late and is
+/// taken for the first one of the instance that a renewal discovered.
+TEST(WorkerReports, ALateReportOfThePreviousInstanceAnnouncesNothing) {
+  OneWorkerCell Cell;
+  Cell.run(Millis{1500});
+  Cell.submit("occupies");
+  Cell.run(Millis{500});
+  const WorkerReport Late = Cell.Good;
+  Cell.IsReporting = false;
+  Cell.restart();
+  Cell.submit("next");
+  Cell.run(Millis{2000});
+  Cell.call(WorkerReportCall{Late});
+  Cell.run(Millis{1000});
+  CHECK_EQUAL(1, Cell.Starts.size());
+  Cell.report();
+  Cell.run(Millis{1000});
+  CHECK(Cell.hasStarted("next"));
+}
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/job/state.hpp"
 
+#include "mulberryramp/wire/codec.hpp"
 #include "support/cell_parts.hpp"
 
 #include <string>
@@ -343,3 +344,76 @@
   Spec.RepeatCount = 3;
   CHECK(!validateJobSpec(Spec).empty());
 }
+
+/// Guards against a second registration of one instance, and against the loss
+/// of its own description: a renewal and a report discover it at the same time,
+/// so that both commands are in the log in either order.
+TEST(JobState, TheFirstReportDescribesAnInstanceThatARenewalDiscovered) {
+  for (const bool IsReportFirst : {false, true}) {
+    CellFixture Fixture;
+    Fixture.registerWorker("w", 1);
+    WorkerReport Report = makeTestReport("w", TaskMilliCpus);
+    Report.StartTimeMs = 2;
+    Report.Labels = {"b"};
+    Report.IsDraining = true;
+    WorkerReport Discovered;
+    Discovered.Name = Report.Name;
+    Discovered.Address = Report.Address;
+    Discovered.Pool = Report.Pool;
+    Discovered.StartTimeMs = 2;
+    const RegisterWorkerCommand ByReport{Report};
+    const RegisterWorkerCommand ByRenewal{Discovered, true};
+    applyCommand(Fixture.State, IsReportFirst ? ByReport : ByRenewal);
+    const WorkerInstanceId Worker = findWorker(Fixture.State, "w");
+    applyCommand(Fixture.State, IsReportFirst ? ByRenewal : ByReport);
+    // A repeated report changes nothing.
+    Report.Labels = {"c"};
+    CHECK(!applyCommand(Fixture.State, RegisterWorkerCommand{Report})
+               .AnnouncedWorker.isSet());
+    CHECK(Worker == findWorker(Fixture.State, "w"));
+    CHECK_EQUAL(1, Fixture.State.Workers.size());
+    CHECK(!Fixture.State.Workers[Worker].IsUnannounced);
+    CHECK(Fixture.State.Workers[Worker].Report.IsDraining);
+    STRCMP_EQUAL("b",
+                 Fixture.State.Workers[Worker].Report.Labels.front().c_str());
+  }
+}
+
+/// Guards against starts on a worker of unknown labels: the leader that
+/// proposed the assignment did not know of the new instance.
+TEST(JobState, NoTaskIsAssignedToAnUnannouncedInstance) {
+  CellFixture Fixture;
+  WorkerReport Report = makeTestReport("w", 4 * TaskMilliCpus);
+  applyCommand(Fixture.State, RegisterWorkerCommand{Report, true});
+  const JobId Job = Fixture.submit("j", {step(1)});
+  CHECK(Fixture.start({Job, 0, 0, 0}, 1, findWorker(Fixture.State, "w"))
+            .Started.empty());
+}
+
+/// Guards against a log or snapshot of the previous build that this build
+/// cannot read.
+TEST(JobState, ReadsWorkersThatThePreviousBuildStored) {
+  struct FormerInstance {
+    WorkerReport Report;
+    Resources Used;
+    std::uint64_t LastAckedEnd = 0;
+    std::uint32_t Tasks = 0;
+    static constexpr auto fields() {
+      return std::make_tuple(&FormerInstance::Report, &FormerInstance::Used,
+                             &FormerInstance::LastAckedEnd,
+                             &FormerInstance::Tasks);
+    }
+  };
+  struct FormerRegister {
+    WorkerReport Report;
+    static constexpr auto fields() {
+      return std::make_tuple(&FormerRegister::Report);
+    }
+  };
+  const auto Instance = decode<WorkerInstance>(
+      encode(FormerInstance{makeTestReport("w", 1), {}, 0, 0}));
+  CHECK(Instance && !Instance->IsUnannounced);
+  const auto Command = decode<RegisterWorkerCommand>(
+      encode(FormerRegister{makeTestReport("w", 1)}));
+  CHECK(Command && !Command->IsUnannounced);
+}
