Count lost data centres and regions as lost voters

Cause: only the number of VMs that may be lost was read. A deployment that states its fault tolerance as zones or regions, with 0 VMs, kept one voter.

The lost regions are those with the most data centres; a data centre has one voter, or more if there are more seeds than data centres.

Ruled out: regions times the largest number of data centres of a region, which asks for more voters than needed if the regions differ.

Measured: the two tests of the number fail with the former one (0 instead of 2), now pass.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -89,7 +89,7 @@
   Options.Seeds = seedNodes(Settings);
   Options.IsVoter = Settings.IsVoter;
   Options.Incarnation = Incarnation;
-  Options.ReplicaParameters = makeCellReplicaOptions(Settings.MaxVoterFailures);
+  Options.ReplicaParameters = makeCellReplicaOptions(maxLostVoters(Settings));
   Options.Dispatch.Lease = Settings.Lease;
   Options.Dispatch.MaxLease = Settings.MaxLease;
   Options.Dispatch.ReportInterval = Settings.ReportInterval;
@@ -228,7 +228,8 @@
       std::make_unique<CellNode>(nodeOptions(Settings, Incarnation),
                                  std::move(Stored), SuspendAwareClock::now());
   event("event=start incarnation=" + std::to_string(Incarnation) +
-        " voter=" + (Settings.IsVoter ? "yes" : "no"));
+        " voter=" + (Settings.IsVoter ? "yes" : "no") +
+        " may_lose_voters=" + std::to_string(maxLostVoters(Settings)));
   return {};
 }
 
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -81,6 +82,8 @@
     addNumber("listen.peer-port", Config.PeerPort, std::uint16_t{1},
               std::uint16_t{65535});
     addNumber("cell.may-lose", Config.MaxVoterFailures, 0U, 100U);
+    addNumber("cell.may-lose-centres", Config.MaxCentreFailures, 0U, 100U);
+    addNumber("cell.may-lose-regions", Config.MaxRegionFailures, 0U, 100U);
     addNumber("limits.descriptors", Config.Descriptors, 64U, 1U << 20U);
   }
 
@@ -155,6 +158,10 @@
   void parsePair(const IniPair &Pair) {
     const std::string Key = Pair.Section + "." + Pair.Key;
     const auto It = Setters.find(Key);
+    if (Pair.Section == "centres") {
+      addCentre(Pair);
+      return;
+    }
     if (It == Setters.end()) {
       addFinding(Pair, Pair.Key,
                  "[" + Pair.Section + "] has no setting " + Pair.Key);
@@ -172,6 +179,13 @@
     }
   }
 
+  /// The keys of this section are the names of data centres.
+  void addCentre(const IniPair &Pair) {
+    if (!Config.RegionsByCentre.emplace(Pair.Key, Pair.Value).second) {
+      addFinding(Pair, Pair.Key, "[centres] names " + Pair.Key + " twice");
+    }
+  }
+
   void require(bool IsSatisfied, const char *Text) {
     if (!IsSatisfied) {
       Report.add({Source, 0, 0, Text});
@@ -198,8 +212,47 @@
   std::set<std::string> SeenKeys;
 };
 
+/// Returns the numbers of data centres of all regions, the highest first.
+std::vector<std::size_t> centresOfRegions(const CellSettings &Settings) {
+  std::map<std::string, std::size_t> CentresByRegion;
+  std::vector<std::size_t> Counts;
+  for (const auto &[Centre, Region] : Settings.RegionsByCentre) {
+    if (Region.empty()) {
+      Counts.push_back(1); // A data centre without a region is one of its own.
+    } else {
+      CentresByRegion[Region] += 1;
+    }
+  }
+  for (const auto &[Region, Centres] : CentresByRegion) {
+    Counts.push_back(Centres);
+  }
+  std::sort(Counts.begin(), Counts.end(), std::greater<>{});
+  return Counts;
+}
+
 } // namespace
 
+std::size_t maxLostVoters(const CellSettings &Settings) {
+  const std::size_t Centres = Settings.RegionsByCentre.size();
+  const std::size_t Seeds =
+      std::set<std::string>{Settings.Seeds.begin(), Settings.Seeds.end()}
+          .size();
+  const std::size_t VotersPerCentre =
+      Centres == 0 ? 1
+                   : std::max<std::size_t>(1, (Seeds + Centres - 1) / Centres);
+  // A region that the map does not name has at least one data centre.
+  std::size_t CentresOfLostRegions = Settings.MaxRegionFailures;
+  const auto Counts = centresOfRegions(Settings);
+  const std::size_t Named =
+      std::min<std::size_t>(Counts.size(), Settings.MaxRegionFailures);
+  for (std::size_t Region = 0; Region < Named; ++Region) {
+    CentresOfLostRegions += Counts[Region] - 1;
+  }
+  return std::max({std::size_t{Settings.MaxVoterFailures},
+                   Settings.MaxCentreFailures * VotersPerCentre,
+                   CentresOfLostRegions * VotersPerCentre});
+}
+
 tl::expected<CellSettings, Findings>
 parseCellSettings(const std::string &Source, const std::string &Text) {
   return CellSettingsReader{Source}.read(Text);
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/config/settings.hpp"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,7 +26,13 @@
   bool IsVoter = false;     ///< The node is a voter of the replicated log.
   bool IsBootstrap = false; ///< Bootstraps a new cell with the seeds as voters.
   std::string DataFolder;   ///< Required of a voter.
-  std::uint32_t MaxVoterFailures = 1; ///< Simultaneous losses to tolerate.
+  /// Losses at the same time that the cell has to survive, each of its kind:
+  /// voters, data centres, and regions.
+  std::uint32_t MaxVoterFailures = 1;
+  std::uint32_t MaxCentreFailures = 0;
+  std::uint32_t MaxRegionFailures = 0;
+  /// Regions of the data centres that have voters, by name of the data centre.
+  std::map<std::string, std::string> RegionsByCentre;
   std::optional<Endpoint> Advisor;
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
   Millis Lease{5400};           ///< Lease that the leader requests of a worker.
@@ -44,6 +51,12 @@
   return static_cast<long>(Descriptors) / 2;
 }
 
+/// @brief Computes how many voters may be lost at the same time.
+///
+/// The lost data centres or regions are those with the most voters. Voters are
+/// assumed to be spread evenly over the data centres, as the seeds are.
+[[nodiscard]] std::size_t maxLostVoters(const CellSettings &Settings);
+
 /// @brief Parses and validates the settings of a node.
 /// @param Source Name of the file, reported in findings.
 /// @param Text Content of the INI file.
--- a/test/config/cell_settings_test.cpp
+++ b/test/config/cell_settings_test.cpp
@@ -64,3 +64,52 @@
   STRCMP_EQUAL("10.1.0.16", hostOf(nodeIdOf("10.1.0.16")).c_str());
   CHECK_EQUAL(0, nodeIdOf("ten"));
 }
+
+/// Guards against the loss of the cell with one VM: losses that were stated
+/// only as data centres or regions left a single voter.
+TEST(ConfigCell, CountsTheVotersOfTheDataCentresAndRegionsThatMayBeLost) {
+  struct Case {
+    const char *Losses;
+    std::size_t Voters;
+  };
+  const std::string Text = "[node]\naddress = 10.1.0.1\n[listen]\n"
+                           "peer-port = 1\n[centres]\nzagreb-a = kontinent\n"
+                           "zagreb-b = kontinent\nosijek-a = slavonija\n"
+                           "split-a = dalmacija\n[cell]\n"
+                           "seeds = 10.1.0.1:80, 10.1.0.2:80, 10.1.0.3:80\n";
+  for (const Case &Each : {Case{"may-lose = 0\n", 0}, Case{"may-lose =\n", 1},
+                           Case{"may-lose = 2\nmay-lose-centres = 1\n", 2},
+                           Case{"may-lose = 0\nmay-lose-centres = 2\n", 2},
+                           Case{"may-lose = 0\nmay-lose-regions = 1\n", 2},
+                           Case{"may-lose = 0\nmay-lose-regions = 2\n", 3},
+                           Case{"may-lose = 0\nmay-lose-regions = 9\n", 4 + 6},
+                           Case{"may-lose = 0\nmay-lose-centres =\n", 0}}) {
+    const auto Parsed = parseCellSettings("node.ini", Text + Each.Losses);
+    CHECK(Parsed.has_value());
+    CHECK_EQUAL(Each.Voters, maxLostVoters(*Parsed));
+  }
+}
+
+/// Guards against a majority in one data centre: there are two voters in each.
+TEST(ConfigCell, CountsAllVotersOfADataCentre) {
+  CellSettings Settings;
+  Settings.MaxVoterFailures = 0;
+  Settings.MaxCentreFailures = 1;
+  Settings.Seeds = {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4",
+                    "10.0.0.5", "10.0.0.6", "10.0.0.1"};
+  Settings.RegionsByCentre = {{"a", "r"}, {"b", "s"}, {"c", ""}};
+  CHECK_EQUAL(2, maxLostVoters(Settings));
+  Settings.MaxRegionFailures = 1;
+  CHECK_EQUAL(2, maxLostVoters(Settings));
+  Settings.RegionsByCentre.clear();
+  CHECK_EQUAL(1, maxLostVoters(Settings));
+}
+
+/// Guards against settings that the platform renders and no node reads.
+TEST(ConfigCell, ReportsADataCentreThatIsNamedTwice) {
+  STRCMP_CONTAINS(
+      "node.ini:17",
+      renderFindings(std::string{ValidSettings} +
+                     "[centres]\nsplit-a = dalmacija\nsplit-a = istra\n")
+          .c_str());
+}
