Request at most the longest lease that workers accept

Cause: the default lease of 5,400 ms was checked against max-lease-ms like an explicit one, so that no process started with a shorter longest lease.

Change: without lease-ms the lease is at most max-lease-ms; an explicit longer one stays an error. A renewal waits for at most a fifth of the lease, as a lease near the wait of 1,000 ms would end between two renewals. Leases from 5,000 ms on are renewed as before.

Ruled out: a warning and a start with the longer lease, which workers refuse.

Measured: the new test of the settings fails with the former check, now passes. The shorter wait has no test. Leases below 5,400 ms were not run.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -229,7 +229,8 @@
                                  std::move(Stored), SuspendAwareClock::now());
   event("event=start incarnation=" + std::to_string(Incarnation) +
         " voter=" + (Settings.IsVoter ? "yes" : "no") +
-        " may_lose_voters=" + std::to_string(maxLostVoters(Settings)));
+        " may_lose_voters=" + std::to_string(maxLostVoters(Settings)) +
+        " lease_ms=" + std::to_string(Settings.Lease.count()));
   return {};
 }
 
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -13,6 +13,8 @@
 constexpr Millis RenewalGrace{400};
 /// Wait of a renewal while a service exceeds its tail latency limit.
 constexpr Millis ViolationRenewalWait{400};
+/// A short lease is renewed this often, so that a lost renewal does not end it.
+constexpr int MinRenewalsPerLease = 5;
 /// A renewal is delayed at most this long for the commit of the ends that it
 /// acknowledges.
 constexpr Millis AckDelayLimit{400};
@@ -115,8 +117,10 @@
   Order.LastAckedEnd = MayAck ? Worker.LastAckedEnd : 0;
   Order.NeedsOpenConnection = Session.IsInstanceVerified;
   if (IsHealthy && Session.IsInstanceVerified && Worker.Tasks != 0) {
-    Order.Wait = Session.HasLatencyViolation ? ViolationRenewalWait
-                                             : Dispatch.Options.RenewalWait;
+    const DispatchOptions &Options = Dispatch.Options;
+    Order.Wait = std::min(Session.HasLatencyViolation ? ViolationRenewalWait
+                                                      : Options.RenewalWait,
+                          Options.Lease / MinRenewalsPerLease);
   }
   OpenOrder Open;
   // A worker that does not answer gets no lease extension, and a new instance
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -88,7 +88,10 @@
   }
 
   void addNumbers() {
-    addMillis("timing.lease-ms", Config.Lease);
+    Setters["timing.lease-ms"] = [this](const std::string &Value) {
+      ExplicitLease = parseMillis(Value);
+      return ExplicitLease.has_value();
+    };
     addMillis("timing.max-lease-ms", Config.MaxLease);
     addMillis("timing.report-every-ms", Config.ReportInterval);
     addMillis("timing.retention-ms", Config.Retention);
@@ -127,11 +130,16 @@
     };
   }
 
+  static std::optional<Millis> parseMillis(const std::string &Value) {
+    const auto Parsed =
+        internal::parseNumber<std::int64_t>(Value, 1, MaxMillis);
+    return Parsed ? std::optional{Millis{*Parsed}} : std::nullopt;
+  }
+
   void addMillis(const char *Key, Millis &Output) {
     Setters[Key] = [&Output](const std::string &Value) {
-      const auto Parsed =
-          internal::parseNumber<std::int64_t>(Value, 1, MaxMillis);
-      Output = Millis{Parsed.value_or(Output.count())};
+      const auto Parsed = parseMillis(Value);
+      Output = Parsed.value_or(Output);
       return Parsed.has_value();
     };
   }
@@ -198,6 +206,8 @@
     require(!Config.Seeds.empty(), "[cell] needs seeds");
     require(!Config.IsVoter || !Config.DataFolder.empty(),
             "a voter needs a data-folder");
+    Config.Lease =
+        ExplicitLease.value_or(std::min(Config.Lease, Config.MaxLease));
     require(Config.Lease <= Config.MaxLease,
             "lease-ms is longer than max-lease-ms allows");
     if (Config.Control) {
@@ -207,6 +217,7 @@
 
   std::string Source;
   CellSettings Config;
+  std::optional<Millis> ExplicitLease;
   Findings Report;
   std::map<std::string, Setter> Setters;
   std::set<std::string> SeenKeys;
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -35,7 +35,8 @@
   std::map<std::string, std::string> RegionsByCentre;
   std::optional<Endpoint> Advisor;
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
-  Millis Lease{5400};           ///< Lease that the leader requests of a worker.
+  /// Lease that the leader requests of a worker; by default at most `MaxLease`.
+  Millis Lease{5400};
   Millis MaxLease{6000};        ///< Maximum lease that a worker accepts.
   Millis ReportInterval{1500};  ///< Between reports of a worker.
   Millis Retention{125000};     ///< How long finished jobs are kept.
--- a/test/config/cell_settings_test.cpp
+++ b/test/config/cell_settings_test.cpp
@@ -65,6 +65,23 @@
   CHECK_EQUAL(0, nodeIdOf("ten"));
 }
 
+/// Guards against no node starting: the longest lease of the workers is shorter
+/// than the default lease.
+TEST(ConfigCell, TheDefaultLeaseIsAtMostTheLongestOneOfTheWorkers) {
+  const std::string Text = "[node]\naddress = 10.1.0.1\n[listen]\n"
+                           "peer-port = 1\n[cell]\nseeds = 10.1.0.2:80\n"
+                           "[timing]\nlease-ms =\nmax-lease-ms = ";
+  const auto Short = parseCellSettings("node.ini", Text + "2000\n");
+  CHECK(Short.has_value());
+  CHECK_EQUAL(2000, Short->Lease.count());
+  const auto Long = parseCellSettings("node.ini", Text + "10000\n");
+  CHECK_EQUAL(5400, Long->Lease.count());
+  STRCMP_CONTAINS(
+      "lease-ms is longer",
+      renderFindings(std::string{ValidSettings} + "max-lease-ms = 2000\n")
+          .c_str());
+}
+
 /// Guards against the loss of the cell with one VM: losses that were stated
 /// only as data centres or regions left a single voter.
 TEST(ConfigCell, CountsTheVotersOfTheDataCentresAndRegionsThatMayBeLost) {
