Number relayed calls differently in each process

Cause: the ids of relayed calls started at 1 in each process, so that a late reply to a call of the previous process of a node could answer a call of the next one. The same held for the queries to the advisor that a leader routes through other nodes.

Change: both start at a number that CellNode derives from its seed, which is random in each process. Ids of HTTP exchanges and of queries that a node sends itself never leave the process and stay.

Ruled out: the incarnation in each message, which changes the peer protocol.

--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
 #include "mulberryramp/cell/answers.hpp"
+#include "mulberryramp/core/random.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -23,6 +24,12 @@
 /// Number of log entries before a snapshot that are kept.
 constexpr std::size_t TrailingEntries = 500;
 
+/// Returns the id of the first message that expects a reply of another node.
+/// The upper half of the numbers is left for the ids that follow.
+std::uint64_t firstMessageId(std::uint64_t Seed) {
+  return (Random{Seed}.next() >> 1U) + 1;
+}
+
 /// Tells whether a message may only be sent once the state that it asserts is
 /// synced on this node.
 bool needsSync(const ReplicaBody &Body) {
@@ -48,9 +55,13 @@
 
 CellNode::CellNode(const CellNodeOptions &Options, StoredGroup Stored,
                    Instant Now)
-    : Options{Options}, Relay{Options.Self, Options.Seeds, Now}, CurrentTime{
-                                                                     Now} {
+    : Options{Options}, Relay{Options.Self, Options.Seeds, Now,
+                              firstMessageId(Options.Seed)},
+      CurrentTime{Now} {
   Dispatch.Options = Options.Dispatch;
+  // Queries to the advisor are sent by other nodes, whose answers may arrive
+  // in the next process of this node.
+  Dispatch.NextId = firstMessageId(Options.Seed);
   Dispatch.Self = Options.Self;
   if (Options.IsVoter) {
     Group.emplace(startReplica(GroupName, {Options.Self, Options.Incarnation},
--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now)
-    : Self{Self}, LeaderLostAt{Now} {
+CallRelay::CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now,
+                     std::uint64_t FirstId)
+    : Self{Self}, LeaderLostAt{Now}, NextId{FirstId} {
   addNodes(Seeds);
 }
 
--- a/src/mulberryramp/cell/relay.hpp
+++ b/src/mulberryramp/cell/relay.hpp
@@ -30,7 +30,11 @@
   /// @param Self Id of this node.
   /// @param Seeds Voters that get the first hellos.
   /// @param Now Current monotonic time.
-  CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now);
+  /// @param FirstId Id of the first forwarded call. It has to differ from
+  /// process to process: otherwise a late reply to a call of the previous
+  /// process of this node would answer a call of this one.
+  CallRelay(NodeId Self, const std::vector<NodeId> &Seeds, Instant Now,
+            std::uint64_t FirstId);
 
   /// @brief Adds nodes that may know the leader.
   void addNodes(const std::vector<NodeId> &Nodes);
@@ -107,7 +111,7 @@
   Instant NextHelloAt;
   Instant NextFollowerHelloAt;
   Instant LeaderLostAt; ///< When the leader was lost; the start time at first.
-  std::uint64_t NextId = 1;
+  std::uint64_t NextId;
   std::map<std::uint64_t, OpenCall> OpenCalls;
   std::vector<CellMessage> Outbox;
   std::vector<LocalReply> Replies;
--- a/test/cell/relay_test.cpp
+++ b/test/cell/relay_test.cpp
@@ -1,4 +1,6 @@
+#include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/cell/relay.hpp"
+#include "mulberryramp/storage/group_store.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -11,7 +13,7 @@
 /// A relay with two seed voters, in virtual time.
 struct RelayFixture {
   Instant Now{Millis{10000}};
-  CallRelay Relay{Self, {1, 2}, Now};
+  CallRelay Relay{Self, {1, 2}, Now, 1};
 
   void announceLeader(NodeId Node) {
     Relay.receive(Node, NodeWelcome{Node, true, {1, 2}}, Now);
@@ -148,3 +150,30 @@
   CHECK(CellVerdict::NotFound ==
         Fixture.Relay.drainReplies().front().Reply.Verdict);
 }
+
+/// Guards against a reply to the wrong call: a reply to a call of the previous
+/// process of a node arrives late, when its next process has an open call.
+TEST(CellRelay, ALateReplyToThePreviousProcessAnswersNoCallOfTheNextOne) {
+  const Instant Now{Millis{10000}};
+  std::uint64_t FormerId = 0;
+  for (const std::uint64_t Seed : {11U, 12U}) {
+    CellNodeOptions Options;
+    Options.Self = Self;
+    Options.Seeds = {1};
+    Options.Seed = Seed;
+    CellNode Node{Options, StoredGroup{}, Now};
+    Node.receive({1, Self, NodeWelcome{1, true, {1}}}, Now, WallTime{});
+    Node.call(7, ReadConfigurationCall{}, Now);
+    std::uint64_t Id = 0;
+    for (const CellMessage &Message : Node.step(Now, WallTime{}).Messages) {
+      if (const auto *Call = std::get_if<RelayedCall>(&Message.Body)) {
+        Id = Call->Id;
+      }
+    }
+    CHECK(Id != 0);
+    Node.receive({1, Self, RelayedReply{FormerId, true, false, {}}}, Now,
+                 WallTime{});
+    CHECK(Node.step(Now, WallTime{}).Replies.empty());
+    FormerId = Id;
+  }
+}
