Set the pace of tasks whose pace is not known

Cause: a new leader took all running tasks for unpaced, so that a task which its predecessor had suspended stayed suspended without end unless a tail latency exceeded its limit again; a gang with such a member stood still. An order that failed counted as 100 %, with the same effect if it was the one that ended the suspension. The answer to an order for an earlier attempt was taken for the current one.

Change: whether the pace is known is kept with each launch. It is not known of a task that was found running in a cell that has a step with a tail latency limit, of a paced task that moved to a new instance, and after a failed order; it is then set again once the tail latencies of the worker are known to have recovered. After an unanswered order it is set once more when that order can no longer be executed. At most 20 paces are set again in one review.

Ruled out: the pace in the replicated state, which would put each change into the log; setting the pace of all tasks after an election also in cells without tail latency limits.

No run with real workers whose tail latency exceeds its limit.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -411,6 +411,21 @@
     Session.NextRenewalAt = Now + RenewalRetryInterval;
   }
 }
+
+/// After an order that failed, a later review sets the pace again.
+void onPaceResult(DispatchState &Dispatch, const OpenOrder &Order,
+                  const OrderResult &Result, Instant Now) {
+  const auto LaunchIt = Dispatch.Launches.find(Order.Key);
+  if (LaunchIt == Dispatch.Launches.end() ||
+      LaunchIt->second.Assignment.Attempt != Order.Attempt ||
+      Result.Verdict == OrderVerdict::Done) {
+    return;
+  }
+  LaunchIt->second.IsPaceKnown = false;
+  if (Result.Verdict == OrderVerdict::Unanswered) {
+    LaunchIt->second.PaceDoubtfulUntil = Now + Dispatch.Options.MaxOrderDelay;
+  }
+}
 } // namespace
 
 void onOrderResult(DispatchState &Dispatch, const CellState &State,
@@ -473,12 +488,7 @@
     }
     break;
   case WorkerOrderKind::Pace:
-    if (const auto LaunchIt = Dispatch.Launches.find(Order.Key);
-        LaunchIt != Dispatch.Launches.end() &&
-        Result.Verdict != OrderVerdict::Done) {
-      // A later review reduces the share again if the violation persists.
-      LaunchIt->second.PacePercent = 100;
-    }
+    onPaceResult(Dispatch, Order, Result, Now);
     break;
   }
 }
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -55,6 +55,7 @@
   Launch.PhaseSince = Now;
   Launch.StartedAt = Now;
   Launch.IsRecovered = true;
+  Launch.IsPaceKnown = !Dispatch.MayHavePacedTasks;
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
 
@@ -75,8 +76,17 @@
   SessionIt->second.Orphans.push_back(std::move(Orphan));
 }
 
+bool hasTailLimit(const Job &JobRow) {
+  return std::any_of(
+      JobRow.Spec.Steps.begin(), JobRow.Spec.Steps.end(),
+      [](const StepSpec &Step) { return Step.TailLatencyLimit != Millis{0}; });
+}
+
 void recoverLaunches(DispatchState &Dispatch, const CellState &State,
                      Instant Now) {
+  Dispatch.MayHavePacedTasks =
+      std::any_of(State.Jobs.ids().begin(), State.Jobs.ids().end(),
+                  [&State](JobId Id) { return hasTailLimit(State.Jobs[Id]); });
   for (const JobId Id : State.Jobs.ids()) {
     const Job &JobRow = State.Jobs[Id];
     for (const JobRun &Run : JobRow.Runs) {
@@ -164,6 +174,8 @@
   Launch.Gauge = 0;
   Launch.OverLimitSince = Instant{};
   Launch.IsProbed = false;
+  // The attempt on the new instance may have been started without a pace.
+  Launch.IsPaceKnown = Launch.IsPaceKnown && Launch.PaceAt == Instant{};
 }
 
 /// Moves the launches and orphans of a worker to its new instance. An order
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -83,7 +83,13 @@
   /// When the tail latency exceeded its limit; zero if it is within the limit.
   Instant OverLimitSince;
   std::uint32_t PacePercent = 100; ///< CPU share that the task may use.
-  Instant PaceAt;                  ///< When the pace was last changed.
+  Instant PaceAt;                  ///< When a pace order was last sent.
+  /// The task has that share. This is not known of a task that a former leader
+  /// may have paced, or after an order that failed.
+  bool IsPaceKnown = true;
+  /// The pace is set once more at this time, as an unanswered order may be
+  /// executed until then; zero if there is none.
+  Instant PaceDoubtfulUntil;
   bool IsProbed = false; ///< A probe was requested because its end is overdue.
   /// End to record if its worker, which has crashed, does not list it.
   EndKind EndIfUnlisted = EndKind::Lost;
@@ -281,6 +287,9 @@
   std::map<NodeId, AdviceNode> Nodes;
   std::map<std::uint64_t, PendingQuery> PendingQueries;
   std::uint64_t NextId = 1;
+  /// The state has a step with a tail latency limit, so that a former leader
+  /// may have paced tasks.
+  bool MayHavePacedTasks = false;
   bool NeedsPlan = false; ///< A change may let tasks start.
   /// Starts are proposed and not yet applied.
   bool HasUncommittedStarts = false;
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -314,7 +314,8 @@
 void sendPace(DispatchState &Dispatch, const CellState &State,
               TaskLaunch &Launch, std::uint32_t Percent, Instant Now) {
   const WorkerInstance *Worker = State.Workers.find(Launch.Assignment.Worker);
-  if (Worker == nullptr || Launch.PacePercent == Percent) {
+  if (Worker == nullptr || Launch.IsEndProposed ||
+      (Launch.PacePercent == Percent && Launch.IsPaceKnown)) {
     return;
   }
   WorkerOrder Order = makeTaskOrder(Dispatch, *Worker, WorkerOrderKind::Pace,
@@ -322,9 +323,11 @@
                                     Launch.Assignment.Attempt);
   Order.Percent = Percent;
   Dispatch.Events.push_back(
-      "event=pace " + describeStart(Order.Task, Order.Attempt) +
-      " worker=" + Order.Worker + " percent=" + std::to_string(Percent));
+      "event=pace " + describeStart(Order.Task, Order.Attempt) + " worker=" +
+      Order.Worker + " percent=" + std::to_string(Percent) + " former=" +
+      (Launch.IsPaceKnown ? std::to_string(Launch.PacePercent) : "unknown"));
   Launch.PacePercent = Percent;
+  Launch.IsPaceKnown = true;
   Launch.PaceAt = Now;
   OpenOrder Open;
   Open.Key = Launch.Assignment.Key;
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -37,6 +37,9 @@
 /// CPU share in percent of batch tasks after the first reduction. If the
 /// violation persists, their share is reduced to 0.
 constexpr std::uint32_t ReducedPacePercent = 30;
+/// Paces that are set again in one review. A new leader that finds thousands of
+/// running tasks spreads these orders over time.
+constexpr std::size_t MaxPaceResets = 20;
 /// Percentage of its limit below which a tail latency counts as recovered, so
 /// that the pace of batch tasks is raised again.
 constexpr std::int64_t RecoveredTailPercent = 70;
@@ -52,7 +55,13 @@
 bool hasComparableProgress(const TaskLaunch &Launch, const StepSpec &Spec) {
   return Launch.Phase == LaunchPhase::Confirmed &&
          Launch.ListedAt != Instant{} && !Spec.IsGang &&
-         Launch.PacePercent == 100;
+         Launch.PacePercent == 100 && Launch.IsPaceKnown;
+}
+
+/// Tells whether the CPU share of a task may differ from its pace.
+bool isPaceInDoubt(const TaskLaunch &Launch, Instant Now) {
+  return !Launch.IsPaceKnown || (Launch.PaceDoubtfulUntil != Instant{} &&
+                                 Now >= Launch.PaceDoubtfulUntil);
 }
 
 bool hasStalled(const TaskLaunch &Launch, const StepSpec &Spec, Instant Now) {
@@ -239,7 +248,8 @@
                             Siblings.Spec.TailLatencyLimit.count() != 0;
   for (TaskLaunch *Launch : Siblings.Launches) {
     reviewLaunch(Dispatch, State, *Launch, Siblings, Now);
-    if (HasTailLimit || Launch->PacePercent < 100) {
+    if (HasTailLimit || Launch->PacePercent < 100 ||
+        isPaceInDoubt(*Launch, Now)) {
       NeedsPacing.insert(Launch->Assignment.Worker);
     }
   }
@@ -263,8 +273,10 @@
       continue;
     }
     const std::int64_t Limit = Spec.TailLatencyLimit.count();
-    IsTailRecovered =
-        IsTailRecovered && Launch.Gauge * 100 < Limit * RecoveredTailPercent;
+    // A new leader does not know the tail latency before the first list.
+    IsTailRecovered = IsTailRecovered &&
+                      Launch.Phase != LaunchPhase::Recovered &&
+                      Launch.Gauge * 100 < Limit * RecoveredTailPercent;
     if (Launch.Gauge <= Limit) {
       Launch.OverLimitSince = Instant{};
     } else if (Launch.OverLimitSince == Instant{}) {
@@ -278,8 +290,9 @@
 
 /// Limits the CPU share of batch tasks on a worker until the tail latencies of
 /// its services have recovered.
+/// @param Resets Number of paces that may still be set again in this review.
 void paceBatchTasks(DispatchState &Dispatch, const CellState &State,
-                    WorkerSession &Session, Instant Now) {
+                    WorkerSession &Session, std::size_t &Resets, Instant Now) {
   bool IsOverLimit = false;
   bool IsTailRecovered = true;
   checkTailLatency(Dispatch, State, Session, Now, IsOverLimit, IsTailRecovered);
@@ -293,15 +306,24 @@
         (Launch.PaceAt != Instant{} && Now - Launch.PaceAt < MinPaceInterval)) {
       continue;
     }
+    std::uint32_t Percent = Launch.PacePercent;
     if (IsOverLimit) {
-      sendPace(Dispatch, State, Launch,
-               Launch.PacePercent > ReducedPacePercent ? ReducedPacePercent : 0,
-               Now);
-    } else if (IsTailRecovered && Launch.PacePercent < 100) {
-      sendPace(Dispatch, State, Launch,
-               Launch.PacePercent < ReducedPacePercent ? ReducedPacePercent
-                                                       : 100,
-               Now);
+      Percent = Percent > ReducedPacePercent ? ReducedPacePercent : 0;
+    } else if (IsTailRecovered) {
+      Percent = Percent < ReducedPacePercent ? ReducedPacePercent : 100;
+    }
+    const bool IsReset = Percent == Launch.PacePercent &&
+                         isPaceInDoubt(Launch, Now) &&
+                         (Percent < 100 || IsTailRecovered) && Resets != 0;
+    if (IsReset) {
+      Resets -= 1;
+      Launch.IsPaceKnown = false;
+      if (Now >= Launch.PaceDoubtfulUntil) {
+        Launch.PaceDoubtfulUntil = Instant{};
+      }
+    }
+    if (IsReset || Percent != Launch.PacePercent) {
+      sendPace(Dispatch, State, Launch, Percent, Now);
     }
   }
 }
@@ -315,9 +337,10 @@
        LaunchIt != Dispatch.Launches.end();) {
     LaunchIt = reviewStep(Dispatch, State, LaunchIt, NeedsPacing, Now);
   }
+  std::size_t Resets = MaxPaceResets;
   for (auto &[Id, Session] : Dispatch.Sessions) {
     if (Session.HasLatencyViolation || NeedsPacing.contains(Id)) {
-      paceBatchTasks(Dispatch, State, Session, Now);
+      paceBatchTasks(Dispatch, State, Session, Resets, Now);
     }
   }
 }
--- a/test/cell/review_test.cpp
+++ b/test/cell/review_test.cpp
@@ -1,6 +1,9 @@
+#include "mulberryramp/cell/answers.hpp"
 #include "mulberryramp/cell/review.hpp"
 #include "support/cell_parts.hpp"
 
+#include <utility>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace mulberryramp;
@@ -62,6 +65,28 @@
     }
   }
 
+  /// The next leader finds both tasks running.
+  void replaceLeader() {
+    beginDispatch(Dispatch, State, 2, Now, WallTime{Millis{100000}});
+    for (auto &[Key, Launch] : Dispatch.Launches) {
+      Launch.Phase = LaunchPhase::Confirmed;
+      Launch.ProgressPercent = Key == LatencyTask ? 100 : 1;
+    }
+    Dispatch.Orders.clear();
+  }
+
+  /// Answers the open pace orders.
+  void answerPaces(OrderVerdict Verdict) {
+    for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+      OrderResult Result;
+      Result.Id = Order.Id;
+      Result.Verdict = Verdict;
+      if (Order.Kind == WorkerOrderKind::Pace) {
+        onOrderResult(Dispatch, State, Result, Now, WallTime{Millis{100000}});
+      }
+    }
+  }
+
   std::vector<std::uint32_t> takePaces() {
     std::vector<std::uint32_t> Paces;
     for (const WorkerOrder &Order : Dispatch.Orders) {
@@ -112,3 +137,58 @@
   CHECK(WorkerOrderKind::Stop == Fixture.Dispatch.Orders.front().Kind);
   STRCMP_EQUAL("serve", Fixture.Dispatch.Orders.front().Task.Job.c_str());
 }
+
+/// Guards against a task that stays suspended for good: its leader was replaced
+/// while the task was paced.
+TEST(CellReview, ANewLeaderSetsThePaceOfATaskThatItFoundRunning) {
+  SharedWorkerFixture Fixture;
+  Fixture.advance(3000, TailLatencyLimitMs + 1);
+  Fixture.replaceLeader();
+  // The tail latency is neither over the limit nor recovered.
+  Fixture.advance(3000, TailLatencyLimitMs - 1);
+  CHECK(Fixture.takePaces().empty());
+  Fixture.advance(3000, TailLatencyLimitMs / 2);
+  const auto Paces = Fixture.takePaces();
+  CHECK_EQUAL(1, Paces.size());
+  CHECK_EQUAL(100, Paces[0]);
+}
+
+/// Guards against orders for all running tasks of a cell that paces none.
+TEST(CellReview, ANewLeaderSetsNoPaceWithoutATailLatencyLimit) {
+  SharedWorkerFixture Fixture;
+  Fixture.State.Jobs[Fixture.LatencyTask.Job]
+      .Spec.Steps.front()
+      .TailLatencyLimit = Millis{0};
+  Fixture.replaceLeader();
+  Fixture.advance(3000, 0);
+  CHECK(Fixture.takePaces().empty());
+}
+
+/// Guards against a task that stays suspended for good: the order that ended
+/// the suspension got lost.
+TEST(CellReview, AnUnansweredPaceOrderIsRepeated) {
+  SharedWorkerFixture Fixture;
+  Fixture.advance(3000, TailLatencyLimitMs + 1);
+  (void)Fixture.takePaces();
+  Fixture.advance(2000, TailLatencyLimitMs / 2);
+  Fixture.answerPaces(OrderVerdict::Unanswered);
+  Fixture.advance(2000, TailLatencyLimitMs / 2);
+  const auto Paces = Fixture.takePaces();
+  CHECK_EQUAL(1, Paces.size());
+  CHECK_EQUAL(100, Paces[0]);
+  // The lost order may still be executed within `MaxOrderDelay`.
+  Fixture.advance(30000, TailLatencyLimitMs / 2);
+  CHECK_EQUAL(1, Fixture.takePaces().size());
+}
+
+/// Guards against an answer about an earlier attempt of the task.
+TEST(CellReview, AnAnswerAboutAnEarlierAttemptChangesNoPace) {
+  SharedWorkerFixture Fixture;
+  Fixture.advance(100, TailLatencyLimitMs + 1);
+  Fixture.advance(1000, TailLatencyLimitMs + 1);
+  TaskLaunch &Launch = Fixture.Dispatch.Launches.at(Fixture.BatchTask);
+  CHECK(Launch.PacePercent < 100);
+  Launch.Assignment.Attempt += 1;
+  Fixture.answerPaces(OrderVerdict::Unanswered);
+  CHECK(Launch.IsPaceKnown);
+}
