Judge stalls by the observed speed, and gangs as a whole

Cause: a task had to list progress within 2.5 s and a twentieth of its estimate. Progress is listed in whole percent, so a healthy task of more than 250 s with a low estimate was stopped again and again. The suspension of a paced task counted as time without progress. Gangs were not checked.

Change: the time follows the longest of the estimate, the observed run time of the attempt, and those of its peers and of finished tasks. Before the first progress, when the speed is not known, it doubles with each attempt that was stopped. It counts from the last pace order. A gang has stalled if no member makes progress and all are listed at full pace on workers that answer; all are stopped, and the worker of the one that stood still first is backed off. A line event=stalled states the times.

Ruled out: counting attempts, which also end for other reasons; judging single members of a gang, which wait for each other.

--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -270,6 +270,7 @@
   std::erase_if(Dispatch.Advice, IsObsolete);
   std::erase_if(Dispatch.Times, IsObsolete);
   std::erase_if(Dispatch.Reservations, IsObsolete);
+  std::erase_if(Dispatch.StallsAtStart, IsObsolete);
   for (const auto &[Id, Session] : Dispatch.Sessions) {
     const Instant LastContactAt =
         std::max(Session.ReportedAt, Session.AnsweredAt);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -284,6 +284,9 @@
   std::map<StepKey, StepAdvice> Advice;
   std::map<StepKey, StepTimes> Times;
   std::map<StepKey, StepReservation> Reservations;
+  /// Number of attempts that were stopped as stalled before any progress, by
+  /// task; by the first task for a gang.
+  std::map<TaskKey, std::uint32_t> StallsAtStart;
   std::map<NodeId, AdviceNode> Nodes;
   std::map<std::uint64_t, PendingQuery> PendingQueries;
   std::uint64_t NextId = 1;
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -11,8 +11,13 @@
 namespace {
 
 /// A running task whose listed progress does not change for longer than this,
-/// plus 5 % of its estimate, has stalled.
+/// plus 5 % of its expected run time, has stalled.
 constexpr Millis StallTimeout{2500};
+/// The timeout of an attempt without any progress doubles with each attempt
+/// that was stopped before, at most this many times. Its speed is unknown, so
+/// that a healthy task of more than 250 s may need longer for its first
+/// percent.
+constexpr std::uint32_t MaxStallDoublings = 6;
 /// Backoff of a worker after one of its tasks stalled or was too slow.
 constexpr Millis StalledBackoff{3000};
 /// Migration threshold: minimum remaining time of the task on its worker.
@@ -50,12 +55,17 @@
   return State.Jobs[Key.Job].Spec.Steps[Key.Step];
 }
 
+/// Tells whether a task was listed and is not paced.
+bool isListedAtFullPace(const TaskLaunch &Launch) {
+  return Launch.Phase == LaunchPhase::Confirmed &&
+         Launch.ListedAt != Instant{} && Launch.PacePercent == 100 &&
+         Launch.IsPaceKnown;
+}
+
 /// Tells whether the progress of a task can be compared with that of its peers:
-/// it was listed, is not paced and does not depend on other members of a gang.
+/// it does not depend on other members of a gang either.
 bool hasComparableProgress(const TaskLaunch &Launch, const StepSpec &Spec) {
-  return Launch.Phase == LaunchPhase::Confirmed &&
-         Launch.ListedAt != Instant{} && !Spec.IsGang &&
-         Launch.PacePercent == 100 && Launch.IsPaceKnown;
+  return isListedAtFullPace(Launch) && !Spec.IsGang;
 }
 
 /// Tells whether the CPU share of a task may differ from its pace.
@@ -64,12 +74,6 @@
                                  Now >= Launch.PaceDoubtfulUntil);
 }
 
-bool hasStalled(const TaskLaunch &Launch, const StepSpec &Spec, Instant Now) {
-  const bool HasStartedUp = Spec.IsLongRunning && Launch.ProgressPercent >= 100;
-  return hasComparableProgress(Launch, Spec) && !HasStartedUp &&
-         Now - Launch.ProgressAt > StallTimeout + Spec.Estimate / 20;
-}
-
 Millis estimateRemainingTime(const TaskLaunch &Launch, Instant Now) {
   return estimateEnd(Launch) - Now;
 }
@@ -89,6 +93,8 @@
   /// Median run time, if there are enough samples.
   std::optional<Millis> MedianTime;
   Millis Expected{0}; ///< Mean run time of finished tasks, or the estimate.
+  /// Member of a stalled gang that was the first to make no progress.
+  const TaskLaunch *StalledMember = nullptr;
 };
 
 bool isGangBroken(const StepLaunches &Gang) {
@@ -123,6 +129,78 @@
   return *MedianIt;
 }
 
+/// Returns the key under which stalls of a task are counted.
+TaskKey stallKeyOf(const TaskLaunch &Launch, const StepSpec &Spec) {
+  TaskKey Key = Launch.Assignment.Key;
+  Key.Task = Spec.IsGang ? 0 : Key.Task;
+  return Key;
+}
+
+/// Computes how long the listed progress of a healthy task may stay the same.
+/// Progress is listed in whole percent, so the time follows the observed speed
+/// of the task and of its peers; an estimate may be far too low.
+Millis stallTimeout(const DispatchState &Dispatch, const TaskLaunch &Launch,
+                    const StepLaunches &Siblings) {
+  Millis RunTime = std::max({Siblings.Spec.Estimate, Siblings.Expected,
+                             Siblings.MedianTime.value_or(Millis{0})});
+  if (measuredProgress(Launch) != 0) {
+    RunTime = std::max(RunTime, estimateTotalTime(Launch));
+    return StallTimeout + RunTime / 20;
+  }
+  const auto StallsIt =
+      Dispatch.StallsAtStart.find(stallKeyOf(Launch, Siblings.Spec));
+  const std::uint32_t Doublings =
+      StallsIt == Dispatch.StallsAtStart.end()
+          ? 0
+          : std::min(StallsIt->second, MaxStallDoublings);
+  return StallTimeout * (1U << Doublings) + RunTime / 20;
+}
+
+/// Returns when the task last made progress. While it was paced it could not.
+Instant progressSince(const TaskLaunch &Launch) {
+  return std::max(Launch.ProgressAt, Launch.PaceAt);
+}
+
+bool hasStartedUp(const TaskLaunch &Launch, const StepSpec &Spec) {
+  return Spec.IsLongRunning && Launch.ProgressPercent >= 100;
+}
+
+bool hasStalled(const DispatchState &Dispatch, const TaskLaunch &Launch,
+                const StepLaunches &Siblings, Instant Now) {
+  return hasComparableProgress(Launch, Siblings.Spec) &&
+         !hasStartedUp(Launch, Siblings.Spec) &&
+         Now - progressSince(Launch) > stallTimeout(Dispatch, Launch, Siblings);
+}
+
+/// Finds the member of a stalled gang that was the first to make no progress.
+/// The members wait for each other, so a gang has stalled only if all members
+/// run, are listed at full pace and make no progress.
+/// @return The member, or null if the gang has not stalled.
+const TaskLaunch *findStalledMember(const DispatchState &Dispatch,
+                                    const StepLaunches &Gang, Instant Now) {
+  if (!Gang.Spec.IsGang || isGangBroken(Gang) || Gang.Launches.empty() ||
+      Gang.Launches.size() != Gang.Step.Tasks.size()) {
+    return nullptr;
+  }
+  const TaskLaunch *First = nullptr;
+  bool HaveStartedUp = true;
+  for (const TaskLaunch *Launch : Gang.Launches) {
+    const auto SessionIt = Dispatch.Sessions.find(Launch->Assignment.Worker);
+    const bool IsWorkerSilent = SessionIt == Dispatch.Sessions.end() ||
+                                SessionIt->second.ConsecutiveMisses != 0;
+    if (IsWorkerSilent || Launch->IsEndProposed ||
+        !isListedAtFullPace(*Launch) ||
+        Now - progressSince(*Launch) <= stallTimeout(Dispatch, *Launch, Gang)) {
+      return nullptr;
+    }
+    HaveStartedUp = HaveStartedUp && hasStartedUp(*Launch, Gang.Spec);
+    if (First == nullptr || progressSince(*Launch) < progressSince(*First)) {
+      First = Launch;
+    }
+  }
+  return HaveStartedUp ? nullptr : First;
+}
+
 /// Tells whether a slow task would finish much sooner if it was restarted on
 /// another worker.
 bool shouldMigrate(const TaskLaunch &Launch, const StepLaunches &Siblings,
@@ -185,6 +263,32 @@
       " expected_ms=" + std::to_string(Siblings.Expected.count()));
 }
 
+/// Stops a stalled attempt.
+/// @param IsFirst The attempt is the cause as far as is known, so that its
+/// worker is backed off.
+void stopStalled(DispatchState &Dispatch, const CellState &State,
+                 TaskLaunch &Launch, const StepLaunches &Siblings, bool IsFirst,
+                 Instant Now) {
+  if (IsFirst) {
+    Dispatch.Sessions[Launch.Assignment.Worker].BackoffUntil =
+        Now + StalledBackoff;
+  }
+  if (IsFirst && Launch.StopSentAt == Instant{}) {
+    const TaskAssignment &Stalled = Launch.Assignment;
+    Dispatch.Events.push_back(
+        "event=stalled " +
+        describeStart(nameTask(State, Stalled.Key), Stalled.Attempt) +
+        " worker=" + workerName(State, Stalled.Worker) +
+        " percent=" + std::to_string(Launch.ProgressPercent) + " since_ms=" +
+        std::to_string((Now - progressSince(Launch)).count()) + " timeout_ms=" +
+        std::to_string(stallTimeout(Dispatch, Launch, Siblings).count()));
+    if (measuredProgress(Launch) == 0) {
+      Dispatch.StallsAtStart[stallKeyOf(Launch, Siblings.Spec)] += 1;
+    }
+  }
+  sendStop(Dispatch, State, Launch, "no-progress", Now);
+}
+
 void reviewLaunch(DispatchState &Dispatch, const CellState &State,
                   TaskLaunch &Launch, const StepLaunches &Siblings,
                   Instant Now) {
@@ -196,9 +300,11 @@
     sendStop(Dispatch, State, Launch, "gang-broken", Now);
   } else if (mustEvict(State, Launch, Siblings.Spec, Session, Now)) {
     sendStop(Dispatch, State, Launch, "worker-drains", Now);
-  } else if (hasStalled(Launch, Siblings.Spec, Now)) {
-    Session.BackoffUntil = Now + StalledBackoff;
-    sendStop(Dispatch, State, Launch, "no-progress", Now);
+  } else if (Siblings.StalledMember != nullptr) {
+    stopStalled(Dispatch, State, Launch, Siblings,
+                &Launch == Siblings.StalledMember, Now);
+  } else if (hasStalled(Dispatch, Launch, Siblings, Now)) {
+    stopStalled(Dispatch, State, Launch, Siblings, true, Now);
   } else if (shouldMigrate(Launch, Siblings, Now)) {
     Session.BackoffUntil = Now + StalledBackoff;
     if (Launch.StopSentAt == Instant{}) {
@@ -241,9 +347,11 @@
                         Run->Steps[Key.Step],
                         std::move(Launches),
                         std::nullopt,
-                        {}};
+                        {},
+                        nullptr};
   Siblings.MedianTime = medianTime(Dispatch, Key, Siblings);
   Siblings.Expected = expectedStepTime(Dispatch, Key, Siblings.Spec);
+  Siblings.StalledMember = findStalledMember(Dispatch, Siblings, Now);
   const bool HasTailLimit = Siblings.Spec.IsLongRunning &&
                             Siblings.Spec.TailLatencyLimit.count() != 0;
   for (TaskLaunch *Launch : Siblings.Launches) {
