Take a mark of the template that was not rendered as absent

Cause: a platform that does not know a field of deploy/node.ini leaves its mark in place.

Change: a value that is a mark counts as empty, and a key that is a mark is ignored. The marks of the table of data centres are in comments. A required setting is still missed.

--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -163,7 +163,15 @@
                 std::move(Text)});
   }
 
+  /// Tells whether a text is a mark of the template that was not rendered.
+  static bool isUnrendered(const std::string &Text) {
+    return Text.starts_with("{{") && Text.ends_with("}}");
+  }
+
   void parsePair(const IniPair &Pair) {
+    if (isUnrendered(Pair.Key)) {
+      return; // Content of a block for each entry of a table.
+    }
     const std::string Key = Pair.Section + "." + Pair.Key;
     const auto It = Setters.find(Key);
     if (Pair.Section == "centres") {
@@ -180,8 +188,10 @@
                  "[" + Pair.Section + "] sets " + Pair.Key + " twice");
     }
     // The platform renders an empty value for a feature that the deployment
-    // doesn't have; the default applies then.
-    if (!Pair.Value.empty() && !It->second(Pair.Value)) {
+    // doesn't have, and one that doesn't know the field leaves its mark; the
+    // default applies then.
+    if (!Pair.Value.empty() && !isUnrendered(Pair.Value) &&
+        !It->second(Pair.Value)) {
       addFinding(Pair, Pair.Value,
                  Pair.Key + " = " + Pair.Value + ": invalid value");
     }
--- a/test/config/cell_settings_test.cpp
+++ b/test/config/cell_settings_test.cpp
@@ -130,3 +130,31 @@
                      "[centres]\nsplit-a = dalmacija\nsplit-a = istra\n")
           .c_str());
 }
+
+/// Guards against no node starting: a platform that does not know a field of
+/// the template leaves its mark in place.
+TEST(ConfigCell, AMarkThatWasNotRenderedMeansTheDefault) {
+  const std::string Text = "[node]\naddress = 10.1.0.1\n[listen]\n"
+                           "peer-port = 1\n[cell]\nseeds = 10.1.0.2:80\n";
+  const auto Parsed = parseCellSettings(
+      "node.ini", Text + "may-lose-centres = {{fault_tolerance.zones}}\n"
+                         "[centres]\n; {{#zones}}\n{{@}} = {{.}}\n"
+                         "; {{/zones}}\n");
+  CHECK(Parsed.has_value());
+  CHECK_EQUAL(0, Parsed->MaxCentreFailures);
+  CHECK(Parsed->RegionsByCentre.empty());
+  // A required setting is still missed.
+  STRCMP_CONTAINS("needs an address",
+                  renderFindings("[node]\naddress = {{ip}}\n").c_str());
+}
+
+/// Guards against a rendered table of data centres that cannot be read.
+TEST(ConfigCell, ReadsTheDataCentresAsThePlatformRendersThem) {
+  const auto Parsed = parseCellSettings(
+      "node.ini", std::string{ValidSettings} +
+                      "[centres]\n; \nzagreb-a = kontinent\n; \n"
+                      "split-a = dalmacija\n; \n");
+  CHECK(Parsed.has_value());
+  CHECK_EQUAL(2, Parsed->RegionsByCentre.size());
+  STRCMP_EQUAL("dalmacija", Parsed->RegionsByCentre.at("split-a").c_str());
+}
