--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -366,11 +366,19 @@
   if (Result.StartTimeMs != 0 &&
       Result.StartTimeMs != Worker.Report.StartTimeMs) {
     // Another instance under the same name: its answers count only after it is
-    // registered.
+    // registered. It may be of another kind, so labels, rack, capacity and
+    // drain state are those of its own first report.
     if (Result.StartTimeMs > Worker.Report.StartTimeMs) {
-      RegisterWorkerCommand Register{Worker.Report};
+      RegisterWorkerCommand Register;
+      Register.Report.Name = Worker.Report.Name;
       Register.Report.StartTimeMs = Result.StartTimeMs;
-      Register.Report.Sequence = 0; // Each instance counts its own reports.
+      Register.Report.Pool = Worker.Report.Pool;
+      Register.Report.Address = Worker.Report.Address;
+      Register.IsUnannounced = true;
+      Dispatch.Events.push_back(
+          "event=worker-restarted worker=" + Worker.Report.Name +
+          " found_by=renewal start=" + std::to_string(Result.StartTimeMs) +
+          " former=" + std::to_string(Worker.Report.StartTimeMs));
       Dispatch.Commands.emplace_back(std::move(Register));
     }
     Session.IsInstanceVerified = false;
@@ -426,6 +434,21 @@
     Session.NextRenewalAt = Now + RenewalRetryInterval;
   }
 }
+
+/// After an order that failed, a later review sets the pace again.
+void onPaceResult(DispatchState &Dispatch, const OpenOrder &Order,
+                  const OrderResult &Result, Instant Now) {
+  const auto LaunchIt = Dispatch.Launches.find(Order.Key);
+  if (LaunchIt == Dispatch.Launches.end() ||
+      LaunchIt->second.Assignment.Attempt != Order.Attempt ||
+      Result.Verdict == OrderVerdict::Done) {
+    return;
+  }
+  LaunchIt->second.IsPaceKnown = false;
+  if (Result.Verdict == OrderVerdict::Unanswered) {
+    LaunchIt->second.PaceDoubtfulUntil = Now + Dispatch.Options.MaxOrderDelay;
+  }
+}
 } // namespace
 
 void onOrderResult(DispatchState &Dispatch, const CellState &State,
@@ -488,12 +511,7 @@
     }
     break;
   case WorkerOrderKind::Pace:
-    if (const auto LaunchIt = Dispatch.Launches.find(Order.Key);
-        LaunchIt != Dispatch.Launches.end() &&
-        Result.Verdict != OrderVerdict::Done) {
-      // A later review reduces the share again if the violation persists.
-      LaunchIt->second.PacePercent = 100;
-    }
+    onPaceResult(Dispatch, Order, Result, Now);
     break;
   }
 }
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -13,6 +13,8 @@
 constexpr Millis RenewalGrace{400};
 /// Wait of a renewal while a service exceeds its tail latency limit.
 constexpr Millis ViolationRenewalWait{400};
+/// A short lease is renewed this often, so that a lost renewal does not end it.
+constexpr int MinRenewalsPerLease = 5;
 /// A renewal is delayed at most this long for the commit of the ends that it
 /// acknowledges.
 constexpr Millis AckDelayLimit{400};
@@ -115,8 +117,10 @@
   Order.LastAckedEnd = MayAck ? Worker.LastAckedEnd : 0;
   Order.NeedsOpenConnection = Session.IsInstanceVerified;
   if (IsHealthy && Session.IsInstanceVerified && Worker.Tasks != 0) {
-    Order.Wait = Session.HasLatencyViolation ? ViolationRenewalWait
-                                             : Dispatch.Options.RenewalWait;
+    const DispatchOptions &Options = Dispatch.Options;
+    Order.Wait = std::min(Session.HasLatencyViolation ? ViolationRenewalWait
+                                                      : Options.RenewalWait,
+                          Options.Lease / MinRenewalsPerLease);
   }
   OpenOrder Open;
   // A worker that does not answer gets no lease extension, and a new instance
@@ -310,7 +314,8 @@
 void sendPace(DispatchState &Dispatch, const CellState &State,
               TaskLaunch &Launch, std::uint32_t Percent, Instant Now) {
   const WorkerInstance *Worker = State.Workers.find(Launch.Assignment.Worker);
-  if (Worker == nullptr || Launch.PacePercent == Percent) {
+  if (Worker == nullptr || Launch.IsEndProposed ||
+      (Launch.PacePercent == Percent && Launch.IsPaceKnown)) {
     return;
   }
   WorkerOrder Order = makeTaskOrder(Dispatch, *Worker, WorkerOrderKind::Pace,
@@ -318,9 +323,11 @@
                                     Launch.Assignment.Attempt);
   Order.Percent = Percent;
   Dispatch.Events.push_back(
-      "event=pace " + describeStart(Order.Task, Order.Attempt) +
-      " worker=" + Order.Worker + " percent=" + std::to_string(Percent));
+      "event=pace " + describeStart(Order.Task, Order.Attempt) + " worker=" +
+      Order.Worker + " percent=" + std::to_string(Percent) + " former=" +
+      (Launch.IsPaceKnown ? std::to_string(Launch.PacePercent) : "unknown"));
   Launch.PacePercent = Percent;
+  Launch.IsPaceKnown = true;
   Launch.PaceAt = Now;
   OpenOrder Open;
   Open.Key = Launch.Assignment.Key;
@@ -426,7 +433,8 @@
   return Session.IsReconciled && Session.Orphans.empty() &&
          Session.ConsecutiveMisses == 0 && Session.Clock &&
          !State.Workers[Worker].Report.IsDraining &&
-         Now >= Session.BackoffUntil && !isRenewalOverdue(Session, Now) &&
+         !State.Workers[Worker].IsUnannounced && Now >= Session.BackoffUntil &&
+         !isRenewalOverdue(Session, Now) &&
          Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
 }
 
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -85,11 +86,16 @@
     addNumber("listen.peer-port", Config.PeerPort, std::uint16_t{1},
               std::uint16_t{65535});
     addNumber("cell.may-lose", Config.MaxVoterFailures, 0U, 100U);
+    addNumber("cell.may-lose-centres", Config.MaxCentreFailures, 0U, 100U);
+    addNumber("cell.may-lose-regions", Config.MaxRegionFailures, 0U, 100U);
     addNumber("limits.descriptors", Config.Descriptors, 64U, 1U << 20U);
   }
 
   void addNumbers() {
-    addMillis("timing.lease-ms", Config.Lease);
+    Setters["timing.lease-ms"] = [this](const std::string &Value) {
+      ExplicitLease = parseMillis(Value);
+      return ExplicitLease.has_value();
+    };
     addMillis("timing.max-lease-ms", Config.MaxLease);
     addMillis("timing.report-every-ms", Config.ReportInterval);
     addMillis("timing.retention-ms", Config.Retention);
@@ -128,11 +134,16 @@
     };
   }
 
+  static std::optional<Millis> parseMillis(const std::string &Value) {
+    const auto Parsed =
+        internal::parseNumber<std::int64_t>(Value, 1, MaxMillis);
+    return Parsed ? std::optional{Millis{*Parsed}} : std::nullopt;
+  }
+
   void addMillis(const char *Key, Millis &Output) {
     Setters[Key] = [&Output](const std::string &Value) {
-      const auto Parsed =
-          internal::parseNumber<std::int64_t>(Value, 1, MaxMillis);
-      Output = Millis{Parsed.value_or(Output.count())};
+      const auto Parsed = parseMillis(Value);
+      Output = Parsed.value_or(Output);
       return Parsed.has_value();
     };
   }
@@ -156,12 +167,24 @@
                 std::move(Text)});
   }
 
+  /// Tells whether a text is a mark of the template that was not rendered.
+  static bool isUnrendered(const std::string &Text) {
+    return Text.starts_with("{{") && Text.ends_with("}}");
+  }
+
   void parsePair(const IniPair &Pair) {
+    if (isUnrendered(Pair.Key)) {
+      return; // Content of a block for each entry of a table.
+    }
     const std::string Key = Pair.Section + "." + Pair.Key;
     const auto It = Setters.find(Key);
     if (It == Setters.end() && Pair.Section == FeatureSection) {
       return;
     }
+    if (Pair.Section == "centres") {
+      addCentre(Pair);
+      return;
+    }
     if (It == Setters.end()) {
       addFinding(Pair, Pair.Key,
                  "[" + Pair.Section + "] has no setting " + Pair.Key);
@@ -172,13 +195,22 @@
                  "[" + Pair.Section + "] sets " + Pair.Key + " twice");
     }
     // The platform renders an empty value for a feature that the deployment
-    // doesn't have; the default applies then.
-    if (!Pair.Value.empty() && !It->second(Pair.Value)) {
+    // doesn't have, and one that doesn't know the field leaves its mark; the
+    // default applies then.
+    if (!Pair.Value.empty() && !isUnrendered(Pair.Value) &&
+        !It->second(Pair.Value)) {
       addFinding(Pair, Pair.Value,
                  Pair.Key + " = " + Pair.Value + ": invalid value");
     }
   }
 
+  /// The keys of this section are the names of data centres.
+  void addCentre(const IniPair &Pair) {
+    if (!Config.RegionsByCentre.emplace(Pair.Key, Pair.Value).second) {
+      addFinding(Pair, Pair.Key, "[centres] names " + Pair.Key + " twice");
+    }
+  }
+
   void require(bool IsSatisfied, const char *Text) {
     if (!IsSatisfied) {
       Report.add({Source, 0, 0, Text});
@@ -191,6 +223,8 @@
     require(!Config.Seeds.empty(), "[cell] needs seeds");
     require(!Config.IsVoter || !Config.DataFolder.empty(),
             "a voter needs a data-folder");
+    Config.Lease =
+        ExplicitLease.value_or(std::min(Config.Lease, Config.MaxLease));
     require(Config.Lease <= Config.MaxLease,
             "lease-ms is longer than max-lease-ms allows");
     if (Config.Control) {
@@ -200,13 +234,53 @@
 
   std::string Source;
   CellSettings Config;
+  std::optional<Millis> ExplicitLease;
   Findings Report;
   std::map<std::string, Setter> Setters;
   std::set<std::string> SeenKeys;
 };
 
+/// Returns the numbers of data centres of all regions, the highest first.
+std::vector<std::size_t> centresOfRegions(const CellSettings &Settings) {
+  std::map<std::string, std::size_t> CentresByRegion;
+  std::vector<std::size_t> Counts;
+  for (const auto &[Centre, Region] : Settings.RegionsByCentre) {
+    if (Region.empty()) {
+      Counts.push_back(1); // A data centre without a region is one of its own.
+    } else {
+      CentresByRegion[Region] += 1;
+    }
+  }
+  for (const auto &[Region, Centres] : CentresByRegion) {
+    Counts.push_back(Centres);
+  }
+  std::sort(Counts.begin(), Counts.end(), std::greater<>{});
+  return Counts;
+}
+
 } // namespace
 
+std::size_t maxLostVoters(const CellSettings &Settings) {
+  const std::size_t Centres = Settings.RegionsByCentre.size();
+  const std::size_t Seeds =
+      std::set<std::string>{Settings.Seeds.begin(), Settings.Seeds.end()}
+          .size();
+  const std::size_t VotersPerCentre =
+      Centres == 0 ? 1
+                   : std::max<std::size_t>(1, (Seeds + Centres - 1) / Centres);
+  // A region that the map does not name has at least one data centre.
+  std::size_t CentresOfLostRegions = Settings.MaxRegionFailures;
+  const auto Counts = centresOfRegions(Settings);
+  const std::size_t Named =
+      std::min<std::size_t>(Counts.size(), Settings.MaxRegionFailures);
+  for (std::size_t Region = 0; Region < Named; ++Region) {
+    CentresOfLostRegions += Counts[Region] - 1;
+  }
+  return std::max({std::size_t{Settings.MaxVoterFailures},
+                   Settings.MaxCentreFailures * VotersPerCentre,
+                   CentresOfLostRegions * VotersPerCentre});
+}
+
 tl::expected<CellSettings, Findings>
 parseCellSettings(const std::string &Source, const std::string &Text) {
   return CellSettingsReader{Source}.read(Text);
