Read back stored state of any size

Change: decodeStored() is bounded by the length of the input only.

Ruled out: a higher constant, which moves the fault to another size. The format bounds one string at 4 GiB.

Tests: round trips of 1 to 200 MiB and of a log record of 27 MiB failed before.

--- a/src/mulberryramp/cell/message_codec.cpp
+++ b/src/mulberryramp/cell/message_codec.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 template <typename Value>
-std::optional<Value> decodeOptional(std::string_view Bytes) {
-  auto Decoded = decode<Value>(Bytes);
+std::optional<Value> toOptional(tl::expected<Value, CodecError> Decoded) {
   if (!Decoded) {
     return std::nullopt;
   }
@@ -22,7 +21,7 @@
 }
 
 std::optional<CellMessage> decodeCellMessage(std::string_view Bytes) {
-  return decodeOptional<CellMessage>(Bytes);
+  return toOptional(decode<CellMessage>(Bytes));
 }
 
 std::string encodeCommands(const std::vector<CellCommand> &Commands) {
@@ -30,13 +29,13 @@
 }
 
 std::optional<std::vector<CellCommand>> decodeCommands(std::string_view Bytes) {
-  return decodeOptional<std::vector<CellCommand>>(Bytes);
+  return toOptional(decodeStored<std::vector<CellCommand>>(Bytes));
 }
 
 std::string encodeCellState(const CellState &State) { return encode(State); }
 
 std::optional<CellState> decodeCellState(std::string_view Bytes) {
-  auto State = decodeOptional<CellState>(Bytes);
+  auto State = toOptional(decodeStored<CellState>(Bytes));
   if (State) {
     rebuildIndex(*State);
   }
--- a/src/mulberryramp/config/rules_state.cpp
+++ b/src/mulberryramp/config/rules_state.cpp
@@ -50,7 +50,7 @@
 }
 
 template <typename T> std::optional<T> tryDecode(std::string_view Data) {
-  auto Value = decode<T>(Data);
+  auto Value = decodeStored<T>(Data);
   return Value ? std::optional<T>{std::move(*Value)} : std::nullopt;
 }
 
--- a/src/mulberryramp/ledger/ledger_codec.cpp
+++ b/src/mulberryramp/ledger/ledger_codec.cpp
@@ -39,7 +39,7 @@
 }
 
 std::optional<LedgerCommand> decodeCommand(std::string_view Data) {
-  auto Command = decode<LedgerCommand>(Data);
+  auto Command = decodeStored<LedgerCommand>(Data);
   if (!Command) {
     return std::nullopt;
   }
@@ -52,7 +52,7 @@
   if (Data.empty()) {
     return Ledger{};
   }
-  auto State = decode<Ledger>(Data);
+  auto State = decodeStored<Ledger>(Data);
   if (!State) {
     return std::nullopt;
   }
--- a/src/mulberryramp/replica/membership_codec.cpp
+++ b/src/mulberryramp/replica/membership_codec.cpp
@@ -9,7 +9,7 @@
 }
 
 Membership decodeMembership(std::string_view Data) {
-  return decode<Membership>(Data).value_or(Membership{});
+  return decodeStored<Membership>(Data).value_or(Membership{});
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/storage/group_store.cpp
+++ b/src/mulberryramp/storage/group_store.cpp
@@ -57,6 +57,19 @@
   return {};
 }
 
+tl::expected<Snapshot, StorageError>
+decodeSnapshotFile(const std::string &Content) {
+  const auto Scan = scanRecords(Content);
+  if (!Scan) {
+    return tl::make_unexpected(Scan.error());
+  }
+  if (Scan->Bodies.size() != 1) {
+    return tl::make_unexpected(
+        StorageError{"damaged snapshot: expected exactly one record"});
+  }
+  return decodeSnapshot(Scan->Bodies.front());
+}
+
 } // namespace internal
 
 std::string GroupStore::logName(std::uint64_t Number) const {
@@ -87,10 +100,9 @@
   PersistBatch LogBatch = Batch;
   LogBatch.NewSnapshot.reset();
   LogBatch.TruncateFrom.reset();
-  const std::string Record = makeRecord(encodeBatch(LogBatch));
+  const std::string Record = makeBatchRecord(LogBatch);
   auto Written =
-      replaceFile(snapshotName(Next),
-                  makeRecord(encodeSnapshot(*Batch.NewSnapshot)))
+      replaceFile(snapshotName(Next), makeSnapshotRecord(*Batch.NewSnapshot))
           .and_then([&] { return replaceFile(logName(Next), Record); });
   if (Written) {
     removeGeneration(Generation);
@@ -106,7 +118,7 @@
     return startGeneration(Batch);
   }
   const std::string Name = logName(Generation);
-  const std::string Record = makeRecord(encodeBatch(Batch));
+  const std::string Record = makeBatchRecord(Batch);
   auto Written = truncateFailedWrite()
                      .and_then([&] { return Files->append(Name, Record); })
                      .and_then([&] { return Files->sync(Name); });
@@ -141,18 +153,8 @@
   const std::string Name = Store.logName(Store.Generation);
   StoredGroup Group;
   if (Store.Generation != 0) {
-    const auto Snap =
-        Files.read(Store.snapshotName(Store.Generation))
-            .and_then(
-                [](const std::string &Content) { return scanRecords(Content); })
-            .and_then([](const RecordScan &Scan)
-                          -> tl::expected<Snapshot, StorageError> {
-              if (Scan.Bodies.size() != 1) {
-                return tl::make_unexpected(StorageError{
-                    "damaged snapshot: expected exactly one record"});
-              }
-              return decodeSnapshot(Scan.Bodies.front());
-            });
+    const auto Snap = Files.read(Store.snapshotName(Store.Generation))
+                          .and_then(internal::decodeSnapshotFile);
     if (!Snap) {
       return tl::make_unexpected(StorageError{
           Store.snapshotName(Store.Generation) + ": " + Snap.error().Text});
@@ -173,7 +175,7 @@
   if (!Scan) {
     return tl::make_unexpected(StorageError{Name + ": " + Scan.error().Text});
   }
-  for (const std::string &Body : Scan->Bodies) {
+  for (const std::string_view Body : Scan->Bodies) {
     const auto Batch = decodeBatch(Body);
     if (!Batch) {
       return tl::make_unexpected(
--- a/src/mulberryramp/storage/record_codec.cpp
+++ b/src/mulberryramp/storage/record_codec.cpp
@@ -25,9 +25,22 @@
   return Bytes.find_first_not_of('\0') == std::string_view::npos;
 }
 
+/// Room for the fields of a snapshot besides its data and voters.
+constexpr std::size_t SnapshotFieldBytes = 64;
+
+void writeHeader(std::string &Record) {
+  const std::string_view Body =
+      std::string_view{Record}.substr(RecordHeaderBytes);
+  RecordHeader Header;
+  Header.BodyBytes = Body.size();
+  Header.BodySum = XXH3_64bits(Body.data(), Body.size());
+  Header.HeaderSum = headerSum(Header);
+  std::memcpy(Record.data(), &Header, sizeof(Header));
+}
+
 template <typename T>
-tl::expected<T, StorageError> decodeStored(std::string_view Body) {
-  auto Value = decode<T>(Body);
+tl::expected<T, StorageError> decodeBody(std::string_view Body) {
+  auto Value = decodeStored<T>(Body);
   if (!Value) {
     return tl::make_unexpected(StorageError{Value.error().Text});
   }
@@ -37,13 +50,26 @@
 } // namespace internal
 
 std::string makeRecord(std::string_view Body) {
-  internal::RecordHeader Header;
-  Header.BodyBytes = Body.size();
-  Header.BodySum = XXH3_64bits(Body.data(), Body.size());
-  Header.HeaderSum = internal::headerSum(Header);
-  std::string Record(sizeof(Header), '\0');
-  std::memcpy(Record.data(), &Header, sizeof(Header));
+  std::string Record(RecordHeaderBytes, '\0');
   Record.append(Body);
+  internal::writeHeader(Record);
+  return Record;
+}
+
+std::string makeBatchRecord(const PersistBatch &Batch) {
+  std::string Record(RecordHeaderBytes, '\0');
+  encodeTo(Record, Batch);
+  internal::writeHeader(Record);
+  return Record;
+}
+
+std::string makeSnapshotRecord(const Snapshot &Snap) {
+  std::string Record;
+  Record.reserve(RecordHeaderBytes + internal::SnapshotFieldBytes +
+                 Snap.Data.size());
+  Record.assign(RecordHeaderBytes, '\0');
+  encodeTo(Record, Snap);
+  internal::writeHeader(Record);
   return Record;
 }
 
@@ -74,7 +100,7 @@
       return tl::make_unexpected(StorageError{"damaged record at byte " +
                                               std::to_string(Scan.ValidBytes)});
     }
-    Scan.Bodies.emplace_back(Body);
+    Scan.Bodies.push_back(Body);
     Scan.ValidBytes += RecordHeaderBytes + Body.size();
   }
   return Scan;
@@ -83,13 +109,13 @@
 std::string encodeBatch(const PersistBatch &Batch) { return encode(Batch); }
 
 tl::expected<PersistBatch, StorageError> decodeBatch(std::string_view Body) {
-  return internal::decodeStored<PersistBatch>(Body);
+  return internal::decodeBody<PersistBatch>(Body);
 }
 
 std::string encodeSnapshot(const Snapshot &Snap) { return encode(Snap); }
 
 tl::expected<Snapshot, StorageError> decodeSnapshot(std::string_view Body) {
-  return internal::decodeStored<Snapshot>(Body);
+  return internal::decodeBody<Snapshot>(Body);
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/storage/record_codec.hpp
+++ b/src/mulberryramp/storage/record_codec.hpp
@@ -12,10 +12,17 @@
 /// @brief Builds a record: a header with length and checksums, then the body.
 [[nodiscard]] std::string makeRecord(std::string_view Body);
 
+/// @brief Builds the record of a batch.
+[[nodiscard]] std::string makeBatchRecord(const PersistBatch &Batch);
+
+/// @brief Builds the record of a snapshot. The data is copied once.
+[[nodiscard]] std::string makeSnapshotRecord(const Snapshot &Snap);
+
 /// @brief Result of reading the records of a file.
 struct RecordScan {
-  std::vector<std::string> Bodies; ///< Bodies of the complete records.
-  std::size_t ValidBytes = 0;      ///< Bytes up to the end of the last one.
+  /// Bodies of the complete records, within the content that was read.
+  std::vector<std::string_view> Bodies;
+  std::size_t ValidBytes = 0; ///< Bytes up to the end of the last one.
 };
 
 /// @brief Reads the records of a file.
--- a/src/mulberryramp/storage/records.hpp
+++ b/src/mulberryramp/storage/records.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryramp/core/fwd.hpp"
+#include "mulberryramp/core/shared_bytes.hpp"
 #include "mulberryramp/storage/fwd.hpp"
 
 #include <array>
@@ -87,7 +88,7 @@
   LogIndex Index = 0;
   Term InTerm = 0;
   Membership Voters;
-  std::string Data;
+  SharedBytes Data;
 
   static constexpr auto fields() {
     return std::make_tuple(&Snapshot::Index, &Snapshot::InTerm,
--- a/src/mulberryramp/wire/codec.hpp
+++ b/src/mulberryramp/wire/codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryramp/core/names.hpp"
+#include "mulberryramp/core/shared_bytes.hpp"
 #include "mulberryramp/wire/fwd.hpp"
 
 #include <msgpack.hpp>
@@ -61,11 +62,20 @@
 template <typename C, typename D>
 struct IsTimePoint<std::chrono::time_point<C, D>> : std::true_type {};
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
+/// Output of the packer that appends to a string, which saves a copy.
+struct StringBuffer {
+  std::string &Bytes;
+
+  void write(const char *Data, std::size_t Size) { Bytes.append(Data, Size); }
+};
+
+using Packer = msgpack::packer<StringBuffer>;
 
 template <typename T> void packValue(Packer &Out, const T &Value) {
   if constexpr (NamedEnum<T>) {
     Out.pack(static_cast<std::uint8_t>(Value));
+  } else if constexpr (std::is_same_v<T, SharedBytes>) {
+    Out.pack(Value.str());
   } else if constexpr (IsDuration<T>::value) {
     Out.pack(static_cast<std::int64_t>(Value.count()));
   } else if constexpr (IsTimePoint<T>::value) {
@@ -148,6 +158,8 @@
       throw msgpack::type_error{};
     }
     Value = static_cast<T>(Raw);
+  } else if constexpr (std::is_same_v<T, SharedBytes>) {
+    Value = SharedBytes{Source.as<std::string>()};
   } else if constexpr (IsDuration<T>::value) {
     Value = T{Source.as<std::int64_t>()};
   } else if constexpr (IsTimePoint<T>::value) {
@@ -180,8 +192,42 @@
   }
 }
 
+/// Strings of the unpacked value refer to the input instead of a copy.
+inline bool refersToInput(msgpack::type::object_type /*Type*/,
+                          std::size_t /*Size*/, void * /*User*/) {
+  return true;
+}
+
+template <typename T>
+tl::expected<T, CodecError> decodeWithin(std::string_view Bytes,
+                                         std::size_t MaxElements) {
+  try {
+    std::size_t Offset = 0;
+    const msgpack::unpack_limit Limit{MaxElements, 0,           MaxElements,
+                                      MaxElements, MaxElements, MaxCodecDepth};
+    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size(), Offset,
+                                        refersToInput, nullptr, Limit);
+    if (Offset != Bytes.size()) {
+      return tl::make_unexpected(CodecError{"trailing bytes after the value"});
+    }
+    T Value{};
+    unpackValue(Handle.get(), Value);
+    return Value;
+  } catch (const std::exception &Error) {
+    return tl::make_unexpected(
+        CodecError{std::string{"malformed value: "} + Error.what()});
+  }
+}
+
 } // namespace internal
 
+/// @brief Appends the encoding of a value to a string; see `encode`.
+template <typename T> void encodeTo(std::string &Bytes, const T &Value) {
+  internal::StringBuffer Buffer{Bytes};
+  internal::Packer Out{Buffer};
+  internal::packValue(Out, Value);
+}
+
 /// @brief Encodes a value as msgpack.
 /// @tparam T A number, string, duration, time point, enumeration with a name
 /// table, or a vector, optional, variant or struct with `fields()` of such
@@ -189,35 +235,29 @@
 /// order is part of the format. Fields are only added at the end; those beyond
 /// `T::MandatoryFields` keep their defaults if they are missing.
 template <typename T> [[nodiscard]] std::string encode(const T &Value) {
-  msgpack::sbuffer Buffer;
-  internal::Packer Out{Buffer};
-  internal::packValue(Out, Value);
-  return {Buffer.data(), Buffer.size()};
+  std::string Bytes;
+  encodeTo(Bytes, Value);
+  return Bytes;
 }
 
-/// @brief Decodes a value from msgpack.
+/// @brief Decodes a value of another process from msgpack. The length of each
+/// string and array is at most `MaxFrameBytes`.
 /// @tparam T As for `encode`.
 /// @param Bytes The encoded value, without trailing bytes.
 /// @return The complete value, or an error if the bytes are malformed.
 template <typename T>
 [[nodiscard]] tl::expected<T, CodecError> decode(std::string_view Bytes) {
-  try {
-    std::size_t Offset = 0;
-    const msgpack::unpack_limit Limit{MaxFrameBytes, 0,
-                                      MaxFrameBytes, MaxFrameBytes,
-                                      MaxFrameBytes, internal::MaxCodecDepth};
-    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size(), Offset,
-                                        nullptr, nullptr, Limit);
-    if (Offset != Bytes.size()) {
-      return tl::make_unexpected(CodecError{"trailing bytes after the value"});
-    }
-    T Value{};
-    internal::unpackValue(Handle.get(), Value);
-    return Value;
-  } catch (const std::exception &Error) {
-    return tl::make_unexpected(
-        CodecError{std::string{"malformed value: "} + Error.what()});
-  }
+  return internal::decodeWithin<T>(Bytes, MaxFrameBytes);
+}
+
+/// @brief Decodes a value that this program has stored. It is bounded by the
+/// length of the input only: state that could be written can be read back.
+/// @tparam T As for `encode`.
+/// @param Bytes The encoded value, without trailing bytes.
+/// @return The complete value, or an error if the bytes are malformed.
+template <typename T>
+[[nodiscard]] tl::expected<T, CodecError> decodeStored(std::string_view Bytes) {
+  return internal::decodeWithin<T>(Bytes, Bytes.size());
 }
 
 } // namespace mulberryramp
--- a/test/storage/group_store_test.cpp
+++ b/test/storage/group_store_test.cpp
@@ -177,3 +177,41 @@
   STRCMP_EQUAL("state", Reopened.LatestSnapshot.Data.c_str());
   CHECK_EQUAL(2U, (*Files)->list("g")->size());
 }
+
+/// A decoder that bounds stored data by a limit for external input cannot read
+/// back a snapshot that the store itself has written, and the node never starts
+/// again.
+TEST(StorageGroupStore, SnapshotOfAnySizeIsReadBack) {
+  constexpr std::size_t MiB = std::size_t{1} << 20;
+  for (const std::size_t Size :
+       {MiB, 8 * MiB - 1, 8 * MiB, 8 * MiB + 1, 9 * MiB, 64 * MiB, 200 * MiB}) {
+    MemoryFiles Files;
+    StoredGroup Stored;
+    GroupStore Store = openStore(Files, Stored);
+    PersistBatch Batch;
+    Batch.NewSnapshot = Snapshot{4, 1, {}, std::string(Size, 's')};
+    CHECK(Store.write(Batch).has_value());
+    StoredGroup Reopened;
+    openStore(Files, Reopened);
+    CHECK_EQUAL(4U, Reopened.LatestSnapshot.Index);
+    CHECK_EQUAL(Size, Reopened.LatestSnapshot.Data.size());
+    CHECK(Reopened.LatestSnapshot.Data == Batch.NewSnapshot->Data);
+  }
+}
+
+/// Entries of a batch are read back as well if together they exceed the limit
+/// for external input.
+TEST(StorageGroupStore, LogRecordOfAnySizeIsReadBack) {
+  MemoryFiles Files;
+  StoredGroup Stored;
+  GroupStore Store = openStore(Files, Stored);
+  PersistBatch Batch;
+  for (LogIndex Index = 1; Index <= 3; ++Index) {
+    Batch.Entries.push_back({1, Index, EntryKind::Command,
+                             std::string(std::size_t{9} << 20U, 'e')});
+  }
+  CHECK(Store.write(Batch).has_value());
+  StoredGroup Reopened;
+  openStore(Files, Reopened);
+  CHECK(Reopened.Entries == Batch.Entries);
+}
