--- a/src/mulberryramp/core/shared_bytes.hpp
+++ b/src/mulberryramp/core/shared_bytes.hpp
@@ -27,6 +27,7 @@
   }
   [[nodiscard]] std::size_t size() const noexcept { return str().size(); }
   [[nodiscard]] bool empty() const noexcept { return str().empty(); }
+  // NOLINTNEXTLINE(readability-identifier-naming): named as in std::string.
   [[nodiscard]] const char *c_str() const noexcept { return str().c_str(); }
 
   bool operator==(const SharedBytes &Other) const noexcept {
--- a/src/mulberryramp/replica/election.cpp
+++ b/src/mulberryramp/replica/election.cpp
@@ -8,6 +8,7 @@
 void becomeLeader(Replica &State, Instant Now) {
   State.Role = ReplicaRole::Leader;
   State.Leader = State.Self;
+  State.Incoming.reset();
   State.VotesReceived.clear();
   State.Peers.clear();
   State.TransferTarget.reset();
--- a/src/mulberryramp/replica/internal.hpp
+++ b/src/mulberryramp/replica/internal.hpp
@@ -40,8 +40,10 @@
 void advanceCommit(Replica &State);
 void onAppend(Replica &State, Instant Now, const Member &From,
               const AppendEntriesRequest &Request);
-void onSnapshot(Replica &State, Instant Now, const Member &From,
-                const InstallSnapshotRequest &Request);
+void onSnapshotChunk(Replica &State, Instant Now, const Member &From,
+                     const SnapshotChunk &Chunk);
+void onSnapshotChunkReply(Replica &State, Instant Now, const Member &From,
+                          const SnapshotChunkReply &Reply);
 void onAppendReply(Replica &State, Instant Now, const Member &From,
                    const AppendEntriesReply &Reply);
 
--- a/src/mulberryramp/replica/log.cpp
+++ b/src/mulberryramp/replica/log.cpp
@@ -67,6 +67,9 @@
   State.VotesReceived.clear();
   State.TransferTarget.reset();
   State.IsLeaderTransfer = false;
+  for (auto &[To, Peer] : State.Peers) {
+    Peer.Transfer.reset();
+  }
   resetElectionTimer(State, Now);
 }
 
--- a/src/mulberryramp/replica/message.hpp
+++ b/src/mulberryramp/replica/message.hpp
@@ -58,7 +58,8 @@
   }
 };
 
-/// @brief Answers an `AppendEntriesRequest` or `InstallSnapshotRequest`.
+/// @brief Answers an `AppendEntriesRequest`, or the chunk that completed a
+/// snapshot.
 struct AppendEntriesReply {
   Term InTerm = 0;
   bool IsAccepted = false;
@@ -75,17 +76,55 @@
   }
 };
 
-/// @brief Sends a snapshot to a member that needs entries the leader has
+/// @brief Identifies the content of a snapshot.
+struct SnapshotId {
+  LogIndex Index = 0;
+  Term InTerm = 0;
+  std::uint64_t Bytes = 0;
+  std::uint64_t Checksum = 0; ///< XXH3 of the data.
+
+  bool operator==(const SnapshotId &) const = default;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SnapshotId::Index, &SnapshotId::InTerm,
+                           &SnapshotId::Bytes, &SnapshotId::Checksum);
+  }
+};
+
+/// @brief Part of a snapshot, for a member that needs entries the leader has
 /// compacted.
-struct InstallSnapshotRequest {
+struct SnapshotChunk {
+  Term InTerm = 0; ///< Term of the leader.
+  SnapshotId Id;
+  Membership Voters;
+  std::uint64_t Offset = 0;
+  std::string Data;
+  std::uint64_t Checksum = 0; ///< Of the data, its offset and its snapshot.
+  Instant SentAt;             ///< On the leader's clock; returned in the reply.
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SnapshotChunk::InTerm, &SnapshotChunk::Id,
+                           &SnapshotChunk::Voters, &SnapshotChunk::Offset,
+                           &SnapshotChunk::Data, &SnapshotChunk::Checksum,
+                           &SnapshotChunk::SentAt);
+  }
+};
+
+/// @brief Reports the offset that the receiver of a snapshot needs next. The
+/// last chunk is answered by an `AppendEntriesReply` once the snapshot is
+/// installed.
+struct SnapshotChunkReply {
   Term InTerm = 0;
-  Snapshot LatestSnapshot;
-  Instant SentAt;
+  SnapshotId Id;
+  std::uint64_t ChunkOffset = 0; ///< Offset of the chunk that is answered.
+  std::uint64_t NextOffset = 0;
+  Instant SentAt; ///< Copied from the chunk.
 
   static constexpr auto fields() {
-    return std::make_tuple(&InstallSnapshotRequest::InTerm,
-                           &InstallSnapshotRequest::LatestSnapshot,
-                           &InstallSnapshotRequest::SentAt);
+    return std::make_tuple(&SnapshotChunkReply::InTerm, &SnapshotChunkReply::Id,
+                           &SnapshotChunkReply::ChunkOffset,
+                           &SnapshotChunkReply::NextOffset,
+                           &SnapshotChunkReply::SentAt);
   }
 };
 
@@ -110,8 +149,8 @@
 
 /// @brief Content of a message between members of a group.
 using ReplicaBody = std::variant<VoteRequest, VoteReply, AppendEntriesRequest,
-                                 AppendEntriesReply, InstallSnapshotRequest,
-                                 JoinRequest, TimeoutNowRequest>;
+                                 AppendEntriesReply, SnapshotChunk, JoinRequest,
+                                 TimeoutNowRequest, SnapshotChunkReply>;
 
 /// @brief A message between members of a group, with its addresses.
 struct ReplicaMessage {
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -187,6 +187,7 @@
   const Term InTerm = internal::termOf(Message.Body);
   const bool IsReply =
       std::holds_alternative<AppendEntriesReply>(Message.Body) ||
+      std::holds_alternative<SnapshotChunkReply>(Message.Body) ||
       std::holds_alternative<VoteReply>(Message.Body);
   const auto *Vote = std::get_if<VoteReply>(&Message.Body);
   const bool IsPreVote = Vote != nullptr && Vote->IsPreVote;
@@ -206,9 +207,10 @@
           internal::onAppend(State, Now, From, Body);
         } else if constexpr (std::is_same_v<MessageType, AppendEntriesReply>) {
           internal::onAppendReply(State, Now, From, Body);
-        } else if constexpr (std::is_same_v<MessageType,
-                                            InstallSnapshotRequest>) {
-          internal::onSnapshot(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<MessageType, SnapshotChunk>) {
+          internal::onSnapshotChunk(State, Now, From, Body);
+        } else if constexpr (std::is_same_v<MessageType, SnapshotChunkReply>) {
+          internal::onSnapshotChunkReply(State, Now, From, Body);
         } else if constexpr (std::is_same_v<MessageType, JoinRequest>) {
           internal::onJoin(State, Now, From, Body);
         } else {
@@ -284,10 +286,17 @@
     }
   }
   Snap.Data = std::move(Data);
-  if (State.LastApplied > State.Options.TrailingEntries) {
-    internal::discardEntriesUpTo(State, State.LastApplied -
-                                            State.Options.TrailingEntries);
+  LogIndex DiscardedIndex =
+      State.LastApplied -
+      std::min<LogIndex>(State.LastApplied, State.Options.TrailingEntries);
+  // A member that receives an earlier snapshot needs the entries after it;
+  // otherwise it could need a newer snapshot each time.
+  for (const auto &[To, Peer] : State.Peers) {
+    if (Peer.Transfer) {
+      DiscardedIndex = std::min(DiscardedIndex, Peer.Transfer->Id.Index);
+    }
   }
+  internal::discardEntriesUpTo(State, DiscardedIndex);
   std::erase_if(State.Memberships, [&](const IndexedMembership &Indexed) {
     return Indexed.Index <= State.LastApplied;
   });
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -3,6 +3,7 @@
 #include "mulberryramp/core/random.hpp"
 #include "mulberryramp/core/time.hpp"
 #include "mulberryramp/replica/message.hpp"
+#include "mulberryramp/replica/snapshot_transfer.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -20,10 +21,10 @@
   Millis ElectionTimeoutMin{400};      ///< Minimum election timeout.
   Millis ElectionTimeoutMax{700};      ///< Maximum election timeout.
   Millis JoinInterval{300};            ///< Time between join requests.
-  Millis SnapshotRetryInterval{1500};  ///< Time until a snapshot is resent.
+  TransferLimits Transfer;             ///< Of snapshots.
   std::size_t SnapshotThreshold = 512; ///< Applied entries between snapshots.
   std::size_t TrailingEntries =
-      128;                          ///< Entries kept before a snapshot's index.
+      128; ///< Entries kept before a snapshot's index.
   int LeaseDriftPercent = 10;       ///< Clock drift that the lease tolerates.
   bool AllowsUnsafeRecovery = true; ///< A sole survivor may continue alone.
   bool PersistsCommitIndex =
@@ -61,10 +62,11 @@
   LogIndex LastApplied = 0;
   Instant LastAckedSentAt; ///< When the newest answered request was sent.
   Instant LastContactAt;   ///< When the last answer arrived.
-  Instant SnapshotSentAt;  ///< When a snapshot was last sent; zero if none.
   Instant SentAt;          ///< When a request was last sent.
   LogIndex SentCommit = 0; ///< Commit index in the last request.
   Instant LastRejectedAt;  ///< When a rejection last reset `NextIndex`.
+  /// Snapshot that is being sent. A newer one doesn't replace it.
+  std::optional<OutgoingSnapshot> Transfer;
 };
 
 /// @brief Voters, with the index of the entry that set them.
@@ -94,6 +96,7 @@
 
   HardState Hard;
   Snapshot LatestSnapshot;
+  std::optional<IncomingSnapshot> Incoming; ///< Incomplete snapshot.
   LogIndex CompactedIndex = 0; ///< Index before the first kept entry.
   Term CompactedTerm = 0;      ///< Term of the entry at `CompactedIndex`.
   std::deque<Entry> Entries;   ///< Entries after `CompactedIndex`.
@@ -190,7 +193,8 @@
 [[nodiscard]] const Entry *nextCommitted(Replica &State);
 
 /// @brief Replaces the log up to `LastApplied` by a snapshot, but keeps the
-/// trailing entries for slow followers.
+/// trailing entries for slow followers, and those that follow a snapshot which
+/// is being sent.
 /// @param State The member.
 /// @param Data State of the group at `LastApplied`.
 void compact(Replica &State, std::string Data);
--- a/src/mulberryramp/replica/replication.cpp
+++ b/src/mulberryramp/replica/replication.cpp
@@ -11,6 +11,30 @@
 /// Heartbeat interval of a learner, as a multiple of that of a voter.
 constexpr int LearnerHeartbeatFactor = 4;
 
+bool isReachable(const Replica &State, const Progress &Peer, Instant Now) {
+  return Now - Peer.LastContactAt <= State.Options.ElectionTimeoutMin;
+}
+
+/// Sends the chunks of a snapshot that may be in flight, if the member is
+/// reachable.
+void sendSnapshot(Replica &State, const Member &To, Progress &Peer,
+                  Instant Now) {
+  const TransferLimits &Limits = State.Options.Transfer;
+  if (Peer.Transfer && isStalled(*Peer.Transfer, Limits, Now)) {
+    Peer.Transfer.reset();
+  }
+  if (!isReachable(State, Peer, Now)) {
+    return;
+  }
+  if (!Peer.Transfer) {
+    Peer.Transfer = beginTransfer(State.LatestSnapshot, Now);
+  }
+  while (auto Chunk =
+             nextChunk(*Peer.Transfer, Limits, State.Hard.CurrentTerm, Now)) {
+    send(State, To, std::move(*Chunk));
+  }
+}
+
 void sendAppend(Replica &State, const Member &To, Progress &Peer, Instant Now,
                 bool SendsHeartbeat) {
   AppendEntriesRequest Request;
@@ -18,23 +42,14 @@
   Request.LeaderCommit = State.CommitIndex;
   Request.SentAt = Now;
   if (Peer.NextIndex <= State.CompactedIndex) {
-    const bool IsDue =
-        Peer.SnapshotSentAt == Instant{} ||
-        Now - Peer.SnapshotSentAt >= State.Options.SnapshotRetryInterval;
-    if (IsDue) {
-      Peer.SnapshotSentAt = Now;
-      send(State, To,
-           InstallSnapshotRequest{State.Hard.CurrentTerm, State.LatestSnapshot,
-                                  Now});
-    }
+    sendSnapshot(State, To, Peer, Now);
     Request.PrevLogIndex = State.CompactedIndex;
   } else {
+    Peer.Transfer.reset();
     Request.PrevLogIndex = Peer.NextIndex - 1;
     // Entries for an unreachable member would only queue up on the connection,
     // so it gets heartbeats without entries.
-    const bool IsReachable =
-        Now - Peer.LastContactAt <= State.Options.ElectionTimeoutMin;
-    std::size_t Bytes = IsReachable ? 0 : MaxAppendBytes;
+    std::size_t Bytes = isReachable(State, Peer, Now) ? 0 : MaxAppendBytes;
     while (Peer.NextIndex <= lastIndex(State) && Bytes < MaxAppendBytes) {
       const Entry &LogEntry = entryAt(State, Peer.NextIndex);
       Bytes += LogEntry.Data.size();
@@ -133,6 +148,13 @@
   }
 }
 
+/// Drops the incomplete snapshot once the log has overtaken it.
+void dropObsoleteSnapshot(Replica &State) {
+  if (State.Incoming && State.Incoming->Id.Index <= State.CommitIndex) {
+    State.Incoming.reset();
+  }
+}
+
 void onAppend(Replica &State, Instant Now, const Member &From,
               const AppendEntriesRequest &Request) {
   if (Request.InTerm < State.Hard.CurrentTerm) {
@@ -155,42 +177,73 @@
   const LogIndex MatchIndex = Request.PrevLogIndex + Request.Entries.size();
   State.CommitIndex =
       std::max(State.CommitIndex, std::min(Request.LeaderCommit, MatchIndex));
+  dropObsoleteSnapshot(State);
   replyAppend(State, From, true, MatchIndex, Request.SentAt);
 }
 
-void onSnapshot(Replica &State, Instant Now, const Member &From,
-                const InstallSnapshotRequest &Request) {
-  if (Request.InTerm < State.Hard.CurrentTerm) {
-    replyAppend(State, From, false, lastIndex(State), Request.SentAt);
-    return;
-  }
-  followLeader(State, Now, From, Request.InTerm);
-  if (Request.LatestSnapshot.Index <= State.CommitIndex) {
-    replyAppend(State, From, true, State.CommitIndex, Request.SentAt);
-    return;
-  }
-  const bool KeepsSuffix = termAt(State, Request.LatestSnapshot.Index) ==
-                           Request.LatestSnapshot.InTerm;
+void installSnapshot(Replica &State, Snapshot Snap) {
+  const bool KeepsSuffix = termAt(State, Snap.Index) == Snap.InTerm;
   if (KeepsSuffix) {
-    discardEntriesUpTo(State, Request.LatestSnapshot.Index);
+    discardEntriesUpTo(State, Snap.Index);
   } else {
     State.Entries.clear();
     State.SavedIndex = 0;
     State.SavingIndex = 0;
-    State.CompactedIndex = Request.LatestSnapshot.Index;
-    State.CompactedTerm = Request.LatestSnapshot.InTerm;
+    State.CompactedIndex = Snap.Index;
+    State.CompactedTerm = Snap.InTerm;
   }
   std::erase_if(State.Memberships, [&](const IndexedMembership &Indexed) {
-    return !KeepsSuffix || Indexed.Index <= Request.LatestSnapshot.Index;
+    return !KeepsSuffix || Indexed.Index <= Snap.Index;
   });
-  State.Memberships.insert(
-      State.Memberships.begin(),
-      {Request.LatestSnapshot.Index, Request.LatestSnapshot.Voters});
-  setSnapshot(State, Request.LatestSnapshot);
-  State.CommitIndex = Request.LatestSnapshot.Index;
-  State.LastApplied = Request.LatestSnapshot.Index;
+  State.Memberships.insert(State.Memberships.begin(),
+                           {Snap.Index, Snap.Voters});
+  State.CommitIndex = Snap.Index;
+  State.LastApplied = Snap.Index;
+  setSnapshot(State, std::move(Snap));
   State.HasNewSnapshot = true;
-  replyAppend(State, From, true, Request.LatestSnapshot.Index, Request.SentAt);
+}
+
+void onSnapshotChunk(Replica &State, Instant Now, const Member &From,
+                     const SnapshotChunk &Chunk) {
+  if (Chunk.InTerm < State.Hard.CurrentTerm) {
+    replyAppend(State, From, false, lastIndex(State), Chunk.SentAt);
+    return;
+  }
+  followLeader(State, Now, From, Chunk.InTerm);
+  if (Chunk.Id.Index <= State.CommitIndex) {
+    replyAppend(State, From, true, State.CommitIndex, Chunk.SentAt);
+    return;
+  }
+  const ChunkOutcome Outcome = acceptChunk(State.Incoming, Chunk);
+  if (Outcome.IsComplete) {
+    IncomingSnapshot Complete = std::move(*State.Incoming);
+    State.Incoming.reset();
+    installSnapshot(State,
+                    {Complete.Id.Index, Complete.Id.InTerm,
+                     std::move(Complete.Voters), std::move(Complete.Data)});
+    replyAppend(State, From, true, Chunk.Id.Index, Chunk.SentAt);
+  } else if (!Outcome.IsObsolete) {
+    send(State, From,
+         SnapshotChunkReply{State.Hard.CurrentTerm, Chunk.Id, Chunk.Offset,
+                            Outcome.NextOffset, Chunk.SentAt});
+  }
+}
+
+/// A report doesn't extend the leader lease: it is sent before the term of the
+/// receiver is synced.
+void onSnapshotChunkReply(Replica &State, Instant Now, const Member &From,
+                          const SnapshotChunkReply &Reply) {
+  const auto ProgressIt = State.Peers.find(From);
+  if (State.Role != ReplicaRole::Leader || ProgressIt == State.Peers.end() ||
+      Reply.InTerm != State.Hard.CurrentTerm) {
+    return;
+  }
+  Progress &Peer = ProgressIt->second;
+  Peer.LastContactAt = Now;
+  if (Peer.Transfer) {
+    recordReport(*Peer.Transfer, Reply, Now);
+    sendAppend(State, From, Peer, Now, false);
+  }
 }
 
 void onAppendReply(Replica &State, Instant Now, const Member &From,
@@ -220,9 +273,6 @@
   }
   Peer.MatchIndex = std::max(Peer.MatchIndex, Reply.MatchIndex);
   Peer.NextIndex = std::max(Peer.NextIndex, Peer.MatchIndex + 1);
-  if (Peer.NextIndex > State.CompactedIndex) {
-    Peer.SnapshotSentAt = Instant{};
-  }
   advanceCommit(State);
   sendAppend(State, From, Peer, Now, false);
 }
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -202,6 +202,9 @@
     Node.ReplicaParameters = makeCellReplicaOptions(1);
     Node.ReplicaParameters.SnapshotThreshold = 60;
     Node.ReplicaParameters.TrailingEntries = 10;
+    // The snapshots of this world are sent in many chunks as well.
+    Node.ReplicaParameters.Transfer.ChunkBytes = 512;
+    Node.ReplicaParameters.Transfer.WindowBytes = 2048;
     Node.Dispatch.ReportInterval = ReportInterval;
     Node.Seed = Seed;
     return Node;
