Divide proposals into log entries by their size

Cause: all commands of a step became one log entry. An entry that is longer than a frame (8 MiB) never reaches the other voters, and the log ends there.

Change: proposePending() proposes as many entries as needed; no command is added to an entry above 256 KiB. The largest command, a configuration of a call of at most 1 MiB, still fits into a frame. Each waiting caller is answered when the entry with its own command is applied.

Ruled out: a limit on the calls of a step, which would delay callers although the log can take them.

--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -23,6 +23,11 @@
 /// Number of log entries before a snapshot that are kept.
 constexpr std::size_t TrailingEntries = 500;
 
+/// Size after which no further command is added to a log entry. With the
+/// largest command, of a call of `MaxBodyBytes`, an entry stays far below
+/// `MaxFrameBytes`, and the request that sends it delays no heartbeat.
+constexpr std::size_t MaxEntryBytes = MaxAppendBytes;
+
 /// Tells whether a message may only be sent once the state that it asserts is
 /// synced on this node.
 bool needsSync(const ReplicaBody &Body) {
@@ -314,15 +319,20 @@
   if (Proposals.empty()) {
     return;
   }
-  const auto Index =
-      mulberryramp::propose(Group->replica(), encodeCommands(Proposals));
-  if (!Index) {
-    endDispatch(Dispatch);
-    dropWaiters();
-    return;
-  }
-  if (!ProposalWaiters.empty()) {
-    Waiters[*Index] = std::move(ProposalWaiters);
+  // The first proposals are those of the waiting callers, in the same order.
+  auto WaiterIt = ProposalWaiters.begin();
+  for (EncodedCommands &Encoded : encodeEntries(Proposals, MaxEntryBytes)) {
+    const auto Index =
+        mulberryramp::propose(Group->replica(), std::move(Encoded.Data));
+    if (!Index) {
+      endDispatch(Dispatch);
+      dropWaiters();
+      return;
+    }
+    for (; WaiterIt != ProposalWaiters.end() && Encoded.Count != 0;
+         Encoded.Count -= 1, ++WaiterIt) {
+      Waiters[*Index].push_back(std::move(*WaiterIt));
+    }
   }
   ProposalWaiters.clear();
   Proposals.clear();
--- a/src/mulberryramp/cell/message.hpp
+++ b/src/mulberryramp/cell/message.hpp
@@ -4,6 +4,7 @@
 #include "mulberryramp/cell/order.hpp"
 #include "mulberryramp/replica/message.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -84,6 +85,18 @@
 [[nodiscard]] std::string
 encodeCommands(const std::vector<CellCommand> &Commands);
 
+/// @brief Commands of one log entry, encoded.
+struct EncodedCommands {
+  std::string Data;
+  std::size_t Count = 0;
+};
+
+/// @brief Encodes commands as one or more log entries, in order.
+/// @param MaxBytes Size after which no further command is added to an entry. A
+/// single command may be longer.
+[[nodiscard]] std::vector<EncodedCommands>
+encodeEntries(const std::vector<CellCommand> &Commands, std::size_t MaxBytes);
+
 /// @brief Decodes the commands of one log entry.
 /// @return The commands, or nothing if the bytes are malformed.
 [[nodiscard]] std::optional<std::vector<CellCommand>>
--- a/src/mulberryramp/cell/message_codec.cpp
+++ b/src/mulberryramp/cell/message_codec.cpp
@@ -28,6 +28,38 @@
   return encode(Commands);
 }
 
+std::vector<EncodedCommands>
+encodeEntries(const std::vector<CellCommand> &Commands, std::size_t MaxBytes) {
+  std::vector<EncodedCommands> Entries;
+  std::string Body; // Elements of the array of the current entry.
+  std::size_t Count = 0;
+  const auto FinishEntry = [&] {
+    // An array is encoded as its length, followed by its elements.
+    std::string Data;
+    internal::StringBuffer Buffer{Data};
+    internal::Packer{Buffer}.pack_array(static_cast<std::uint32_t>(Count));
+    Data += Body;
+    Entries.push_back({std::move(Data), Count});
+    Body.clear();
+    Count = 0;
+  };
+  for (const CellCommand &Command : Commands) {
+    const std::size_t BytesBefore = Body.size();
+    encodeTo(Body, Command);
+    if (Count != 0 && Body.size() > MaxBytes) {
+      std::string Last = Body.substr(BytesBefore);
+      Body.resize(BytesBefore);
+      FinishEntry();
+      Body = std::move(Last);
+    }
+    Count += 1;
+  }
+  if (Count != 0) {
+    FinishEntry();
+  }
+  return Entries;
+}
+
 std::optional<std::vector<CellCommand>> decodeCommands(std::string_view Bytes) {
   return toOptional(decodeStored<std::vector<CellCommand>>(Bytes));
 }
