Strip finished jobs of what no reader needs

Change: StripJobsCommand (appended) removes payload, steps and runs. The leader proposes it at the interval of purges, for terminal jobs without assigned tasks. Name, queue, phase, organisation and times stay. A job with a lost attempt on a known worker instance is not stripped, because a new leader rebuilds the orphans of the worker from the runs. Orphans that only the leader knows may refer to a stripped job: findStepSpec() returns null for it, and crash attribution, reservations and the index of workers use it. CellState::JobBytes is a derived estimate of the encoded jobs, for the limits of the state.

Ruled out: to strip when a job ends, because ends of other attempts of it are still applied with its steps.

--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -26,16 +26,16 @@
 
 /// Members of a gang start together and count as one cause.
 TaskKey causeOf(const CellState &State, TaskKey Key) {
-  const Job *Owner = State.Jobs.find(Key.Job);
-  if (Owner != nullptr && Owner->Spec.Steps[Key.Step].IsGang) {
+  const StepSpec *Spec = findStepSpec(State, Key);
+  if (Spec != nullptr && Spec->IsGang) {
     Key.Task = 0;
   }
   return Key;
 }
 
 bool isLongRunning(const CellState &State, const TaskKey &Key) {
-  const Job *Owner = State.Jobs.find(Key.Job);
-  return Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLongRunning;
+  const StepSpec *Spec = findStepSpec(State, Key);
+  return Spec != nullptr && Spec->IsLongRunning;
 }
 
 /// Collects the attempts that may have caused a crash. A long-running task that
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -21,7 +21,8 @@
 /// Interval of checks of leases, renewals and queries. Workers affected by an
 /// answer or a log entry are checked in the same step.
 constexpr Millis TimerInterval{20};
-/// Interval of purges of old jobs, advice and workers.
+/// Interval of purges of old jobs, advice and workers, and of the strips of
+/// finished jobs.
 constexpr Millis PurgeInterval{1000};
 /// An idle worker without contact for this long is deregistered.
 constexpr Millis IdleWorkerTimeout{20000};
@@ -214,16 +215,22 @@
 void purgeObsolete(DispatchState &Dispatch, const CellState &State, Instant Now,
                    WallTime WallNow) {
   PurgeJobsCommand Purge;
+  StripJobsCommand Strip;
   for (const JobId Id : State.Jobs.ids()) {
     const Job &JobRow = State.Jobs[Id];
     if (isTerminal(JobRow.Phase) && JobRow.AssignedTasks == 0 &&
         WallNow - JobRow.FinishedAt > Dispatch.Options.Retention) {
       Purge.Jobs.push_back(Id);
+    } else if (canStrip(State, JobRow)) {
+      Strip.Jobs.push_back(Id);
     }
   }
   if (!Purge.Jobs.empty()) {
     Dispatch.Commands.emplace_back(std::move(Purge));
   }
+  if (!Strip.Jobs.empty()) {
+    Dispatch.Commands.emplace_back(std::move(Strip));
+  }
   const auto IsObsolete = [&State](const auto &StepRow) {
     const Job *Owner = State.Jobs.find(StepRow.first.Job);
     return Owner == nullptr || isTerminal(Owner->Phase) ||
@@ -301,8 +308,8 @@
     Dispatch.Events.push_back(
         "event=end " + describeStart(nameTask(State, End.Key), End.Attempt) +
         " how=" + std::string{nameOf(End.Kind)});
-    if (State.Jobs.contains(End.Key.Job) &&
-        State.Jobs[End.Key.Job].Spec.Steps[End.Key.Step].IsGang) {
+    const StepSpec *Spec = findStepSpec(State, End.Key);
+    if (Spec != nullptr && Spec->IsGang) {
       removeReleasedLaunches(Dispatch, State, End.Key.Job);
     }
   }
--- a/src/mulberryramp/cell/reservation.cpp
+++ b/src/mulberryramp/cell/reservation.cpp
@@ -87,11 +87,11 @@
                                               Instant Now) {
   std::vector<ExpectedRelease> Releases;
   for (const TaskKey &Key : Session.Tasks) {
-    const Job *Owner = State.Jobs.find(Key.Job);
-    if (Owner == nullptr || Owner->Spec.Steps[Key.Step].IsLongRunning) {
+    const StepSpec *Found = findStepSpec(State, Key);
+    if (Found == nullptr || Found->IsLongRunning) {
       continue;
     }
-    const StepSpec &Spec = Owner->Spec.Steps[Key.Step];
+    const StepSpec &Spec = *Found;
     Releases.push_back(
         {expectedEnd(Dispatch, Dispatch.Launches.at(Key), Key, Spec, Now),
          requiredResources(Spec)});
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -70,9 +70,9 @@
     Snapshot.HasRecentSuspect =
         isWithinCrashWindow(Session.SuspectStartedAt, Now);
     for (const TaskKey &Key : Session.Tasks) {
-      const Job *Owner = State.Jobs.find(Key.Job);
+      const StepSpec *Spec = findStepSpec(State, Key);
       Snapshot.LongRunningTasks +=
-          Owner != nullptr && Owner->Spec.Steps[Key.Step].IsLongRunning ? 1 : 0;
+          Spec != nullptr && Spec->IsLongRunning ? 1 : 0;
     }
     if (Workers.IndexBySlot.size() <= Id.Slot) {
       Workers.IndexBySlot.resize(Id.Slot + 1, NoIndex);
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -209,6 +209,16 @@
   }
 };
 
+/// @brief Removes the data of finished jobs that no reader needs: payload,
+/// steps and runs. It has no effect on a job for which `canStrip` is false.
+struct StripJobsCommand {
+  std::vector<JobId> Jobs;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&StripJobsCommand::Jobs);
+  }
+};
+
 /// @brief Any command of the replicated log of a cell. Stored logs name the
 /// alternatives by index, so new ones are appended.
 using CellCommand =
@@ -216,6 +226,6 @@
                  RegisterWorkerCommand, DrainWorkerCommand,
                  DeregisterWorkerCommand, AssignTasksCommand,
                  RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
-                 UpdateCapacityCommand>;
+                 UpdateCapacityCommand, StripJobsCommand>;
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/job.cpp
+++ b/src/mulberryramp/job/job.cpp
@@ -4,6 +4,30 @@
 
 namespace mulberryramp {
 
+namespace {
+
+// Encoded sizes without strings, rounded up for large numbers.
+constexpr std::uint64_t JobFieldBytes = 96;
+constexpr std::uint64_t StepFieldBytes = 96;
+constexpr std::uint64_t TaskBytes = 24;
+
+} // namespace
+
+std::uint64_t estimateBytes(const JobSpec &Spec) noexcept {
+  std::uint64_t Bytes = Spec.Payload.size();
+  for (const StepSpec &Step : Spec.Steps) {
+    Bytes += StepFieldBytes + Step.Label.size() + Step.DataRack.size() +
+             Step.Image.size() + Step.DependsOn.size() + Step.Tasks * TaskBytes;
+  }
+  return Bytes;
+}
+
+std::uint64_t estimateBytes(const Job &JobRow) noexcept {
+  return JobFieldBytes + JobRow.Name.size() + estimateBytes(JobRow.Spec) +
+         JobRow.Queue.Host.size() + JobRow.Queue.Prefix.size() +
+         JobRow.Queue.Pool.size() + JobRow.Organisation.size();
+}
+
 std::uint32_t runCount(const JobSpec &Spec) noexcept {
   return std::max<std::uint32_t>(Spec.RepeatCount, 1);
 }
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -136,6 +136,12 @@
   }
 };
 
+/// @brief Estimates the encoded size of a job description and of one run of
+/// it, in bytes.
+[[nodiscard]] std::uint64_t estimateBytes(const JobSpec &Spec) noexcept;
+/// @brief Estimates the encoded size of a job with one run, in bytes.
+[[nodiscard]] std::uint64_t estimateBytes(const Job &JobRow) noexcept;
+
 /// @brief Returns the total number of runs of a job; at least 1.
 [[nodiscard]] std::uint32_t runCount(const JobSpec &Spec) noexcept;
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -284,6 +284,7 @@
   NewJob.Queue = *Queue;
   NewJob.AcceptedAt = Command.At;
   NewJob.Organisation = HasOwner ? Owner->Name : "";
+  State.JobBytes += estimateBytes(NewJob);
   if (NewJob.Spec.RepeatCount == 0) {
     createRun(NewJob);
   }
@@ -439,12 +440,27 @@
     if (JobRow != nullptr && isTerminal(JobRow->Phase) &&
         JobRow->AssignedTasks == 0) {
       State.JobNames.erase(JobRow->Name);
+      State.JobBytes -= estimateBytes(*JobRow);
       State.Jobs.erase(Id);
     }
   }
   return {};
 }
 
+CellChange apply(CellState &State, const StripJobsCommand &Command) {
+  for (const JobId Id : Command.Jobs) {
+    Job *JobRow = State.Jobs.find(Id);
+    if (JobRow != nullptr && canStrip(State, *JobRow)) {
+      State.JobBytes -= estimateBytes(*JobRow);
+      JobRow->Spec.Payload = {};
+      JobRow->Spec.Steps = {};
+      JobRow->Runs = {};
+      State.JobBytes += estimateBytes(*JobRow);
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 CellChange applyCommand(CellState &State, const CellCommand &Command) {
@@ -457,8 +473,10 @@
   State.JobNames.clear();
   State.WorkerNames.clear();
   State.UnfinishedJobs.clear();
+  State.JobBytes = 0;
   indexOrganisations(State);
   for (const JobId Id : State.Jobs.ids()) {
+    State.JobBytes += estimateBytes(State.Jobs[Id]);
     State.JobNames[State.Jobs[Id].Name] = Id;
     if (!isTerminal(State.Jobs[Id].Phase)) {
       State.UnfinishedJobs.insert(Id);
@@ -514,6 +532,33 @@
   return &Run->Steps[Key.Step].Tasks[Key.Task];
 }
 
+const StepSpec *findStepSpec(const CellState &State,
+                             const TaskKey &Key) noexcept {
+  const Job *Owner = State.Jobs.find(Key.Job);
+  return Owner == nullptr || Key.Step >= Owner->Spec.Steps.size()
+             ? nullptr
+             : &Owner->Spec.Steps[Key.Step];
+}
+
+bool canStrip(const CellState &State, const Job &JobRow) noexcept {
+  // A valid job has a step, so one without steps is stripped already.
+  if (!isTerminal(JobRow.Phase) || JobRow.AssignedTasks != 0 ||
+      JobRow.Spec.Steps.empty()) {
+    return false;
+  }
+  for (const JobRun &Run : JobRow.Runs) {
+    for (const JobStep &Step : Run.Steps) {
+      for (const JobTask &Task : Step.Tasks) {
+        if (Task.State != JobTaskState::Done &&
+            State.Workers.contains(Task.LostOn)) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
 Resources requiredResources(const StepSpec &Step) noexcept {
   Resources Required = Step.Need;
   if (Step.IsBestEffortCpu) {
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -24,6 +24,7 @@
   std::set<JobId> UnfinishedJobs; ///< Derived: jobs that are not terminal.
   /// Derived: index in `Configuration.Organisations` by key digest.
   std::unordered_map<std::string, std::size_t> OrganisationsByKey;
+  std::uint64_t JobBytes = 0; ///< Derived: sum of `estimateBytes` of the jobs.
 
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
@@ -96,6 +97,16 @@
 [[nodiscard]] const JobTask *findTask(const CellState &State,
                                       const TaskKey &Key) noexcept;
 
+/// @brief Finds the description of the step of a task.
+/// @return The step, or null if its job was purged or stripped.
+[[nodiscard]] const StepSpec *findStepSpec(const CellState &State,
+                                           const TaskKey &Key) noexcept;
+
+/// @brief Tells whether a job is finished and no reader needs its payload,
+/// steps and runs any more. A lost attempt that may still run on its worker
+/// needs them: a new leader rebuilds the orphans of a worker from them.
+[[nodiscard]] bool canStrip(const CellState &State, const Job &JobRow) noexcept;
+
 /// @brief Computes the resources that a task reserves on its worker.
 [[nodiscard]] Resources requiredResources(const StepSpec &Step) noexcept;
 
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -343,3 +343,110 @@
   Spec.RepeatCount = 3;
   CHECK(!validateJobSpec(Spec).empty());
 }
+
+/// Finished jobs with their complete descriptions make up most of the state.
+/// What a caller may still ask for stays.
+TEST(JobState, StrippedJobKeepsWhatCallersAskFor) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  JobSpec Spec;
+  Spec.Payload = std::string(4000, 'p');
+  Spec.Steps = {step(1), step(1, {0})};
+  applyCommand(Fixture.State,
+               SubmitJobCommand{"a", "host", "/q/", Spec, TestTime});
+  const JobId Id = findJob(Fixture.State, "a");
+  Fixture.start({Id, 0, 0, 0}, 1, Worker);
+  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Done);
+  Fixture.start({Id, 0, 1, 0}, 1, Worker);
+  Fixture.end({Id, 0, 1, 0}, 1, EndKind::Done);
+  const Job Before = Fixture.job(Id);
+  CHECK(Before.Phase == JobPhase::Completed);
+  CHECK(canStrip(Fixture.State, Before));
+  applyCommand(Fixture.State, StripJobsCommand{{Id}});
+  const Job &After = Fixture.job(Id);
+  CHECK(After.Spec.Payload.empty());
+  CHECK(After.Spec.Steps.empty());
+  CHECK(After.Runs.empty());
+  STRCMP_EQUAL("a", After.Name.c_str());
+  CHECK(After.Phase == JobPhase::Completed);
+  CHECK(After.Queue.Prefix == Before.Queue.Prefix);
+  CHECK(After.Organisation == Before.Organisation);
+  CHECK(After.AcceptedAt == Before.AcceptedAt);
+  CHECK(After.FinishedAt == Before.FinishedAt);
+  CHECK_FALSE(canStrip(Fixture.State, After));
+}
+
+/// A job that still needs its description must not lose it: tasks start with
+/// it, and assigned tasks occupy what it declares.
+TEST(JobState, UnfinishedAndAssignedJobsAreNotStripped) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Waiting = Fixture.submit("waiting", {step(1)});
+  const JobId Cancelled = Fixture.submit("cancelled", {step(1)});
+  Fixture.start({Cancelled, 0, 0, 0}, 1, Worker);
+  applyCommand(Fixture.State, CancelJobCommand{"cancelled", TestTime});
+  CHECK_FALSE(canStrip(Fixture.State, Fixture.job(Cancelled)));
+  applyCommand(Fixture.State, StripJobsCommand{{Waiting, Cancelled, JobId{}}});
+  CHECK_EQUAL(1U, Fixture.job(Waiting).Spec.Steps.size());
+  CHECK_EQUAL(1U, Fixture.job(Cancelled).Spec.Steps.size());
+  Fixture.end({Cancelled, 0, 0, 0}, 1, EndKind::Stopped);
+  CHECK_EQUAL(0, Fixture.State.Workers[Worker].Used.MilliCpus);
+  applyCommand(Fixture.State, StripJobsCommand{{Cancelled}});
+  CHECK(Fixture.job(Cancelled).Spec.Steps.empty());
+}
+
+/// A new leader rebuilds the orphans of workers from the tasks. Without them it
+/// would start tasks next to an attempt that may still run.
+TEST(JobState, JobWithALostAttemptOnAKnownWorkerIsNotStripped) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Id = Fixture.submit("a", {step(1)});
+  Fixture.start({Id, 0, 0, 0}, 1, Worker);
+  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Lost);
+  applyCommand(Fixture.State, CancelJobCommand{"a", TestTime});
+  applyCommand(Fixture.State, StripJobsCommand{{Id}});
+  CHECK_EQUAL(1U, Fixture.job(Id).Spec.Steps.size());
+  applyCommand(Fixture.State, DeregisterWorkerCommand{Worker});
+  applyCommand(Fixture.State, StripJobsCommand{{Id}});
+  CHECK(Fixture.job(Id).Spec.Steps.empty());
+}
+
+/// Commands on tasks of a stripped job can arrive late; they must not refer to
+/// its missing steps.
+TEST(JobState, LateCommandsForAStrippedJobHaveNoEffect) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Id = Fixture.submit("a", {step(1)});
+  applyCommand(Fixture.State, CancelJobCommand{"a", TestTime});
+  applyCommand(Fixture.State, StripJobsCommand{{Id}});
+  CHECK(Fixture.start({Id, 0, 0, 0}, 1, Worker).Started.empty());
+  CHECK(Fixture.end({Id, 0, 0, 0}, 1, EndKind::Done).Ended.empty());
+  CHECK(Fixture.end({Id, 0, 0, 0}, 1, EndKind::Crashed).Ended.empty());
+  applyCommand(Fixture.State, CancelJobCommand{"a", TestTime});
+  applyCommand(Fixture.State, CreateRunCommand{Id, 1});
+  CHECK(findStepSpec(Fixture.State, {Id, 0, 0, 0}) == nullptr);
+  applyCommand(Fixture.State, PurgeJobsCommand{{Id}});
+  CHECK_FALSE(findJob(Fixture.State, "a").isSet());
+}
+
+/// The estimate decides whether a submission is refused; if it is not the same
+/// on each voter and after a restart, or keeps what was removed, it misleads.
+TEST(JobState, EstimatedBytesFollowTheJobs) {
+  CellFixture Fixture;
+  CHECK_EQUAL(0U, Fixture.State.JobBytes);
+  const JobId Small = Fixture.submit("a", {step(1)});
+  const std::uint64_t BytesOfOne = Fixture.State.JobBytes;
+  const JobId Large = Fixture.submit("b", {step(1000)});
+  CHECK(Fixture.State.JobBytes > BytesOfOne + 1000 * 8);
+  const std::uint64_t Both = Fixture.State.JobBytes;
+  rebuildIndex(Fixture.State);
+  CHECK_EQUAL(Both, Fixture.State.JobBytes);
+  applyCommand(Fixture.State, CancelJobCommand{"b", TestTime});
+  applyCommand(Fixture.State, StripJobsCommand{{Large}});
+  CHECK(Fixture.State.JobBytes < 2 * BytesOfOne);
+  applyCommand(Fixture.State, PurgeJobsCommand{{Large}});
+  CHECK_EQUAL(BytesOfOne, Fixture.State.JobBytes);
+  applyCommand(Fixture.State, CancelJobCommand{"a", TestTime});
+  applyCommand(Fixture.State, PurgeJobsCommand{{Small}});
+  CHECK_EQUAL(0U, Fixture.State.JobBytes);
+}
