--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -29,6 +29,10 @@
 std::uint64_t firstMessageId(std::uint64_t Seed) {
   return (Random{Seed}.next() >> 1U) + 1;
 }
+/// Size after which no further command is added to a log entry. With the
+/// largest command, of a call of `MaxBodyBytes`, an entry stays far below
+/// `MaxFrameBytes`, and the request that sends it delays no heartbeat.
+constexpr std::size_t MaxEntryBytes = MaxAppendBytes;
 
 /// Tells whether a message may only be sent once the state that it asserts is
 /// synced on this node.
@@ -331,14 +335,18 @@
   if (Proposals.empty()) {
     return;
   }
-  const auto Index =
-      mulberryramp::propose(Group->replica(), encodeCommands(Proposals));
-  if (!Index) {
-    endDispatch(Dispatch);
-    dropWaiters();
-    return;
+  std::size_t First = 0;
+  for (EncodedCommands &Encoded : encodeEntries(Proposals, MaxEntryBytes)) {
+    const auto Index =
+        mulberryramp::propose(Group->replica(), std::move(Encoded.Data));
+    if (!Index) {
+      endDispatch(Dispatch);
+      dropWaiters();
+      return;
+    }
+    awaitCommit(*Index, First, Encoded.Count);
+    First += Encoded.Count;
   }
-  awaitCommit(*Index, 0, Proposals.size());
   Proposals.clear();
 }
 
--- a/src/mulberryramp/cell/message_codec.cpp
+++ b/src/mulberryramp/cell/message_codec.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 template <typename Value>
-std::optional<Value> decodeOptional(std::string_view Bytes) {
-  auto Decoded = decode<Value>(Bytes);
+std::optional<Value> toOptional(tl::expected<Value, CodecError> Decoded) {
   if (!Decoded) {
     return std::nullopt;
   }
@@ -22,21 +21,53 @@
 }
 
 std::optional<CellMessage> decodeCellMessage(std::string_view Bytes) {
-  return decodeOptional<CellMessage>(Bytes);
+  return toOptional(decode<CellMessage>(Bytes));
 }
 
 std::string encodeCommands(const std::vector<CellCommand> &Commands) {
   return encode(Commands);
 }
 
+std::vector<EncodedCommands>
+encodeEntries(const std::vector<CellCommand> &Commands, std::size_t MaxBytes) {
+  std::vector<EncodedCommands> Entries;
+  std::string Body; // Elements of the array of the current entry.
+  std::size_t Count = 0;
+  const auto FinishEntry = [&] {
+    // An array is encoded as its length, followed by its elements.
+    std::string Data;
+    internal::StringBuffer Buffer{Data};
+    internal::Packer{Buffer}.pack_array(static_cast<std::uint32_t>(Count));
+    Data += Body;
+    Entries.push_back({std::move(Data), Count});
+    Body.clear();
+    Count = 0;
+  };
+  for (const CellCommand &Command : Commands) {
+    const std::size_t BytesBefore = Body.size();
+    encodeTo(Body, Command);
+    if (Count != 0 && Body.size() > MaxBytes) {
+      std::string Last = Body.substr(BytesBefore);
+      Body.resize(BytesBefore);
+      FinishEntry();
+      Body = std::move(Last);
+    }
+    Count += 1;
+  }
+  if (Count != 0) {
+    FinishEntry();
+  }
+  return Entries;
+}
+
 std::optional<std::vector<CellCommand>> decodeCommands(std::string_view Bytes) {
-  return decodeOptional<std::vector<CellCommand>>(Bytes);
+  return toOptional(decodeStored<std::vector<CellCommand>>(Bytes));
 }
 
 std::string encodeCellState(const CellState &State) { return encode(State); }
 
 std::optional<CellState> decodeCellState(std::string_view Bytes) {
-  auto State = decodeOptional<CellState>(Bytes);
+  auto State = toOptional(decodeStored<CellState>(Bytes));
   if (State) {
     rebuildIndex(*State);
   }
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -30,6 +30,7 @@
   /// Derived: what the assigned tasks of each organisation use; those of public
   /// queues under an empty name. Organisations without such tasks have no row.
   std::map<std::string, OrganisationLoad> Loads;
+  std::uint64_t JobBytes = 0; ///< Derived: sum of `estimateBytes` of the jobs.
 
   /// Buckets of the organisations that have submitted jobs, in the order of
   /// their names.
@@ -114,6 +115,16 @@
 [[nodiscard]] const JobTask *findTask(const CellState &State,
                                       const TaskKey &Key) noexcept;
 
+/// @brief Finds the description of the step of a task.
+/// @return The step, or null if its job was purged or stripped.
+[[nodiscard]] const StepSpec *findStepSpec(const CellState &State,
+                                           const TaskKey &Key) noexcept;
+
+/// @brief Tells whether a job is finished and no reader needs its payload,
+/// steps and runs any more. A lost attempt that may still run on its worker
+/// needs them: a new leader rebuilds the orphans of a worker from them.
+[[nodiscard]] bool canStrip(const CellState &State, const Job &JobRow) noexcept;
+
 /// @brief Computes the resources that a task reserves on its worker.
 [[nodiscard]] Resources requiredResources(const StepSpec &Step) noexcept;
 
