--- a/test/celld/cell_metrics_test.cpp
+++ b/test/celld/cell_metrics_test.cpp
@@ -19,7 +19,7 @@
     Metrics.countCall(Verdict);
   }
   CellNodeStatus Status;
-  Status.Organisations = 5;
+  Status.OrganisationCount = 5;
   Status.Keys = 9;
   const std::string Text = Metrics.render(Status, {}, 0);
   for (const char *Line :
