Test the guards of unannounced instances and of short leases

Cause: without the check of unannounced instances in isSchedulable no test failed, as the worker of the test had no clock; the wait of renewals of a short lease had no test.

Change: the test gives the worker a clock and shows that nothing else keeps it from getting tasks; a test of the renewal of a lease of 1,000 ms is new.

Ruled out: removing the check as redundant; a task that needs no resources would be planned on the worker in each pass.

--- a/test/cell/new_instance_test.cpp
+++ b/test/cell/new_instance_test.cpp
@@ -210,7 +210,12 @@
   // The crash hit the rack of the previous instance.
   STRCMP_EQUAL("r1", Fixture.Dispatch.Sessions.at(Worker).Rack.c_str());
   Fixture.reconcile();
+  Fixture.Dispatch.Sessions.at(Worker).Clock = ClockSample{1000, Fixture.Now};
   CHECK(!isSchedulable(Fixture.Dispatch, Fixture.State, Worker, Fixture.Now));
+  // Nothing else keeps the worker from getting tasks.
+  Fixture.State.Workers[Worker].IsUnannounced = false;
+  CHECK(isSchedulable(Fixture.Dispatch, Fixture.State, Worker, Fixture.Now));
+  Fixture.State.Workers[Worker].IsUnannounced = true;
   // A new leader knows only the replicated state.
   Fixture.State = *decodeCellState(encodeCellState(Fixture.State));
   beginDispatch(Fixture.Dispatch, Fixture.State, 2, Fixture.Now,
@@ -219,3 +224,20 @@
   CHECK(!isSchedulable(Fixture.Dispatch, Fixture.State, Worker, Fixture.Now));
   CHECK(Fixture.isEndProposed());
 }
+
+/// Guards against a lease that ends between two renewals: the renewals of a
+/// short lease waited as long as those of the default one.
+TEST(CellNewInstance, AShortLeaseIsRenewedSeveralTimesBeforeItEnds) {
+  RestartedWorkerFixture Fixture;
+  Fixture.Dispatch.Options.Lease = Millis{1000};
+  Fixture.answer(WorkerOrderKind::Start, OrderVerdict::Done);
+  Fixture.reconcile();
+  WorkerSession &Session = Fixture.Dispatch.Sessions.begin()->second;
+  CHECK(Session.IsInstanceVerified);
+  Session.NextRenewalAt = Fixture.Now;
+  sendDueRenewals(Fixture.Dispatch, Fixture.State, Fixture.Now);
+  CHECK_EQUAL(1, Fixture.Dispatch.Orders.size());
+  const WorkerOrder &Renewal = Fixture.Dispatch.Orders.front();
+  CHECK(Renewal.Expires != 0);
+  CHECK(Renewal.Wait <= Fixture.Dispatch.Options.Lease / 4);
+}
