Refuse submissions beyond the memory and the disk

Cause: a cell accepted jobs until its voters ran out of memory or disk.

The leader answers a submission beyond the bound Refused, with a log line. A value that is still a placeholder counts as unset: a renderer leaves one that it does not know, and the node did not start ("[limits] has no setting").

Tests: refusal and room after a strip (CellLargeEntry); the limits and placeholders of the settings, which failed before the change of the parser.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -95,6 +95,7 @@
   Options.Dispatch.ReportInterval = Settings.ReportInterval;
   Options.Dispatch.Retention = Settings.Retention;
   Options.Seed = randomSeed();
+  Options.MaxStateBytes = maxStateBytes(Settings);
   return Options;
 }
 
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -85,6 +85,17 @@
            makeReply(CellVerdict::NotFound, "no job name"));
     return;
   }
+  if (Options.MaxStateBytes != 0 &&
+      State.JobBytes + estimateBytes(Call.Spec) > Options.MaxStateBytes) {
+    Events.push_back(
+        "event=refuse-submission job=" + Name +
+        " reason=state-limit bytes=" + std::to_string(State.JobBytes) +
+        " limit=" + std::to_string(Options.MaxStateBytes));
+    answer(Caller.From, Caller.Id,
+           makeReply(CellVerdict::Refused,
+                     "the jobs have reached the limit of memory or disk"));
+    return;
+  }
   Events.push_back(
       "event=submit job=" + Name + " queue=" + Queue.Prefix +
       " steps=" + std::to_string(Call.Spec.Steps.size()) +
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -20,6 +20,8 @@
 constexpr Millis ElectionTimeoutMax{400};
 /// Number of log entries after which a snapshot is taken.
 constexpr std::size_t SnapshotThreshold = 2000;
+/// Length of the log entries after which a snapshot is taken.
+constexpr std::size_t SnapshotThresholdBytes = std::size_t{16} << 20U;
 /// Number of log entries before a snapshot that are kept.
 constexpr std::size_t TrailingEntries = 500;
 
@@ -48,6 +50,7 @@
   Options.TargetVoters = 2 * MaxVoterFailures + 1;
   Options.SnapshotThreshold = SnapshotThreshold;
   Options.TrailingEntries = TrailingEntries;
+  Options.SnapshotThresholdBytes = SnapshotThresholdBytes;
   return Options;
 }
 
@@ -289,6 +292,8 @@
     return;
   }
   State = std::move(*Restored);
+  Events.push_back("event=restore bytes=" + std::to_string(Data.size()) +
+                   " jobs=" + std::to_string(State.Jobs.size()));
 }
 
 std::string CellNode::snapshotData() const { return encodeCellState(State); }
@@ -381,6 +386,13 @@
   const bool HasUnsaved = Member.HasUnsaved;
   beginWrite(Output);
   for (ReplicaMessage &Message : std::exchange(Member.Outbox, {})) {
+    const auto *Chunk = std::get_if<SnapshotChunk>(&Message.Body);
+    if (Chunk != nullptr && Chunk->Offset == 0) {
+      Events.push_back(
+          "event=snapshot-transfer to=" + std::to_string(Message.To.Node) +
+          " index=" + std::to_string(Chunk->Id.Index) +
+          " bytes=" + std::to_string(Chunk->Id.Bytes));
+    }
     if (!needsSync(Message.Body) || (!WasWriting && !HasUnsaved)) {
       const NodeId To = Message.To.Node;
       send(To, std::move(Message));
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -32,6 +32,8 @@
   ReplicaOptions ReplicaParameters; ///< Parameters of the replica.
   DispatchOptions Dispatch;
   std::uint64_t Seed = 1; ///< Seed of the random numbers.
+  /// A submission is refused if the encoded jobs would be longer; 0: no limit.
+  std::uint64_t MaxStateBytes = 0;
 };
 
 /// @brief Output of a step, to be carried out by the owner of the node.
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -17,6 +17,17 @@
 /// Upper limit of all durations: one day.
 constexpr std::int64_t MaxMillis = std::int64_t{24} * 3600 * 1000;
 
+/// Memory of a voter without jobs: peaks of 42 to 98 MB were measured with 350
+/// workers (docs/CAPACITY.md).
+constexpr std::uint64_t ReservedMemoryMb = 112;
+/// The jobs themselves, the last snapshot, a snapshot in the making, and log
+/// entries as long as the last snapshot (docs/CAPACITY.md).
+constexpr std::uint64_t CopiesInMemory = 5;
+/// Log entries that are written while a snapshot is stored.
+constexpr std::uint64_t ReservedDiskMb = 32;
+/// The last snapshot and its log, and the next ones.
+constexpr std::uint64_t CopiesOnDisk = 4;
+
 std::vector<std::string> splitCommas(const std::string &Text) {
   std::vector<std::string> Segments;
   std::size_t Begin = 0;
@@ -82,6 +93,8 @@
               std::uint16_t{65535});
     addNumber("cell.may-lose", Config.MaxVoterFailures, 0U, 100U);
     addNumber("limits.descriptors", Config.Descriptors, 64U, 1U << 20U);
+    addNumber("limits.memory-mb", Config.MemoryMb, 0U, 1U << 24U);
+    addNumber("limits.disk-mb", Config.DiskMb, 0U, 1U << 24U);
   }
 
   void addNumbers() {
@@ -165,8 +178,12 @@
                  "[" + Pair.Section + "] sets " + Pair.Key + " twice");
     }
     // The platform renders an empty value for a feature that the deployment
-    // doesn't have; the default applies then.
-    if (!Pair.Value.empty() && !It->second(Pair.Value)) {
+    // doesn't have, and leaves a placeholder that it doesn't know; the default
+    // applies then.
+    const bool IsUnset =
+        Pair.Value.empty() ||
+        (Pair.Value.starts_with("{{") && Pair.Value.ends_with("}}"));
+    if (!IsUnset && !It->second(Pair.Value)) {
       addFinding(Pair, Pair.Value,
                  Pair.Key + " = " + Pair.Value + ": invalid value");
     }
@@ -205,6 +222,25 @@
   return CellSettingsReader{Source}.read(Text);
 }
 
+std::uint64_t maxStateBytes(const CellSettings &Settings) noexcept {
+  constexpr std::uint64_t MiB = std::uint64_t{1} << 20U;
+  const auto Share = [](std::uint64_t Total, std::uint64_t Reserved,
+                        std::uint64_t Copies) {
+    return std::max<std::uint64_t>(
+        (Total * MiB - std::min(Total, Reserved) * MiB) / Copies, 1);
+  };
+  std::uint64_t Limit = 0;
+  if (Settings.MemoryMb != 0) {
+    Limit = Share(Settings.MemoryMb, ReservedMemoryMb, CopiesInMemory);
+  }
+  if (Settings.DiskMb != 0) {
+    const std::uint64_t OnDisk =
+        Share(Settings.DiskMb, ReservedDiskMb, CopiesOnDisk);
+    Limit = Limit == 0 ? OnDisk : std::min(Limit, OnDisk);
+  }
+  return Limit;
+}
+
 NodeId nodeIdOf(const std::string &Host) noexcept {
   in_addr Address{};
   return inet_pton(AF_INET, Host.c_str(), &Address) == 1 ? ntohl(Address.s_addr)
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -28,6 +28,8 @@
   std::uint32_t MaxVoterFailures = 1; ///< Simultaneous losses to tolerate.
   std::optional<Endpoint> Advisor;
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
+  std::uint32_t MemoryMb = 0;       ///< Memory of the process; 0: no limit.
+  std::uint32_t DiskMb = 0;     ///< Size of the disk; 0: no limit or no disk.
   Millis Lease{5400};           ///< Lease that the leader requests of a worker.
   Millis MaxLease{6000};        ///< Maximum lease that a worker accepts.
   Millis ReportInterval{1500};  ///< Between reports of a worker.
@@ -44,6 +46,12 @@
   return static_cast<long>(Descriptors) / 2;
 }
 
+/// @brief Computes how large the encoded jobs may become so that a voter can
+/// hold, store and send them within its memory and disk.
+/// @return The number of bytes; 0: no limit.
+[[nodiscard]] std::uint64_t
+maxStateBytes(const CellSettings &Settings) noexcept;
+
 /// @brief Parses and validates the settings of a node.
 /// @param Source Name of the file, reported in findings.
 /// @param Text Content of the INI file.
--- a/src/mulberryramp/replica/log.cpp
+++ b/src/mulberryramp/replica/log.cpp
@@ -123,6 +123,7 @@
 
 void setSnapshot(Replica &State, Snapshot Snap) {
   State.LatestSnapshot = std::move(Snap);
+  State.AppliedBytes = 0;
   State.Unsaved = {};
   State.Unsaved.Hard = State.Hard;
   State.Unsaved.NewSnapshot = State.LatestSnapshot;
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -77,6 +77,22 @@
   startPreVote(State, Now);
 }
 
+/// Finds the last entry that need not be kept for slow followers.
+LogIndex lastDiscardableIndex(const Replica &State) {
+  const std::size_t MaxBytes = State.Options.SnapshotThresholdBytes;
+  LogIndex Index = State.LastApplied;
+  std::size_t Bytes = 0;
+  while (Index > State.CompactedIndex &&
+         State.LastApplied - Index < State.Options.TrailingEntries) {
+    Bytes += entryAt(State, Index).Data.size();
+    if (MaxBytes != 0 && Bytes > MaxBytes) {
+      break;
+    }
+    Index -= 1;
+  }
+  return Index;
+}
+
 Term termOf(const ReplicaBody &Body) {
   return std::visit(
       [](const auto &Message) -> Term {
@@ -268,12 +284,18 @@
     return nullptr;
   }
   State.LastApplied += 1;
-  return &internal::entryAt(State, State.LastApplied);
+  const Entry &LogEntry = internal::entryAt(State, State.LastApplied);
+  State.AppliedBytes += LogEntry.Data.size();
+  return &LogEntry;
 }
 
 bool needsSnapshot(const Replica &State) noexcept {
+  const std::size_t MaxBytes = State.Options.SnapshotThresholdBytes;
   return State.LastApplied - State.LatestSnapshot.Index >
-         State.Options.SnapshotThreshold;
+             State.Options.SnapshotThreshold ||
+         (MaxBytes != 0 &&
+          State.AppliedBytes >
+              std::max(MaxBytes, State.LatestSnapshot.Data.size()));
 }
 
 void compact(Replica &State, std::string Data) {
@@ -286,9 +308,7 @@
     }
   }
   Snap.Data = std::move(Data);
-  LogIndex DiscardedIndex =
-      State.LastApplied -
-      std::min<LogIndex>(State.LastApplied, State.Options.TrailingEntries);
+  LogIndex DiscardedIndex = internal::lastDiscardableIndex(State);
   // A member that receives an earlier snapshot needs the entries after it;
   // otherwise it could need a newer snapshot each time.
   for (const auto &[To, Peer] : State.Peers) {
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -25,6 +25,10 @@
   std::size_t SnapshotThreshold = 512; ///< Applied entries between snapshots.
   std::size_t TrailingEntries =
       128; ///< Entries kept before a snapshot's index.
+  /// A snapshot is also due once the entries that were applied since the last
+  /// one are longer than this and than that snapshot; 0: no limit. Entries that
+  /// are kept before its index are not longer than this either.
+  std::size_t SnapshotThresholdBytes = 0;
   int LeaseDriftPercent = 10;       ///< Clock drift that the lease tolerates.
   bool AllowsUnsafeRecovery = true; ///< A sole survivor may continue alone.
   bool PersistsCommitIndex =
@@ -107,6 +111,7 @@
   LogIndex CommitIndex = 0;
   LogIndex SavedCommit = 0; ///< Commit index that is synced locally.
   LogIndex LastApplied = 0;
+  std::size_t AppliedBytes = 0; ///< Of entries applied since the snapshot.
   LogIndex ReportedApplied =
       0; ///< Reported to the leader as applied; set by the owner.
 
--- a/test/cell/large_entry_test.cpp
+++ b/test/cell/large_entry_test.cpp
@@ -1,4 +1,5 @@
 #include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/config/cell_settings.hpp"
 #include "mulberryramp/wire/fwd.hpp"
 #include "support/cell_parts.hpp"
 
@@ -131,3 +132,37 @@
   }
   CHECK(encodeEntries({}, 100).empty());
 }
+
+/// Jobs that don't fit into the memory or onto the disk of a voter must be
+/// refused before they are acknowledged.
+TEST(CellLargeEntry, SubmissionBeyondTheStateLimitIsRefused) {
+  CellNodeOptions Options = OneVoterCell::options();
+  Options.MaxStateBytes = 50000;
+  OneVoterCell Cell{Options};
+  for (int Job = 0; Job < 8; ++Job) {
+    Cell.submit("job-" + std::to_string(Job), 10000);
+    Cell.run(Millis{50});
+  }
+  CHECK_EQUAL(4U, Cell.Node.status().Jobs);
+  CHECK_EQUAL(4U, Cell.Refused.size());
+  // Cancelled jobs are stripped, and there is room again.
+  Cell.cancel("job-0");
+  Cell.run(Millis{1500});
+  Cell.submit("later", 10000);
+  Cell.run(Millis{50});
+  CHECK_EQUAL(5U, Cell.Node.status().Jobs);
+}
+
+/// Without a limit in the settings nothing is refused.
+TEST(CellLargeEntry, StateLimitFollowsTheSettings) {
+  CellSettings Settings;
+  CHECK_EQUAL(0U, maxStateBytes(Settings));
+  Settings.MemoryMb = 384;
+  const std::uint64_t OfMemory = maxStateBytes(Settings);
+  CHECK(OfMemory > std::uint64_t{40} << 20U);
+  CHECK(OfMemory < std::uint64_t{384} << 20U);
+  Settings.DiskMb = 192;
+  CHECK(maxStateBytes(Settings) <= OfMemory);
+  Settings.DiskMb = 1;
+  CHECK_EQUAL(1U, maxStateBytes(Settings));
+}
--- a/test/config/cell_settings_test.cpp
+++ b/test/config/cell_settings_test.cpp
@@ -43,6 +43,18 @@
   CHECK_EQUAL(3000, Parsed->Lease.count());
 }
 
+/// A placeholder that the platform does not know must not keep a node from
+/// starting.
+TEST(ConfigCell, LimitsAreReadAndUnknownPlaceholdersCountAsUnset) {
+  std::string Text = ValidSettings;
+  Text += "[limits]\nmemory-mb = 384\ndisk-mb = {{limits.disk_mb}}\n";
+  const auto Parsed = parseCellSettings("node.ini", Text);
+  CHECK(Parsed.has_value());
+  CHECK_EQUAL(384, Parsed->MemoryMb);
+  CHECK_EQUAL(0, Parsed->DiskMb);
+  CHECK_FALSE(renderFindings(Text + "descriptors = {{x\n").empty());
+}
+
 TEST(ConfigCell, ReportsAllFindingsWithTheirLines) {
   std::string Text = ValidSettings;
   Text += "lease-ms = 1\nno-such = 1\nmax-lease-ms = soon\n";
