--- a/src/mulberryramp/cell/message_codec.cpp
+++ b/src/mulberryramp/cell/message_codec.cpp
@@ -64,7 +64,13 @@
   return toOptional(decodeStored<std::vector<CellCommand>>(Bytes));
 }
 
-std::string encodeCellState(const CellState &State) { return encode(State); }
+std::string encodeCellState(const CellState &State) {
+  std::string Bytes;
+  // A string that grows would be copied several times.
+  Bytes.reserve(State.JobBytes + State.JobBytes / 16);
+  encodeTo(Bytes, State);
+  return Bytes;
+}
 
 std::optional<CellState> decodeCellState(std::string_view Bytes) {
   auto State = toOptional(decodeStored<CellState>(Bytes));
