--- a/test/replica/replica_test.cpp
+++ b/test/replica/replica_test.cpp
@@ -386,3 +386,32 @@
   CHECK(!isVoter(*Leader, {3, 1}));
   CHECK_EQUAL(3, membership(*Leader).Voters.size());
 }
+
+/// A few large entries would fill the memory and the disk long before their
+/// number makes a snapshot due.
+TEST(ReplicaGroup, LargeEntriesMakeASnapshotDueAndAreNotKept) {
+  ReplicaGroupFixture Fixture{1};
+  Fixture.advance(1500);
+  Replica &State = *Fixture.leader();
+  State.Options.SnapshotThresholdBytes = 10000;
+  for (int Count = 0; Count < 9; ++Count) {
+    (void)propose(State, std::string(1000, 'x'));
+    Fixture.advance(20);
+  }
+  CHECK_FALSE(needsSnapshot(State));
+  (void)propose(State, std::string(1000, 'x'));
+  (void)propose(State, std::string(1000, 'x'));
+  Fixture.advance(20);
+  CHECK(needsSnapshot(State));
+  State.Options.SnapshotThresholdBytes = 3500;
+  compact(State, std::string(20000, 's'));
+  CHECK_EQUAL(3U, State.Entries.size());
+  CHECK_FALSE(needsSnapshot(State));
+  // After a large snapshot the next one is due later, so that the time spent
+  // on snapshots stays in proportion to the log.
+  for (int Count = 0; Count < 15; ++Count) {
+    (void)propose(State, std::string(1000, 'x'));
+  }
+  Fixture.advance(20);
+  CHECK_FALSE(needsSnapshot(State));
+}
