--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -35,6 +35,8 @@
   std::map<std::string, std::string> RegionsByCentre;
   std::optional<Endpoint> Advisor;
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
+  std::uint32_t MemoryMb = 0;       ///< Memory of the process; 0: no limit.
+  std::uint32_t DiskMb = 0; ///< Size of the disk; 0: no limit or no disk.
   /// Overload control: urgent jobs preempt others, and jobs that cannot be
   /// served in useful time are refused. Set by the feature `pressure`.
   bool HasOverloadControl = false;
@@ -61,6 +63,12 @@
 /// assumed to be spread evenly over the data centres, as the seeds are.
 [[nodiscard]] std::size_t maxLostVoters(const CellSettings &Settings);
 
+/// @brief Computes how large the encoded jobs may become so that a voter can
+/// hold, store and send them within its memory and disk.
+/// @return The number of bytes; 0: no limit.
+[[nodiscard]] std::uint64_t
+maxStateBytes(const CellSettings &Settings) noexcept;
+
 /// @brief Parses and validates the settings of a node.
 /// @param Source Name of the file, reported in findings.
 /// @param Text Content of the INI file.
