Refuse jobs under overload that cannot be served in useful time

Feature `pressure` of the settings. A job beyond the rate of its organisation is refused while others wait for room, any job if the waiting work of its priority and above takes longer than its completion is of use. Retry-After follows from the backlog and is spread over two seconds.

--- a/bench/cell_replay.cpp
+++ b/bench/cell_replay.cpp
@@ -3,6 +3,8 @@
 #include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/answers.hpp"
 #include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/pending_steps.hpp"
+#include "mulberryramp/job/organisation_accounts.hpp"
 
 #include <algorithm>
 #include <ctime>
@@ -117,6 +119,7 @@
                  ConfigureCommand{makeLoadConfiguration(Load.Organisations)});
     Now = Start;
     Dispatch.Options.HasPreemption = Options.HasPreemption;
+    Dispatch.Options.HasAdmissionControl = Options.HasAdmissionControl;
     beginDispatch(Dispatch, State, 1, Now, wallNow());
     for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
       const WorkerReport Report = reportOf(Index);
@@ -146,6 +149,10 @@
 
   void submit(std::size_t Index) {
     const LoadJob &Job = Jobs[Index];
+    if (Options.HasAdmissionControl && isRefused(Job, Index)) {
+      Refused[Index] = true;
+      return;
+    }
     const std::string Prefix = "/" + std::string{nameOf(Job.Class)} + "/";
     Proposals.emplace_back(
         SubmitJobCommand{"j" + std::to_string(Index), "host", Prefix, Job.Spec,
@@ -158,6 +165,21 @@
     }
   }
 
+  /// Decides as a node does; a refused job is not submitted again.
+  [[nodiscard]] bool isRefused(const LoadJob &Job, std::size_t Index) const {
+    const Organisation &Owner =
+        State.Configuration.Organisations[Job.Organisation];
+    const JobQueue &Queue =
+        State.Configuration.Queues[static_cast<std::size_t>(Job.Class)];
+    AdmissionRequest Request;
+    Request.IsExcess = !Queue.IsPublic && !isOwedJob(State, Owner, wallNow());
+    Request.Backlog = backlogOf(Dispatch.Backlog, Queue.Pool,
+                                Request.IsExcess ? UINT32_MAX : Queue.Priority);
+    Request.UsefulTime = usefulTimeOf(Job.Spec, Queue);
+    Request.Hash = Index;
+    return !decideAdmission(Request).IsAccepted;
+  }
+
   void tick() {
     const double Before = processorSeconds();
     stepDispatch(Dispatch, State, Now, wallNow());
--- a/bench/cell_replay.hpp
+++ b/bench/cell_replay.hpp
@@ -16,6 +16,7 @@
   Millis CommitTime{20};  ///< From a proposal to its commit.
   Millis OneWay{6};       ///< Between the leader and a worker.
   bool HasPreemption = false;
+  bool HasAdmissionControl = false;
   Millis MaxStopTime{900}; ///< Longest time until a stopped task ends.
   /// Virtual time that a second of processor time of the leader takes; 0
   /// charges none and makes the result repeatable.
--- a/bench/cell_replay_main.cpp
+++ b/bench/cell_replay_main.cpp
@@ -80,7 +80,8 @@
       cxxopts::value<double>()->default_value("1"))(
       "processor", "virtual seconds per second of processor time",
       cxxopts::value<double>()->default_value("0"));
-  Parser.add_options()("preemption", "stop tasks for urgent jobs");
+  Parser.add_options()("preemption", "stop tasks for urgent jobs")(
+      "admission", "refuse jobs under overload");
   try {
     const auto Parsed = Parser.parse(Argc, Argv);
     if (Parsed.count("help") != 0) {
@@ -92,6 +93,7 @@
     Load.RateFactor = Parsed["rate"].as<double>();
     CellReplayOptions Options;
     Options.ProcessorFactor = Parsed["processor"].as<double>();
+    Options.HasAdmissionControl = Parsed.count("admission") != 0;
     Options.HasPreemption = Parsed.count("preemption") != 0;
     std::vector<std::string> Names{"calm", "urgent-burst", "batch-burst",
                                    "hot-organisation", "all"};
--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -93,7 +93,8 @@
   Options.IsVoter = Settings.IsVoter;
   Options.Incarnation = Incarnation;
   Options.ReplicaParameters = makeCellReplicaOptions(maxLostVoters(Settings));
-  Options.Dispatch.HasPreemption = Settings.HasOverloadControl;
+  Options.Dispatch.HasPreemption = Settings.HasPreemption;
+  Options.Dispatch.HasAdmissionControl = Settings.HasOverloadControl;
   Options.Dispatch.Lease = Settings.Lease;
   Options.Dispatch.MaxLease = Settings.MaxLease;
   Options.Dispatch.ReportInterval = Settings.ReportInterval;
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
+#include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/core/digest.hpp"
 #include "mulberryramp/job/organisation_accounts.hpp"
 
@@ -197,6 +198,9 @@
   if (Owner != nullptr && refuseOverCap(Caller, Name, Call.Spec, *Owner)) {
     return;
   }
+  if (refuseUnderOverload(Caller, Queue, Name, Call, Owner, WallNow)) {
+    return;
+  }
   if (Options.MaxStateBytes != 0 &&
       State.JobBytes + estimateBytes(Call.Spec) > Options.MaxStateBytes) {
     Events.push_back(
@@ -216,6 +220,42 @@
                                    Call.Spec, WallNow, Call.Key});
 }
 
+bool CellNode::refuseUnderOverload(const PendingCaller &Caller,
+                                   const JobQueue &Queue,
+                                   const std::string &Name, const JobCall &Call,
+                                   const Organisation *Owner,
+                                   WallTime WallNow) {
+  if (!Dispatch.Options.HasAdmissionControl || Dispatch.Backlog.empty()) {
+    return false;
+  }
+  AdmissionRequest Request;
+  Request.IsExcess = Owner != nullptr && !isOwedJob(State, *Owner, WallNow);
+  // A job beyond the rate of its organisation comes after all others.
+  Request.Backlog = backlogOf(Dispatch.Backlog, Queue.Pool,
+                              Request.IsExcess ? UINT32_MAX : Queue.Priority);
+  Request.UsefulTime = usefulTimeOf(Call.Spec, Queue);
+  Request.Hash = std::hash<std::string>{}(Name);
+  const AdmissionDecision Decision = decideAdmission(Request);
+  if (Decision.IsAccepted) {
+    return false;
+  }
+  (Request.IsExcess ? Dispatch.Counters.RefusedAsExcess
+                    : Dispatch.Counters.RefusedForBacklog) += 1;
+  Events.push_back("event=submit-refused job=" + Name +
+                   " queue=" + Queue.Prefix +
+                   " organisation=" + (Owner == nullptr ? "-" : Owner->Name) +
+                   " reason=" + std::string{Decision.Reason} +
+                   " backlog_ms=" + std::to_string(Request.Backlog.count()) +
+                   " useful_ms=" + std::to_string(Request.UsefulTime.count()) +
+                   " retry_ms=" + std::to_string(Decision.RetryAfter.count()));
+  CellReply Reply =
+      makeReply(CellVerdict::Overloaded,
+                "too little room: " + std::string{Decision.Reason});
+  Reply.RetryAfter = Decision.RetryAfter;
+  answer(Caller.From, Caller.Id, std::move(Reply));
+  return true;
+}
+
 bool CellNode::refuseOverCap(const PendingCaller &Caller,
                              const std::string &Name, const JobSpec &Spec,
                              const Organisation &Owner) {
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -164,6 +164,10 @@
   void serve(const PendingCaller &Caller, const DeregisterWorkerCall &Call);
   void submitJob(const PendingCaller &Caller, const JobQueue &Queue,
                  std::string Name, const JobCall &Call, WallTime WallNow);
+  /// Refuses a job that admission control turns away.
+  bool refuseUnderOverload(const PendingCaller &Caller, const JobQueue &Queue,
+                           const std::string &Name, const JobCall &Call,
+                           const Organisation *Owner, WallTime WallNow);
   /// Refuses a job with a gang that is larger than the cap, as it cannot run.
   bool refuseOverCap(const PendingCaller &Caller, const std::string &Name,
                      const JobSpec &Spec, const Organisation &Owner);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberryramp/cell/admission.hpp"
 #include "mulberryramp/cell/fwd.hpp"
 #include "mulberryramp/cell/order.hpp"
 #include "mulberryramp/job/state.hpp"
@@ -35,6 +36,9 @@
   Millis Retention{125000};    ///< How long finished jobs stay readable.
   /// Stops tasks of a lower priority if urgent jobs have no room.
   bool HasPreemption = false;
+  /// Refuses jobs that cannot be served in useful time, and under a backlog
+  /// those beyond the rate of their organisation.
+  bool HasAdmissionControl = false;
 };
 
 /// @brief Progress of the start order of a launch.
@@ -285,6 +289,8 @@
   std::uint64_t Unanswered = 0;
   std::uint64_t WorkerCrashes = 0;
   std::uint64_t Preemptions = 0;
+  std::uint64_t RefusedAsExcess = 0;
+  std::uint64_t RefusedForBacklog = 0;
 };
 
 /// @brief What an organisation used and waited for after the last plan, for
@@ -330,6 +336,7 @@
   bool NeedsPlan = false; ///< A change may let tasks start.
   /// Starts are proposed and not yet applied.
   bool HasUncommittedStarts = false;
+  PoolBacklog Backlog; ///< Of the last plan; only with admission control.
   /// Launches that the last plan chose to stop.
   std::vector<TaskKey> Preemptions;
   Instant NextPreemptionAt; ///< No launch is chosen to be stopped before.
--- a/src/mulberryramp/cell/pending_steps.cpp
+++ b/src/mulberryramp/cell/pending_steps.cpp
@@ -107,11 +107,23 @@
                   Rhs.SoftDeadline, Rhs.Key);
 }
 
+namespace {
+
+/// Time from the due time of a run to its soft deadline.
+Millis timeToSoftDeadline(const JobSpec &Spec, const JobQueue &Queue) {
+  const auto CriticalPath = static_cast<double>(criticalPathTime(Spec).count());
+  return Queue.LatencyTarget +
+         Millis{std::llround(CriticalPath * Queue.SlackFactor)};
+}
+
+} // namespace
+
 WallTime softDeadlineOf(const Job &JobRow, std::uint32_t Run) {
-  const auto CriticalPath =
-      static_cast<double>(criticalPathTime(JobRow.Spec).count());
-  return dueTime(JobRow, Run) + JobRow.Queue.LatencyTarget +
-         Millis{std::llround(CriticalPath * JobRow.Queue.SlackFactor)};
+  return dueTime(JobRow, Run) + timeToSoftDeadline(JobRow.Spec, JobRow.Queue);
+}
+
+Millis usefulTimeOf(const JobSpec &Spec, const JobQueue &Queue) {
+  return timeToSoftDeadline(Spec, Queue) * FarOverdueFactor;
 }
 
 PendingSteps collectPendingSteps(const DispatchState &Dispatch,
--- a/src/mulberryramp/cell/pending_steps.hpp
+++ b/src/mulberryramp/cell/pending_steps.hpp
@@ -18,6 +18,10 @@
 /// factor of the queue.
 [[nodiscard]] WallTime softDeadlineOf(const Job &JobRow, std::uint32_t Run);
 
+/// @brief Computes the time after the submission of a job in which its
+/// completion is still of use: three times that to its soft deadline.
+[[nodiscard]] Millis usefulTimeOf(const JobSpec &Spec, const JobQueue &Queue);
+
 /// @brief A step with unassigned tasks.
 struct PendingStep {
   StepKey Key;
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -40,6 +40,7 @@
 void addToPool(SchedulableWorkers &Workers, const WorkerReport &Report) {
   PoolSummary &Pool = Workers.Pools[Report.Pool];
   Pool.Workers += 1;
+  Pool.MilliCpus += Report.Capacity.MilliCpus;
   Pool.Largest.MilliCpus =
       std::max(Pool.Largest.MilliCpus, Report.Capacity.MilliCpus);
   Pool.Largest.MemoryMb =
--- a/src/mulberryramp/cell/schedulable_workers.hpp
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -34,8 +34,9 @@
 /// @brief Summary of the schedulable workers of a pool.
 struct PoolSummary {
   std::size_t Workers = 0;
-  std::size_t Reserved = 0; ///< Workers that steps have reserved.
-  Resources Largest;        ///< Largest amount of each resource of a worker.
+  std::size_t Reserved = 0;   ///< Workers that steps have reserved.
+  std::int64_t MilliCpus = 0; ///< Sum of the processors of its workers.
+  Resources Largest;          ///< Largest amount of each resource of a worker.
 };
 
 /// @brief All schedulable workers.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -6,6 +6,7 @@
 #include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/cell/preemption.hpp"
 #include "mulberryramp/cell/reservation.hpp"
+#include "mulberryramp/cell/run_time.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
 #include "mulberryramp/cell/step_order.hpp"
 
@@ -67,6 +68,7 @@
   std::vector<TaskAssignment> plan() {
     Schedulable = snapshotWorkers(Dispatch, State, Now);
     Unresolved = collectUnresolvedTasks(Dispatch, Now);
+    Dispatch.Backlog.clear();
     const PendingSteps Steps =
         collectPendingSteps(Dispatch, State, Now, WallNow);
     forEachInOrder(Dispatch, State, Schedulable, Steps.Ready, Now,
@@ -240,6 +242,10 @@
     if (Dispatch.Options.HasPreemption) {
       noteBlocked(Pending, Owner, Spec, Unplaced);
     }
+    if (Dispatch.Options.HasAdmissionControl && !Owner.IsExcess &&
+        !Spec.IsLongRunning) {
+      addBacklog(Key, Owner, Spec, Unplaced);
+    }
     if (!Pending.IsFarOverdue &&
         needsReservation(Spec, Schedulable.Pools[Owner.Queue.Pool].Largest) &&
         reserveWorkers(Key, Owner, Spec, Advice, Unplaced)) {
@@ -250,6 +256,19 @@
     }
   }
 
+  /// Adds the tasks of a step that wait for room to the backlog of its pool.
+  void addBacklog(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
+                  std::size_t Unplaced) {
+    const std::int64_t Capacity = Schedulable.Pools[Owner.Queue.Pool].MilliCpus;
+    if (Capacity != 0) {
+      Dispatch.Backlog[{Owner.Queue.Pool, Owner.Queue.Priority}] +=
+          expectedStepTime(Dispatch, Key, Spec) *
+          (requiredResources(Spec).MilliCpus *
+           static_cast<std::int64_t>(Unplaced)) /
+          Capacity;
+    }
+  }
+
   /// Requests room for a step that can still be in time, once it has waited
   /// for a part of its latency target.
   void noteBlocked(const PendingStep &Pending, const Job &Owner,
@@ -602,7 +621,8 @@
                                 taskCapacity(Snapshot, Spec)});
       ExpectedRoom += Candidates.back().ExpectedTasks;
     }
-    if (ExpectedRoom < static_cast<double>(Unplaced)) {
+    if (Dispatch.Options.HasPreemption &&
+        ExpectedRoom < static_cast<double>(Unplaced)) {
       addBusyCandidates(Key, Owner, Spec, Advice, Unplaced, Candidates);
     }
     if (Candidates.empty()) {
--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -86,6 +86,7 @@
     addFlag("cell.voter", Config.IsVoter);
     addFlag("cell.found", Config.IsBootstrap);
     addFlag("features.pressure", Config.HasOverloadControl);
+    addFlag("cell.preemption", Config.HasPreemption);
   }
 
   void addEndpoints() {
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -37,9 +37,11 @@
   std::uint32_t Descriptors = 1024; ///< Descriptors that the process may open.
   std::uint32_t MemoryMb = 0;       ///< Memory of the process; 0: no limit.
   std::uint32_t DiskMb = 0; ///< Size of the disk; 0: no limit or no disk.
-  /// Overload control: urgent jobs preempt others, and jobs that cannot be
-  /// served in useful time are refused. Set by the feature `pressure`.
+  /// Jobs that cannot be served in useful time are refused. Set by the feature
+  /// `pressure`.
   bool HasOverloadControl = false;
+  /// Urgent jobs that have no room stop tasks of lower priorities.
+  bool HasPreemption = false;
   /// Lease that the leader requests of a worker; by default at most `MaxLease`.
   Millis Lease{5400};
   Millis MaxLease{6000};        ///< Maximum lease that a worker accepts.
--- a/src/mulberryramp/job/organisation_accounts.cpp
+++ b/src/mulberryramp/job/organisation_accounts.cpp
@@ -76,12 +76,30 @@
                       Spec.Need, Spec.IsGang ? Spec.Tasks - Step.Assigned : 1);
 }
 
-bool takeOwedJob(CellState &State, const Organisation &Owner, WallTime At) {
-  auto It = std::lower_bound(
-      State.Rates.begin(), State.Rates.end(), Owner.Name,
-      [](const OrganisationRate &Rate, const std::string &Name) {
-        return Rate.Name < Name;
+namespace {
+
+/// Finds the first row whose name is not before a name.
+template <typename Rows> auto findRate(Rows &Rates, const std::string &Name) {
+  return std::lower_bound(
+      Rates.begin(), Rates.end(), Name,
+      [](const OrganisationRate &Rate, const std::string &Wanted) {
+        return Rate.Name < Wanted;
       });
+}
+
+} // namespace
+
+bool isOwedJob(const CellState &State, const Organisation &Owner, WallTime At) {
+  const auto It = findRate(State.Rates, Owner.Name);
+  if (It == State.Rates.end() || It->Name != Owner.Name) {
+    return Owner.Weight > 0;
+  }
+  RateBucket Bucket = It->Bucket;
+  return takeJob(Bucket, Owner.Weight, At);
+}
+
+bool takeOwedJob(CellState &State, const Organisation &Owner, WallTime At) {
+  auto It = findRate(State.Rates, Owner.Name);
   if (It == State.Rates.end() || It->Name != Owner.Name) {
     It = State.Rates.insert(It, {Owner.Name, fullBucket(Owner.Weight, At)});
   }
--- a/src/mulberryramp/job/organisation_accounts.hpp
+++ b/src/mulberryramp/job/organisation_accounts.hpp
@@ -47,6 +47,10 @@
 [[nodiscard]] bool takeOwedJob(CellState &State, const Organisation &Owner,
                                WallTime At);
 
+/// @brief Tells whether an organisation is owed one more job; takes none.
+[[nodiscard]] bool isOwedJob(const CellState &State, const Organisation &Owner,
+                             WallTime At);
+
 /// @brief Removes the buckets of organisations that the configuration no longer
 /// has.
 void pruneRates(CellState &State);
