--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -102,6 +102,14 @@
   Out.set("mulberryramp_worker_crashes_total",
           "Workers that ended without notice while tasks were assigned to them",
           Counters.WorkerCrashes);
+  Out.set("mulberryramp_preemptions_total",
+          "Tasks stopped to make room for urgent jobs", Counters.Preemptions);
+  Out.set("mulberryramp_submissions_refused_as_excess_total",
+          "Jobs refused as they were beyond the rate of their organisation",
+          Counters.RefusedAsExcess);
+  Out.set("mulberryramp_submissions_refused_for_backlog_total",
+          "Jobs refused as the backlog was longer than their useful time",
+          Counters.RefusedForBacklog);
   Out.set("mulberryramp_link_bytes_out_total", "Bytes sent to other nodes",
           Links.BytesOut);
   Out.set("mulberryramp_link_messages_dropped_total",
