Count crashes before a start is confirmed

Change: a start that this leader sent within the crash window before the crash is certain if the worker broke its connections off.

--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -56,10 +56,13 @@
   std::vector<CrashedAttempt> Attempts;
   const auto Add = [&](CrashedAttempt Attempt, Instant StartedAt,
                        bool IsRecovered) {
-    Attempt.IsCertain = Attempt.IsCertain && IsCrashSeen;
     Attempt.IsRecent = StartedAt + CrashWindow >= CrashedAt;
     Attempt.HasKnownStart =
         !IsRecovered && Attempt.IsRecent && StartedAt <= CrashedAt;
+    // A task that crashes its worker at once is gone before its start can be
+    // confirmed.
+    Attempt.IsCertain =
+        (Attempt.IsCertain || Attempt.HasKnownStart) && IsCrashSeen;
     if (Attempt.IsRecent || !isLongRunning(State, Attempt.Key)) {
       Attempts.push_back(Attempt);
     }
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -37,14 +37,15 @@
   }
 
   /// Plans, starts and confirms the pending tasks.
+  /// @param Verdict Answer of the workers to the starts.
   /// @return Number of started tasks.
-  std::size_t start() {
+  std::size_t start(OrderVerdict Verdict = OrderVerdict::Done) {
     const auto Assignments = planStarts(Dispatch, State, Now, wallNow());
     onStateChange(Dispatch, State,
                   applyCommand(State, AssignTasksCommand{Assignments}), Now);
     for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
       if (Order.Kind == WorkerOrderKind::Start) {
-        answer(Order.Id, OrderVerdict::Done);
+        answer(Order.Id, Verdict);
       }
     }
     return Assignments.size();
@@ -227,6 +228,20 @@
   CHECK_EQUAL(3, Cell.task("bad", 0).SoleCrashes);
 }
 
+/// Guards against a task that is started without limit: it crashes each worker
+/// before the answer to its start arrives, so that no start is confirmed.
+TEST(CellCrash, CrashesBeforeTheStartIsConfirmedCount) {
+  CrashFixture Cell{6};
+  Cell.submit("bad", 1);
+  for (int Crash = 1; Crash <= 3; ++Crash) {
+    CHECK_EQUAL(1, Cell.start(OrderVerdict::Unanswered));
+    Cell.crash(Cell.workerOf("bad", 0), "n" + std::to_string(Crash));
+    CHECK_EQUAL(Crash, Cell.task("bad", 0).SoleCrashes);
+    Cell.pass(Millis{30000});
+  }
+  CHECK(JobPhase::Failed == Cell.phaseOf("bad"));
+}
+
 /// Guards against a job being given up for a single crash, which its worker may
 /// have had for its own reasons.
 TEST(CellCrash, AJobWithOneAttemptFailsAfterTwoCrashesOfItsTaskAlone) {
