--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -233,7 +233,7 @@
 TEST(CellCrash, CrashesBeforeTheStartIsConfirmedCount) {
   CrashFixture Cell{6};
   Cell.submit("bad", 1);
-  for (int Crash = 1; Crash <= 3; ++Crash) {
+  for (std::uint32_t Crash = 1; Crash <= 3; ++Crash) {
     CHECK_EQUAL(1, Cell.start(OrderVerdict::Unanswered));
     Cell.crash(Cell.workerOf("bad", 0), "n" + std::to_string(Crash));
     CHECK_EQUAL(Crash, Cell.task("bad", 0).SoleCrashes);
