--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -172,7 +172,7 @@
   const bool IsInQueue = Existing.isSet() && belongsToQueue(Existing, *Queue) &&
                          isVisibleTo(State.Jobs[Existing], Owner);
   if (Call.Verb == JobVerb::Submit && !Existing.isSet()) {
-    submitJob(Caller, *Queue, Name, Call, WallNow);
+    submitJob(Caller, *Queue, Owner, Name, Call, WallNow);
   } else if (!IsInQueue) {
     answer(Caller.From, Caller.Id, makeReply(CellVerdict::Gone, "no such job"));
   } else if (Call.Verb == JobVerb::Cancel) {
@@ -185,16 +185,13 @@
 }
 
 void CellNode::submitJob(const PendingCaller &Caller, const JobQueue &Queue,
-                         std::string Name, const JobCall &Call,
-                         WallTime WallNow) {
+                         const Organisation *Owner, std::string Name,
+                         const JobCall &Call, WallTime WallNow) {
   if (Name.empty()) {
     answer(Caller.From, Caller.Id,
            makeReply(CellVerdict::NotFound, "no job name"));
     return;
   }
-  const Organisation *Owner = requiresKey(State.Configuration, Queue)
-                                  ? findOrganisationByKey(State, Call.Key)
-                                  : nullptr;
   if (Owner != nullptr && refuseOverCap(Caller, Name, Call.Spec, *Owner)) {
     return;
   }
@@ -264,14 +261,10 @@
     return false;
   }
   const StepSpec &Gang = Spec.Steps[*Step];
-  const std::string Sizes =
-      "step=" + std::to_string(*Step) + " tasks=" + std::to_string(Gang.Tasks) +
-      " cpu=" + std::to_string(Gang.Need.MilliCpus) +
-      " memory=" + std::to_string(Gang.Need.MemoryMb) +
-      " accelerators=" + std::to_string(Gang.Need.Accelerators) +
-      " cap_cpu=" + std::to_string(Owner.Cap.MilliCpus) +
-      " cap_memory=" + std::to_string(Owner.Cap.MemoryMb) +
-      " cap_accelerators=" + std::to_string(Owner.Cap.Accelerators);
+  const std::string Sizes = "step=" + std::to_string(*Step) +
+                            " tasks=" + std::to_string(Gang.Tasks) + " " +
+                            describeResources(Gang.Need) + " " +
+                            describeResources(Owner.Cap, "cap_");
   Events.push_back("event=submit-refused job=" + Name + " organisation=" +
                    Owner.Name + " reason=gang-over-cap " + Sizes);
   answer(
--- a/src/mulberryramp/cell/cell_node.hpp
+++ b/src/mulberryramp/cell/cell_node.hpp
@@ -162,8 +162,10 @@
   void serve(const PendingCaller &Caller, const WorkerReportCall &Call,
              WallTime WallNow);
   void serve(const PendingCaller &Caller, const DeregisterWorkerCall &Call);
+  /// @param Owner Organisation of the caller; null if the queue needs no key.
   void submitJob(const PendingCaller &Caller, const JobQueue &Queue,
-                 std::string Name, const JobCall &Call, WallTime WallNow);
+                 const Organisation *Owner, std::string Name,
+                 const JobCall &Call, WallTime WallNow);
   /// Refuses a job that admission control turns away.
   bool refuseUnderOverload(const PendingCaller &Caller, const JobQueue &Queue,
                            const std::string &Name, const JobCall &Call,
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -64,9 +64,9 @@
 /// Notes what an orphan counts towards the cap of its organisation, as its job
 /// may be purged before the orphan is over.
 void noteNeed(OrphanedStart &Orphan, const CellState &State) {
-  if (const Job *Owner = State.Jobs.find(Orphan.Key.Job)) {
-    Orphan.Organisation = Owner->Organisation;
-    Orphan.Need = Owner->Spec.Steps[Orphan.Key.Step].Need;
+  if (const StepSpec *Spec = findStepSpec(State, Orphan.Key)) {
+    Orphan.Organisation = State.Jobs[Orphan.Key.Job].Organisation;
+    Orphan.Need = Spec->Need;
   }
 }
 
@@ -230,11 +230,8 @@
 void proposeCapacity(DispatchState &Dispatch, WorkerSession &Session,
                      WorkerInstanceId Worker, const WorkerReport &Report) {
   const Resources &Capacity = Report.Capacity;
-  Dispatch.Events.push_back(
-      "event=worker-capacity worker=" + Report.Name +
-      " cpu=" + std::to_string(Capacity.MilliCpus) +
-      " memory=" + std::to_string(Capacity.MemoryMb) +
-      " accelerators=" + std::to_string(Capacity.Accelerators));
+  Dispatch.Events.push_back("event=worker-capacity worker=" + Report.Name +
+                            " " + describeResources(Capacity));
   Session.ProposedCapacity = Capacity;
   Session.CapacitySequence = Report.Sequence;
   Dispatch.Commands.emplace_back(
--- a/src/mulberryramp/cell/organisation_shares.cpp
+++ b/src/mulberryramp/cell/organisation_shares.cpp
@@ -29,12 +29,7 @@
 }
 
 std::string describeUse(const Resources &Used, const Resources &Cap) {
-  return " cpu=" + std::to_string(Used.MilliCpus) +
-         " memory=" + std::to_string(Used.MemoryMb) +
-         " accelerators=" + std::to_string(Used.Accelerators) +
-         " cap_cpu=" + std::to_string(Cap.MilliCpus) +
-         " cap_memory=" + std::to_string(Cap.MemoryMb) +
-         " cap_accelerators=" + std::to_string(Cap.Accelerators);
+  return " " + describeResources(Used) + " " + describeResources(Cap, "cap_");
 }
 
 Resources multiply(Resources Need, std::int64_t Count) {
--- a/src/mulberryramp/cell/preemption.cpp
+++ b/src/mulberryramp/cell/preemption.cpp
@@ -119,7 +119,7 @@
 
   /// Counts how many victims have to be stopped until a task fits.
   /// @param Gain Work of the task; not more than this may be lost for it.
-  /// @param Loss Receives the work that is lost.
+  /// @param Loss Receives the work that is lost, and the cost of restarts.
   static std::optional<std::size_t> countVictims(const WorkerRoom &Room,
                                                  const Resources &Need,
                                                  std::uint32_t Priority,
@@ -135,10 +135,12 @@
       Loss += Room.Victims[Count].LostCoreSeconds;
       Count += 1;
     }
+    if (Loss > Gain) {
+      return std::nullopt;
+    }
     // Each stop costs a restart elsewhere, so few large victims are better.
     Loss += static_cast<double>(Count);
-    return Loss <= Gain + static_cast<double>(Count) ? std::optional{Count}
-                                                     : std::nullopt;
+    return Count;
   }
 
   WorkerRoom &roomOf(const WorkerSnapshot &Snapshot) {
--- a/src/mulberryramp/core/resources.hpp
+++ b/src/mulberryramp/core/resources.hpp
@@ -2,6 +2,8 @@
 
 #include "mulberryramp/core/fwd.hpp"
 
+#include <string>
+#include <string_view>
 #include <tuple>
 
 namespace mulberryramp {
@@ -69,4 +71,10 @@
   return fitsIn(Resources{}, Amounts);
 }
 
+/// @brief Describes processors, memory and accelerators for log lines.
+/// @param Prefix Start of each field name.
+/// @return `cpu=... memory=... accelerators=...`.
+[[nodiscard]] std::string describeResources(const Resources &Amounts,
+                                            std::string_view Prefix = {});
+
 } // namespace mulberryramp
--- a/src/mulberryramp/replica/replication.cpp
+++ b/src/mulberryramp/replica/replication.cpp
@@ -229,32 +229,39 @@
   }
 }
 
+/// Finds the progress of a member that answers a message of the current term of
+/// this leader, and records the contact.
+/// @return The progress, or null if the answer is outdated or this member does
+/// not lead.
+Progress *recordContact(Replica &State, Instant Now, const Member &From,
+                        Term AnsweredTerm) {
+  const auto ProgressIt = State.Peers.find(From);
+  if (State.Role != ReplicaRole::Leader || ProgressIt == State.Peers.end() ||
+      AnsweredTerm != State.Hard.CurrentTerm) {
+    return nullptr;
+  }
+  ProgressIt->second.LastContactAt = Now;
+  return &ProgressIt->second;
+}
+
 /// A report doesn't extend the leader lease: it is sent before the term of the
 /// receiver is synced.
 void onSnapshotChunkReply(Replica &State, Instant Now, const Member &From,
                           const SnapshotChunkReply &Reply) {
-  const auto ProgressIt = State.Peers.find(From);
-  if (State.Role != ReplicaRole::Leader || ProgressIt == State.Peers.end() ||
-      Reply.InTerm != State.Hard.CurrentTerm) {
-    return;
-  }
-  Progress &Peer = ProgressIt->second;
-  Peer.LastContactAt = Now;
-  if (Peer.Transfer) {
-    recordReport(*Peer.Transfer, Reply, Now);
-    sendAppend(State, From, Peer, Now, false);
+  Progress *Peer = recordContact(State, Now, From, Reply.InTerm);
+  if (Peer != nullptr && Peer->Transfer) {
+    recordReport(*Peer->Transfer, Reply, Now);
+    sendAppend(State, From, *Peer, Now, false);
   }
 }
 
 void onAppendReply(Replica &State, Instant Now, const Member &From,
                    const AppendEntriesReply &Reply) {
-  const auto ProgressIt = State.Peers.find(From);
-  if (State.Role != ReplicaRole::Leader || ProgressIt == State.Peers.end() ||
-      Reply.InTerm != State.Hard.CurrentTerm) {
+  Progress *Sender = recordContact(State, Now, From, Reply.InTerm);
+  if (Sender == nullptr) {
     return;
   }
-  Progress &Peer = ProgressIt->second;
-  Peer.LastContactAt = Now;
+  Progress &Peer = *Sender;
   Peer.LastAckedSentAt = std::max(Peer.LastAckedSentAt, Reply.SentAt);
   Peer.LastApplied = Reply.LastApplied;
   if (!Reply.IsAccepted) {
