Build the only voter and registered workers of cell tests in one place

Five tests wrote the start parameters of a single voter, two the registration of a worker. Assertions are unchanged.

--- a/test/cell/cap_refusal_test.cpp
+++ b/test/cell/cap_refusal_test.cpp
@@ -16,17 +16,8 @@
   CellNode Node;
   std::vector<std::string> Events;
 
-  SingleVoter() : Node{options(), bootstrapGroup({{1, 1}}), Now} {}
-
-  static CellNodeOptions options() {
-    CellNodeOptions Options;
-    Options.Self = 1;
-    Options.Seeds = {1};
-    Options.IsVoter = true;
-    Options.Incarnation = 1;
-    Options.ReplicaParameters = makeCellReplicaOptions(0);
-    return Options;
-  }
+  SingleVoter()
+      : Node{makeSingleVoterOptions(1), bootstrapGroup({{1, 1}}), Now} {}
 
   /// Steps the node until it answers the call, for 5 s at most.
   CellReply call(CellCall Call) {
--- a/test/cell/cell_load.cpp
+++ b/test/cell/cell_load.cpp
@@ -7,6 +7,7 @@
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/cell/message.hpp"
 #include "platform/gateway.hpp"
+#include "support/cell_parts.hpp"
 
 #include <algorithm>
 #include <ctime>
@@ -51,12 +52,7 @@
 public:
   explicit LoadSimulation(const CellLoadOptions &Options) : Options{Options} {
     StoredGroup Stored = bootstrapGroup({{Leader, 1}});
-    CellNodeOptions Node;
-    Node.Self = Leader;
-    Node.Seeds = {Leader};
-    Node.IsVoter = true;
-    Node.Incarnation = 1;
-    Node.ReplicaParameters = makeCellReplicaOptions(0);
+    CellNodeOptions Node = makeSingleVoterOptions(Leader);
     Node.Dispatch.ReportInterval = ReportInterval;
     LeaderNode = std::make_unique<CellNode>(Node, std::move(Stored), Now);
     for (std::size_t Index = 0; Index < Options.Workers; ++Index) {
--- a/test/cell/commit_outcome_test.cpp
+++ b/test/cell/commit_outcome_test.cpp
@@ -17,7 +17,8 @@
 /// that calls can arrive while commands before them are not committed.
 class OneVoterCell {
 public:
-  OneVoterCell() : Node{makeOptions(), bootstrapGroup({{1, 1}}), Now} {
+  OneVoterCell()
+      : Node{makeSingleVoterOptions(1), bootstrapGroup({{1, 1}}), Now} {
     runFor(Millis{1500});
     call(ConfigureCall{makeTestConfiguration(1, 1)});
     runFor(Millis{100});
@@ -87,16 +88,6 @@
   }
 
 private:
-  static CellNodeOptions makeOptions() {
-    CellNodeOptions Options;
-    Options.Self = 1;
-    Options.Seeds = {1};
-    Options.IsVoter = true;
-    Options.Incarnation = 1;
-    Options.ReplicaParameters = makeCellReplicaOptions(0);
-    return Options;
-  }
-
   void step() {
     Now += StepTime;
     CellOutput Output = Node.step(Now, WallTime{Now.time_since_epoch()});
--- a/test/cell/large_entry_test.cpp
+++ b/test/cell/large_entry_test.cpp
@@ -24,23 +24,14 @@
   std::set<std::uint64_t> Answered;
   std::set<std::uint64_t> Refused;
 
-  explicit OneVoterCell(const CellNodeOptions &Options = options())
+  explicit OneVoterCell(
+      const CellNodeOptions &Options = makeSingleVoterOptions(Leader))
       : Node{Options, bootstrapGroup({{Leader, 1}}), Now} {
     run(Millis{1500});
     call(ConfigureCall{makeTestConfiguration(1, 3)});
     run(Millis{100});
   }
 
-  static CellNodeOptions options() {
-    CellNodeOptions Options;
-    Options.Self = Leader;
-    Options.Seeds = {Leader};
-    Options.IsVoter = true;
-    Options.Incarnation = 1;
-    Options.ReplicaParameters = makeCellReplicaOptions(0);
-    return Options;
-  }
-
   void call(CellCall Body) {
     Node.call(NextCall, std::move(Body), Now);
     NextCall += 1;
@@ -137,7 +128,7 @@
 /// Jobs that don't fit into the memory or onto the disk of a voter must be
 /// refused before they are acknowledged.
 TEST(CellLargeEntry, SubmissionBeyondTheStateLimitIsRefused) {
-  CellNodeOptions Options = OneVoterCell::options();
+  CellNodeOptions Options = makeSingleVoterOptions(Leader);
   Options.MaxStateBytes = 50000;
   OneVoterCell Cell{Options};
   for (int Job = 0; Job < 8; ++Job) {
--- a/test/cell/planner_test.cpp
+++ b/test/cell/planner_test.cpp
@@ -19,21 +19,14 @@
   TwoWorkerFixture() {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
     beginDispatch(Dispatch, State, 1, Now, wallNow());
-    registerWorker("a");
-    registerWorker("b");
+    registerTestWorker(Dispatch, State, "a", 4000, Now);
+    registerTestWorker(Dispatch, State, "b", 4000, Now);
   }
 
   [[nodiscard]] WallTime wallNow() const {
     return WallTime{Now.time_since_epoch()};
   }
 
-  void registerWorker(const std::string &Name) {
-    const WorkerReport Report = makeTestReport(Name, 4000);
-    onStateChange(Dispatch, State,
-                  applyCommand(State, RegisterWorkerCommand{Report}), Now);
-    onWorkerReport(Dispatch, findWorker(State, Name), Report, Now);
-  }
-
   void submit(const std::string &Name) {
     JobSpec Spec;
     StepSpec Step;
--- a/test/cell/preemption_test.cpp
+++ b/test/cell/preemption_test.cpp
@@ -28,21 +28,14 @@
     applyCommand(State, ConfigureCommand{Configuration});
     Dispatch.Options.HasPreemption = true;
     beginDispatch(Dispatch, State, 1, Now, wallNow());
-    registerWorker("a");
-    registerWorker("b");
+    registerTestWorker(Dispatch, State, "a", 4000, Now);
+    registerTestWorker(Dispatch, State, "b", 4000, Now);
   }
 
   [[nodiscard]] WallTime wallNow() const {
     return WallTime{Now.time_since_epoch()};
   }
 
-  void registerWorker(const std::string &Name) {
-    const WorkerReport Report = makeTestReport(Name, 4000);
-    onStateChange(Dispatch, State,
-                  applyCommand(State, RegisterWorkerCommand{Report}), Now);
-    onWorkerReport(Dispatch, findWorker(State, Name), Report, Now);
-  }
-
   void submit(const std::string &Name, const std::string &Prefix,
               const StepSpec &Step) {
     JobSpec Spec;
--- a/test/cell/worker_report_test.cpp
+++ b/test/cell/worker_report_test.cpp
@@ -23,7 +23,8 @@
   Instant Now{Millis{Day}};
   std::uint64_t NextCall = 1;
   WorkerReport Good = makeTestReport("good", 4000);
-  CellNode Node{options(), bootstrapGroup({{Leader, 1}}), Now};
+  CellNode Node{makeSingleVoterOptions(Leader), bootstrapGroup({{Leader, 1}}),
+                Now};
   bool IsReporting = true; ///< The worker sends reports.
   std::set<TaskName> Running;
   std::map<TaskName, std::uint32_t> Attempts;
@@ -37,16 +38,6 @@
     run(Millis{100});
   }
 
-  static CellNodeOptions options() {
-    CellNodeOptions Options;
-    Options.Self = Leader;
-    Options.Seeds = {Leader};
-    Options.IsVoter = true;
-    Options.Incarnation = 1;
-    Options.ReplicaParameters = makeCellReplicaOptions(0);
-    return Options;
-  }
-
   void call(CellCall Body) {
     Node.call(NextCall, std::move(Body), Now);
     NextCall += 1;
--- a/test/support/cell_parts.cpp
+++ b/test/support/cell_parts.cpp
@@ -31,4 +31,23 @@
   return Report;
 }
 
+CellNodeOptions makeSingleVoterOptions(NodeId Self) {
+  CellNodeOptions Options;
+  Options.Self = Self;
+  Options.Seeds = {Self};
+  Options.IsVoter = true;
+  Options.Incarnation = 1;
+  Options.ReplicaParameters = makeCellReplicaOptions(0);
+  return Options;
+}
+
+void registerTestWorker(DispatchState &Dispatch, CellState &State,
+                        const std::string &Name, std::int64_t MilliCpus,
+                        Instant Now) {
+  const WorkerReport Report = makeTestReport(Name, MilliCpus);
+  onStateChange(Dispatch, State,
+                applyCommand(State, RegisterWorkerCommand{Report}), Now);
+  onWorkerReport(Dispatch, findWorker(State, Name), Report, Now);
+}
+
 } // namespace mulberryramp::test
--- a/test/support/cell_parts.hpp
+++ b/test/support/cell_parts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/job/state.hpp"
 
 #include <string>
@@ -22,4 +23,13 @@
 [[nodiscard]] WorkerReport makeTestReport(const std::string &Name,
                                           std::int64_t MilliCpus);
 
+/// @brief Builds the start parameters of the only voter of a cell.
+[[nodiscard]] CellNodeOptions makeSingleVoterOptions(NodeId Self);
+
+/// @brief Registers the first instance of a worker of pool "pool" with a leader
+/// and records its first report.
+void registerTestWorker(DispatchState &Dispatch, CellState &State,
+                        const std::string &Name, std::int64_t MilliCpus,
+                        Instant Now);
+
 } // namespace mulberryramp::test
