Record a drain that is logged behind its registration

What callers saw: a worker's drain was confirmed and the worker stayed in use.

Cause: a report of a worker that is not registered yet is proposed as a registration. If the worker reports again before that entry is committed, the second report is proposed as a registration too. At its place in the log the instance is known, so the command changed nothing, and its outcome was Done although the report asked for a drain. With a stalled disk the time between proposal and commit is seconds, and `drain_ms` counts from the confirmation.

Change: a registration of the known instance records its drain. It is never undone, so the order of two reports does not matter.

Ruled out: refusing the second report (the worker would be told that its report did not arrive, and would have to repeat it); waiting for the commit (reports of one worker would queue up behind a slow disk).

Test: ADrainBehindTheRegistrationOfItsInstanceTakesEffect failed before (1 worker left in place of 0) and passes now; unit_cell otherwise unchanged.

--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -394,6 +394,11 @@
     }
     const bool IsKnown =
         Known->Report.StartTimeMs == Command.Report.StartTimeMs;
+    // The report was proposed while the registration of its instance was not
+    // committed. A drain is never undone, also by reports out of order.
+    if (IsKnown && Command.Report.IsDraining) {
+      State.Workers[Previous].Report.IsDraining = true;
+    }
     Change.Outcome = IsKnown ? CommandOutcome::Done : CommandOutcome::Overtaken;
     return Change;
   }
--- a/test/cell/commit_outcome_test.cpp
+++ b/test/cell/commit_outcome_test.cpp
@@ -248,3 +248,16 @@
   STRCMP_EQUAL("", Cell.replyTo(Later).Text.c_str());
   STRCMP_EQUAL("already overtaken", Cell.replyTo(Earlier).Text.c_str());
 }
+
+/// Guards against a worker being told that it drains although only its
+/// registration, which was not committed yet, had an effect.
+TEST(CellCommitOutcome, ADrainBehindTheRegistrationOfItsInstanceTakesEffect) {
+  OneVoterCell Cell;
+  Cell.report("w1", 10, false, "a:1");
+  Cell.runUncommitted();
+  const std::uint64_t Drain = Cell.report("w1", 10, true, "a:1");
+  CHECK(CellVerdict::Done == Cell.verdictOf(Drain));
+  // Only a draining worker can leave.
+  Cell.verdictOf(Cell.call(DeregisterWorkerCall{"w1"}));
+  CHECK_EQUAL(0, Cell.workerCount());
+}
