--- /dev/null
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -0,0 +1,147 @@
+#include "mulberryramp/job/internal.hpp"
+
+/// @file
+/// @brief Commands about workers: registration, drain, capacity and leave.
+
+namespace mulberryramp::internal {
+
+namespace {
+
+/// Calls a visitor for each task that is assigned to a worker instance.
+template <typename Visitor>
+void forEachTaskOn(CellState &State, WorkerInstanceId Worker, Visitor Visit) {
+  for (std::size_t Row = 0; Row < State.Jobs.size(); ++Row) {
+    const JobId Id = State.Jobs.ids()[Row];
+    Job &JobRow = State.Jobs[Id];
+    if (JobRow.AssignedTasks == 0) {
+      continue;
+    }
+    for (JobRun &Run : JobRow.Runs) {
+      for (std::uint32_t Step = 0; Step < Run.Steps.size(); ++Step) {
+        auto &Tasks = Run.Steps[Step].Tasks;
+        for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+          const bool IsAssignedHere =
+              Tasks[Index].State == JobTaskState::Assigned &&
+              Tasks[Index].Worker == Worker;
+          if (IsAssignedHere) {
+            Visit(TaskKey{Id, Run.Number, Step, Index}, Tasks[Index]);
+          }
+        }
+      }
+    }
+  }
+}
+
+void deregisterWorker(CellState &State, WorkerInstanceId Id,
+                      CellChange &Change) {
+  WorkerInstance *Worker = State.Workers.find(Id);
+  if (Worker == nullptr) {
+    return;
+  }
+  forEachTaskOn(State, Id, [&](const TaskKey &Key, JobTask &Task) {
+    unassignTask(State, Key, Task);
+    recordBegin(State.Jobs[Key.Job], EndKind::Lost);
+    Change.Ended.push_back({Key, Task.Attempt, EndKind::Lost, ""});
+  });
+  const auto NameIt = State.WorkerNames.find(Worker->Report.Name);
+  if (NameIt != State.WorkerNames.end() && NameIt->second == Id) {
+    State.WorkerNames.erase(NameIt);
+  }
+  State.Workers.erase(Id);
+}
+
+/// Deregisters the earlier instances under other names at the address of a
+/// worker.
+/// @param Current Instance under the name of the worker, which stays.
+void deregisterPredecessors(CellState &State, const WorkerReport &Report,
+                            WorkerInstanceId Current, CellChange &Change) {
+  std::vector<WorkerInstanceId> Ended;
+  for (const WorkerInstanceId Id : State.Workers.ids()) {
+    const WorkerReport &Other = State.Workers[Id].Report;
+    if (Id != Current && Other.Address == Report.Address &&
+        Other.StartTimeMs < Report.StartTimeMs) {
+      Ended.push_back(Id);
+    }
+  }
+  for (const WorkerInstanceId Id : Ended) {
+    deregisterWorker(State, Id, Change);
+  }
+}
+
+/// Records the first report of an unannounced instance. Its drain state is its
+/// own, as nothing was copied from the previous instance.
+void announceWorker(CellState &State, WorkerInstanceId Id,
+                    const WorkerReport &Report, CellChange &Change) {
+  deregisterPredecessors(State, Report, Id, Change);
+  WorkerInstance &Worker = State.Workers[Id];
+  Worker.Report = Report;
+  Worker.IsUnannounced = false;
+  Change.AnnouncedWorker = Id;
+}
+
+} // namespace
+
+CellChange apply(CellState &State, const RegisterWorkerCommand &Command) {
+  CellChange Change;
+  const WorkerInstanceId Previous = findWorker(State, Command.Report.Name);
+  if (const WorkerInstance *Known = State.Workers.find(Previous);
+      Known != nullptr &&
+      Known->Report.StartTimeMs >= Command.Report.StartTimeMs) {
+    if (Known->IsUnannounced && !Command.IsUnannounced &&
+        Known->Report.StartTimeMs == Command.Report.StartTimeMs) {
+      announceWorker(State, Previous, Command.Report, Change);
+    }
+    const bool IsKnown =
+        Known->Report.StartTimeMs == Command.Report.StartTimeMs;
+    // The report was proposed while the registration of its instance was not
+    // committed. A drain is never undone, also by reports out of order.
+    if (IsKnown && Command.Report.IsDraining) {
+      State.Workers[Previous].Report.IsDraining = true;
+    }
+    Change.Outcome = IsKnown ? CommandOutcome::Done : CommandOutcome::Overtaken;
+    return Change;
+  }
+  deregisterPredecessors(State, Command.Report, Previous, Change);
+  WorkerInstance NewInstance;
+  NewInstance.Report = Command.Report;
+  NewInstance.IsUnannounced = Command.IsUnannounced;
+  const WorkerInstanceId Id = State.Workers.insert(std::move(NewInstance));
+  if (Previous.isSet()) {
+    forEachTaskOn(State, Previous,
+                  [Id](const TaskKey &, JobTask &Task) { Task.Worker = Id; });
+    State.Workers[Id].Used = State.Workers[Previous].Used;
+    State.Workers[Id].Tasks = State.Workers[Previous].Tasks;
+    State.Workers.erase(Previous);
+  }
+  State.WorkerNames[Command.Report.Name] = Id;
+  Change.Worker = Id;
+  Change.ReplacedInstance = Previous;
+  return Change;
+}
+
+CellChange apply(CellState &State, const DrainWorkerCommand &Command) {
+  CellChange Change;
+  if (WorkerInstance *Worker = State.Workers.find(Command.Worker)) {
+    Worker->Report.IsDraining = true;
+  } else {
+    Change.Outcome = CommandOutcome::NoWorker;
+  }
+  return Change;
+}
+
+CellChange apply(CellState &State, const UpdateCapacityCommand &Command) {
+  WorkerInstance *Worker = State.Workers.find(Command.Worker);
+  if (Worker != nullptr && Command.Sequence > Worker->Report.Sequence) {
+    Worker->Report.Capacity = Command.Capacity;
+    Worker->Report.Sequence = Command.Sequence;
+  }
+  return {};
+}
+
+CellChange apply(CellState &State, const DeregisterWorkerCommand &Command) {
+  CellChange Change;
+  deregisterWorker(State, Command.Worker, Change);
+  return Change;
+}
+
+} // namespace mulberryramp::internal
