Decide the leave of a worker at its place in the log

What callers saw: a leave was confirmed and had no effect: the worker stayed registered, and its tasks waited for the end of its lease.

Cause: the leader checked against the applied state whether the worker is registered and drains, and answered Done at once if not. Its registration or its drain may be in the log before the call and not committed yet; then the call is proper and was dropped.

Change: the call is proposed as LeaveWorkerCommand, which names the worker and is checked where it is applied.

Ruled out: waiting with the answer until the log is applied (a second queue of calls beside the log).

Tests: two of CellCommitOutcome (a leave behind a drain, behind a registration) failed before: 1 worker left in place of 0. The third, a late leave behind a later instance, held before and holds now.

--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -83,6 +83,8 @@
     return makeReply(CellVerdict::Refused, "no such worker");
   case CommandOutcome::Overtaken:
     return makeReply(CellVerdict::Done, "already overtaken");
+  case CommandOutcome::NotDraining:
+    return makeReply(CellVerdict::Done, "the worker does not drain");
   }
   return makeReply(CellVerdict::Unknown);
 }
@@ -355,15 +357,10 @@
 
 void CellNode::serve(const PendingCaller &Caller,
                      const DeregisterWorkerCall &Call) {
-  // A late call may come from an earlier instance, so only a draining worker is
-  // deregistered.
-  const WorkerInstanceId Id = findWorker(State, Call.Name);
-  if (!Id.isSet() || !State.Workers[Id].Report.IsDraining) {
-    answer(Caller.From, Caller.Id, makeReply(CellVerdict::Done));
-    return;
-  }
-  Events.push_back("event=worker-left worker=" + Call.Name);
-  propose(Caller, DeregisterWorkerCommand{Id});
+  // The registration or the drain of the worker may not be committed yet, so
+  // the log decides whether the call has an effect.
+  Events.push_back("event=worker-leaves worker=" + Call.Name);
+  propose(Caller, LeaveWorkerCommand{Call.Name});
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -226,6 +226,17 @@
   }
 };
 
+/// @brief Deregisters the current instance of a worker at the worker's own
+/// request. It has no effect unless the instance drains: a late call may come
+/// from an earlier instance.
+struct LeaveWorkerCommand {
+  std::string Name;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&LeaveWorkerCommand::Name);
+  }
+};
+
 /// @brief Any command of the replicated log of a cell. Stored logs name the
 /// alternatives by index, so new ones are appended.
 using CellCommand =
@@ -233,6 +244,6 @@
                  RegisterWorkerCommand, DrainWorkerCommand,
                  DeregisterWorkerCommand, AssignTasksCommand,
                  RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
-                 UpdateCapacityCommand, StripJobsCommand>;
+                 UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand>;
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/internal.hpp
+++ b/src/mulberryramp/job/internal.hpp
@@ -22,5 +22,6 @@
 CellChange apply(CellState &State, const DrainWorkerCommand &Command);
 CellChange apply(CellState &State, const UpdateCapacityCommand &Command);
 CellChange apply(CellState &State, const DeregisterWorkerCommand &Command);
+CellChange apply(CellState &State, const LeaveWorkerCommand &Command);
 
 } // namespace mulberryramp::internal
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -51,14 +51,15 @@
   NoJob,      ///< No such job in the queue; its name may be taken in another.
   NoWorker,   ///< The worker instance is not registered.
   Overtaken,  ///< A later version or instance took effect before.
-  OverCap     ///< A gang of the job is larger than the cap of its organisation.
+  OverCap,    ///< A gang of the job is larger than the cap of its organisation.
+  NotDraining ///< The worker instance does not drain.
 };
 
 /// @brief Names of the outcomes, by value.
-constexpr std::array<std::string_view, 7>
+constexpr std::array<std::string_view, 8>
 nameTable(CommandOutcome /*Outcome*/) noexcept {
   return {"done",      "no-queue",  "invalid-key", "no-job",
-          "no-worker", "overtaken", "over-cap"};
+          "no-worker", "overtaken", "over-cap",    "not-draining"};
 }
 
 /// @brief Effects of one command, for the leader's dispatch state.
--- a/src/mulberryramp/job/worker_commands.cpp
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -144,4 +144,15 @@
   return Change;
 }
 
+CellChange apply(CellState &State, const LeaveWorkerCommand &Command) {
+  CellChange Change;
+  const WorkerInstanceId Id = findWorker(State, Command.Name);
+  if (Id.isSet() && !State.Workers[Id].Report.IsDraining) {
+    Change.Outcome = CommandOutcome::NotDraining;
+    return Change;
+  }
+  deregisterWorker(State, Id, Change);
+  return Change;
+}
+
 } // namespace mulberryramp::internal
--- a/test/cell/commit_outcome_test.cpp
+++ b/test/cell/commit_outcome_test.cpp
@@ -261,3 +261,38 @@
   Cell.verdictOf(Cell.call(DeregisterWorkerCall{"w1"}));
   CHECK_EQUAL(0, Cell.workerCount());
 }
+
+/// Guards against a leave being answered without effect because the drain
+/// before it is not committed yet.
+TEST(CellCommitOutcome, ALeaveBehindTheDrainOfItsInstanceTakesEffect) {
+  OneVoterCell Cell;
+  Cell.verdictOf(Cell.report("w1", 10, false, "a:1"));
+  Cell.report("w1", 10, true, "a:1");
+  Cell.runUncommitted();
+  const std::uint64_t Leave = Cell.call(DeregisterWorkerCall{"w1"});
+  CHECK(CellVerdict::Done == Cell.verdictOf(Leave));
+  CHECK_EQUAL(0, Cell.workerCount());
+}
+
+/// As above, with a draining worker that is not registered yet.
+TEST(CellCommitOutcome, ALeaveBehindTheRegistrationOfItsInstanceTakesEffect) {
+  OneVoterCell Cell;
+  Cell.report("w1", 10, true, "a:1");
+  Cell.runUncommitted();
+  const std::uint64_t Leave = Cell.call(DeregisterWorkerCall{"w1"});
+  CHECK(CellVerdict::Done == Cell.verdictOf(Leave));
+  CHECK_EQUAL(0, Cell.workerCount());
+}
+
+/// Guards against a late leave of an earlier instance removing the one that
+/// replaced it under its name.
+TEST(CellCommitOutcome,
+     ALeaveBehindTheRegistrationOfALaterInstanceHasNoEffect) {
+  OneVoterCell Cell;
+  Cell.verdictOf(Cell.report("w1", 10, true, "a:1"));
+  Cell.report("w1", 20, false, "a:1");
+  Cell.runUncommitted();
+  const std::uint64_t Leave = Cell.call(DeregisterWorkerCall{"w1"});
+  CHECK(CellVerdict::Done == Cell.verdictOf(Leave));
+  CHECK_EQUAL(1, Cell.workerCount());
+}
