Accept a repetition with a key behind the first use of keys

The repetition of an accepted submission was answered 410 although the job exists and its caller may read it.

Cause: two checks of one rule. A caller that reads a job without an organisation may do so with any key, as the job was accepted before its queue needed keys (isVisibleTo). The check in the log, which a repetition reaches if the submission and a configuration that requires keys are before it and not committed yet, asked for the same organisation.

Ruled out: InvalidKey for a repetition whose key was removed in between: the job may be of an earlier transmission of the same call, and 401 says that the call had no effect.

--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -19,15 +19,6 @@
 /// ignored, as it would replace the actual worker for good.
 constexpr Millis MaxStartTimeLead{std::chrono::hours{24}};
 
-/// Tells whether a caller may read and cancel a job of its queue. A job without
-/// an organisation was accepted while its queue needed no key; if the queue
-/// needs one now, each organisation may use the job, as its owner is not known.
-/// @param Caller Organisation of the caller; null if the queue needs no key.
-bool isVisibleTo(const Job &JobRow, const Organisation *Caller) {
-  return Caller == nullptr || JobRow.Organisation.empty() ||
-         JobRow.Organisation == Caller->Name;
-}
-
 /// Number of removed keys that one log line shows.
 constexpr std::size_t MaxShownKeys = 16;
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -252,10 +252,11 @@
   Change.Job = findJob(State, Command.Name);
   if (Change.Job.isSet()) {
     const Job &Existing = State.Jobs[Change.Job];
-    const bool IsInQueue =
-        Existing.Queue.Host == Command.Host &&
-        Existing.Queue.Prefix == Command.Prefix &&
-        (!HasOwner || Owner == nullptr || Existing.Organisation == Owner->Name);
+    // A key that was removed after the call was checked does not deny a job
+    // that an earlier transmission of the call has submitted.
+    const bool IsInQueue = Existing.Queue.Host == Command.Host &&
+                           Existing.Queue.Prefix == Command.Prefix &&
+                           isVisibleTo(Existing, HasOwner ? Owner : nullptr);
     Change.Outcome = IsInQueue ? CommandOutcome::Done : CommandOutcome::NoJob;
     return Change;
   }
@@ -468,6 +469,11 @@
   return Configuration.RequiresKeys && !Queue.IsPublic;
 }
 
+bool isVisibleTo(const Job &JobRow, const Organisation *Caller) noexcept {
+  return Caller == nullptr || JobRow.Organisation.empty() ||
+         JobRow.Organisation == Caller->Name;
+}
+
 const JobTask *findTask(const CellState &State, const TaskKey &Key) noexcept {
   const Job *Owner = State.Jobs.find(Key.Job);
   const JobRun *Run = Owner == nullptr ? nullptr : findRun(*Owner, Key.Run);
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -111,6 +111,14 @@
 [[nodiscard]] bool requiresKey(const CellConfiguration &Configuration,
                                const JobQueue &Queue) noexcept;
 
+/// @brief Tells whether a caller may read, cancel and repeat a job of its
+/// queue. A job without an organisation was accepted while its queue needed no
+/// key; if the queue needs one now, each organisation may use the job, as its
+/// owner is not known.
+/// @param Caller Organisation of the caller; null if the queue needs no key.
+[[nodiscard]] bool isVisibleTo(const Job &JobRow,
+                               const Organisation *Caller) noexcept;
+
 /// @brief Finds a task.
 /// @return The task, or null if its run is done or its job was purged.
 [[nodiscard]] const JobTask *findTask(const CellState &State,
--- a/test/cell/commit_outcome_test.cpp
+++ b/test/cell/commit_outcome_test.cpp
@@ -296,3 +296,14 @@
   CHECK(CellVerdict::Done == Cell.verdictOf(Leave));
   CHECK_EQUAL(1, Cell.workerCount());
 }
+
+/// Guards against the repetition of an accepted submission being denied because
+/// its queue began to require keys before it in the log.
+TEST(CellCommitOutcome, ARepetitionWithAKeyBehindTheFirstUseOfKeysIsDone) {
+  OneVoterCell Cell;
+  const std::uint64_t First = Cell.submit("/q/j", "a");
+  Cell.call(ConfigureCall{makeConfigurationWithKey(2, "a")});
+  const std::uint64_t Repeated = Cell.submit("/q/j", "a");
+  CHECK(CellVerdict::Done == Cell.verdictOf(First));
+  CHECK(CellVerdict::Done == Cell.verdictOf(Repeated));
+}
