Answer a denied cancel as unknown after an earlier transmission

A cancel was answered 401, 404 or 503, which say that it had no effect, although the job was cancelled by it.

Cause: a call without a reply is sent again, also to a new leader. The first transmission may have cancelled the job while its reply was lost; if the queue or the key is removed before the second, the second is denied. For submissions the relay answers 504 then; cancels were passed on as denied.

Change: the same for cancels. 410 is still passed on: it is a proper answer to a cancel, and a cancelled job is kept for its retention.

Ruled out: reports of workers (they are repeated anyway, and a drain or a leave holds however often it is sent) and configurations (never denied once they were proposed).

Test: ADenialAfterAnEarlierTransmissionOfACancelIsUnknown failed before. A second test holds before and after: 410 is passed on.

--- a/src/mulberryramp/cell/relay.cpp
+++ b/src/mulberryramp/cell/relay.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-/// Tells whether a call is the submission of a job.
-bool isSubmission(const CellCall &Body) {
+/// Tells whether a call is an operation of a caller on a job.
+bool isJobCall(const CellCall &Body, JobVerb Verb) {
   const auto *Job = std::get_if<JobCall>(&Body);
-  return Job != nullptr && Job->Verb == JobVerb::Submit;
+  return Job != nullptr && Job->Verb == Verb;
 }
 
 CellReply makeUnknownReply() {
   CellReply Reply;
   Reply.Verdict = CellVerdict::Unknown;
-  Reply.Text = "sent to several leaders; the first may have accepted it";
+  Reply.Text = "sent more than once; an earlier one may have taken effect";
   return Reply;
 }
 
@@ -56,12 +56,24 @@
 }
 
 bool CallRelay::isContradicted(const OpenCall &Call, const CellReply &Reply) {
-  return Call.EarlierMayHaveActed && isSubmission(Call.Body) &&
-         (Reply.Verdict == CellVerdict::Refused ||
-          Reply.Verdict == CellVerdict::NotFound ||
-          Reply.Verdict == CellVerdict::Gone ||
-          Reply.Verdict == CellVerdict::Unauthenticated ||
-          Reply.Verdict == CellVerdict::Overloaded);
+  if (!Call.EarlierMayHaveActed) {
+    return false;
+  }
+  const bool IsSubmission = isJobCall(Call.Body, JobVerb::Submit);
+  switch (Reply.Verdict) {
+  case CellVerdict::Refused:
+  case CellVerdict::NotFound:
+  case CellVerdict::Unauthenticated:
+  case CellVerdict::Overloaded:
+    return IsSubmission || isJobCall(Call.Body, JobVerb::Cancel);
+  case CellVerdict::Gone:
+    // The proper answer to a cancel of a job that no longer exists.
+    return IsSubmission;
+  case CellVerdict::Done:
+  case CellVerdict::Unknown:
+    break;
+  }
+  return false;
 }
 
 void CallRelay::finish(std::uint64_t Id, CellReply Reply) {
--- a/src/mulberryramp/cell/relay.hpp
+++ b/src/mulberryramp/cell/relay.hpp
@@ -92,8 +92,8 @@
     }
   };
 
-  /// Tells whether a reply denies a submission that was sent before and may
-  /// have been accepted then.
+  /// Tells whether a reply denies a submission or a cancel that was sent before
+  /// and may have taken effect then.
   static bool isContradicted(const OpenCall &Call, const CellReply &Reply);
 
   void send(NodeId To, CellBody Body);
--- a/test/cell/relay_test.cpp
+++ b/test/cell/relay_test.cpp
@@ -140,6 +140,44 @@
   }
 }
 
+/// Guards against a caller being told that its cancel had no effect although an
+/// earlier transmission cancelled the job: its reply was lost, and meanwhile
+/// the queue or the key was removed.
+TEST(CellRelay, ADenialAfterAnEarlierTransmissionOfACancelIsUnknown) {
+  for (const CellVerdict Verdict : {CellVerdict::Refused, CellVerdict::NotFound,
+                                    CellVerdict::Unauthenticated}) {
+    RelayFixture Fixture;
+    Fixture.announceLeader(1);
+    Fixture.Relay.call(7, JobCall{JobVerb::Cancel, "", "", {}}, Fixture.Now);
+    (void)Fixture.takeCalls();
+    Fixture.announceLeader(2);
+    CellReply Denial;
+    Denial.Verdict = Verdict;
+    Fixture.Relay.receive(
+        2,
+        RelayedReply{Fixture.takeCalls().front().second, true, false, Denial},
+        Fixture.Now);
+    const auto Replies = Fixture.Relay.drainReplies();
+    CHECK(CellVerdict::Unknown == Replies[0].Reply.Verdict);
+  }
+}
+
+/// Guards against a cancel being left open although its job is known to be
+/// gone: no cancelled job is removed before its retention ends.
+TEST(CellRelay, AGoneJobIsPassedOnToTheCallerOfARepeatedCancel) {
+  RelayFixture Fixture;
+  Fixture.announceLeader(1);
+  Fixture.Relay.call(7, JobCall{JobVerb::Cancel, "", "", {}}, Fixture.Now);
+  (void)Fixture.takeCalls();
+  Fixture.announceLeader(2);
+  CellReply Gone;
+  Gone.Verdict = CellVerdict::Gone;
+  Fixture.Relay.receive(
+      2, RelayedReply{Fixture.takeCalls().front().second, true, false, Gone},
+      Fixture.Now);
+  CHECK(CellVerdict::Gone == Fixture.Relay.drainReplies()[0].Reply.Verdict);
+}
+
 TEST(CellRelay, ADenialOfTheOnlyTransmissionIsPassedOn) {
   RelayFixture Fixture;
   Fixture.announceLeader(1);
