End the term of a leader whose transfer was given up

For up to 216 ms two members answered reads and checked keys as leaders, the former one from a state without what the new one had acknowledged. Commits were never at risk: they need a majority.

Cause: members vote for the target of a transfer although the leader holds a lease. The leader gives the transfer up after 400 ms and served again, but its request could still be under way, in a frozen process or a slow link.

Change: a leader that has sent the request does not regain its lease; if no other member leads by the deadline it ends its term, and the usual election follows. A leader whose target never caught up has sent no request and goes on as before.

Ruled out: a longer deadline (a frozen target has none); letting members keep to the lease after the deadline (they do not know it).

--- a/src/mulberryramp/replica/election.cpp
+++ b/src/mulberryramp/replica/election.cpp
@@ -12,6 +12,7 @@
   State.VotesReceived.clear();
   State.Peers.clear();
   State.TransferTarget.reset();
+  State.HasRequestedElection = false;
   State.IsLeaderTransfer = false;
   appendAsLeader(State, EntryKind::Noop, "");
   State.TermStartIndex = lastIndex(State);
--- a/src/mulberryramp/replica/log.cpp
+++ b/src/mulberryramp/replica/log.cpp
@@ -66,6 +66,7 @@
   State.Role = ReplicaRole::Follower;
   State.VotesReceived.clear();
   State.TransferTarget.reset();
+  State.HasRequestedElection = false;
   State.IsLeaderTransfer = false;
   for (auto &[To, Peer] : State.Peers) {
     Peer.Transfer.reset();
--- a/src/mulberryramp/replica/membership.cpp
+++ b/src/mulberryramp/replica/membership.cpp
@@ -182,6 +182,7 @@
   State.Leader = State.Self;
   State.Peers.clear();
   State.TransferTarget.reset();
+  State.HasRequestedElection = false;
   appendAsLeader(State, EntryKind::Recovery, encodeMembership({{State.Self}}));
   State.TermStartIndex = lastIndex(State);
   State.NextHeartbeatAt = Now;
--- a/src/mulberryramp/replica/replica.cpp
+++ b/src/mulberryramp/replica/replica.cpp
@@ -27,6 +27,12 @@
     return;
   }
   if (State.TransferTarget && Now >= State.TransferDeadline) {
+    if (State.HasRequestedElection) {
+      // The request may still arrive, and voters ignore the lease of this term
+      // for it, so this leader must not regain its lease.
+      becomeFollower(State, Now, State.Hard.CurrentTerm);
+      return;
+    }
     State.TransferTarget.reset();
   }
   if (isWitness(State, State.Self.Node) && !State.TransferTarget) {
@@ -50,6 +56,7 @@
   const auto ProgressIt = State.Peers.find(*State.TransferTarget);
   if (ProgressIt != State.Peers.end() &&
       ProgressIt->second.MatchIndex == lastIndex(State)) {
+    State.HasRequestedElection = true;
     send(State, *State.TransferTarget,
          TimeoutNowRequest{State.Hard.CurrentTerm});
   }
--- a/src/mulberryramp/replica/replica.hpp
+++ b/src/mulberryramp/replica/replica.hpp
@@ -123,6 +123,8 @@
   LogIndex TermStartIndex = 0; ///< First entry of this leader's term.
   std::optional<Member> TransferTarget;
   Instant TransferDeadline;
+  /// The target was asked to start an election in the term of this leader.
+  bool HasRequestedElection = false;
   bool IsLeaderTransfer = false; ///< The current election follows a transfer.
 
   Instant ElectionDeadline;
--- a/test/replica/replica_test.cpp
+++ b/test/replica/replica_test.cpp
@@ -1,5 +1,6 @@
-#include "mulberryramp/replica/replica.hpp"
+#include "mulberryramp/replica/internal.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -231,6 +232,57 @@
   CHECK(Fixture.leader() != &OldLeader);
 }
 
+/// Guards against two leaders at the same time: voters ignore the lease of a
+/// leader that has asked a member to be elected, also if the request arrives
+/// after the transfer was given up.
+TEST(ReplicaGroup, AGivenUpTransferLeavesNoLeaseToTheOldLeader) {
+  ReplicaGroupFixture Fixture{3};
+  Fixture.advance(1500);
+  Replica &OldLeader = *Fixture.leader();
+  transferLeadership(OldLeader, Fixture.Now);
+  tick(OldLeader, Fixture.Now);
+  const auto RequestIt = std::find_if(
+      OldLeader.Outbox.begin(), OldLeader.Outbox.end(),
+      [](const ReplicaMessage &Message) {
+        return std::holds_alternative<TimeoutNowRequest>(Message.Body);
+      });
+  CHECK(RequestIt != OldLeader.Outbox.end());
+  const ReplicaMessage Delayed = *RequestIt;
+  Replica &Target = Fixture.Members[Delayed.To.Node];
+  Fixture.PartitionedLinks.insert({OldLeader.Self.Node, Target.Self.Node});
+  Fixture.advance(OldLeader.Options.ElectionTimeoutMax.count());
+  Fixture.PartitionedLinks.clear();
+  Fixture.advance(100);
+  Fixture.isolate(OldLeader.Self.Node);
+  receive(Target, Fixture.Now, Delayed);
+  for (int Round = 0; Round < 30; ++Round) {
+    Fixture.advance(20);
+    const auto Leaders = std::count_if(
+        Fixture.Members.begin(), Fixture.Members.end(), [&](const auto &Row) {
+          return canServeAsLeader(Row.second, Fixture.Now);
+        });
+    CHECK(Leaders <= 1);
+  }
+}
+
+/// Guards against a leader giving up its term although it has not asked any
+/// member to be elected.
+TEST(ReplicaGroup, ATransferToAMemberThatNeverCatchesUpIsGivenUp) {
+  ReplicaGroupFixture Fixture{3};
+  Fixture.advance(1500);
+  Replica &Leader = *Fixture.leader();
+  const Term LeaderTerm = Leader.Hard.CurrentTerm;
+  transferLeadership(Leader, Fixture.Now);
+  CHECK(Leader.TransferTarget.has_value());
+  const NodeId Target = Leader.TransferTarget->Node;
+  // An entry that the target does not get.
+  Fixture.PartitionedLinks.insert({Leader.Self.Node, Target});
+  internal::appendAsLeader(Leader, EntryKind::Command, "x");
+  Fixture.advance(Leader.Options.ElectionTimeoutMax.count() + 100);
+  CHECK(canServeAsLeader(Leader, Fixture.Now));
+  CHECK_EQUAL(LeaderTerm, Leader.Hard.CurrentTerm);
+}
+
 /// A candidate with the longer log but an older term learns the newer term from
 /// the rejection of its pre-vote. Otherwise nobody could win the election.
 TEST(ReplicaGroup, MemberWithTheLongerLogIsElectedDespiteAnOlderTerm) {
