Say whether an unfinished job of a schedule crashes workers

Its line now tells jobs that crash workers from sound ones that wait behind them, and how many crashes their tasks met.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -1315,7 +1315,8 @@
               ? 1
               : 0;
       if (!IsTerminal && !IsLongRunning && !Job.CancelledAt) {
-        recordViolation("job " + Name + " is not done");
+        recordViolation("job " + Name +
+                        " is not done: " + describeUnfinished(Name, Job));
       }
       if (IsLongRunning && !Job.CancelledAt) {
         checkLongRunning(Name, Job);
@@ -1323,6 +1324,31 @@
     }
   }
 
+  /// Tells whether an unfinished job crashes workers, and how its tasks met
+  /// crashes.
+  std::string describeUnfinished(const std::string &Name,
+                                 const TrackedJob &Job) const {
+    std::uint32_t Met = 0;
+    std::size_t Sole = 0;
+    Instant LastAt{};
+    for (const auto &[Task, Count] : Crashes) {
+      if (Task.Job == Name) {
+        Met += Count;
+        LastAt = std::max(LastAt, LastCrashAt.at(Task));
+      }
+    }
+    for (const auto &[Task, Counted] : SoleCrashes) {
+      Sole += Task.Job == Name ? Counted.size() : 0;
+    }
+    std::string Text = isCrashingJob(Job) ? "crashes workers" : "sound";
+    Text += ", " + std::to_string(Met) + " crashes met";
+    if (Met != 0) {
+      Text += ", " + std::to_string(Sole) + " as the only suspect, the last " +
+              std::to_string((Now - LastAt).count()) + " ms ago";
+    }
+    return Text;
+  }
+
   /// Checks that the tasks of a long-running job run, unless all workers are
   /// full.
   void checkLongRunning(const std::string &Name, const TrackedJob &Job) {
