Split the trials of suspects and the choice of queried workers

Moves only: cell/trials has when and where a task that may crash its worker is started again (from crash_attribution and the planner), cell/query_candidates the workers that a query to the advisor names, schedulable_workers three checks that both need. The rule for a common cause is a function of its own.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -1,7 +1,7 @@
 #include "mulberryramp/cell/answers.hpp"
 
-#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
+#include "mulberryramp/cell/trials.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -1,25 +1,19 @@
 #include "mulberryramp/cell/crash_attribution.hpp"
 
 #include "mulberryramp/cell/orders.hpp"
-#include "mulberryramp/core/random.hpp"
+#include "mulberryramp/cell/trials.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace mulberryramp {
 
 namespace {
 
-/// Workers of a rack that stop to answer within this time may have crashed for
-/// the same reason.
-constexpr Millis SameCauseWindow{1000};
 /// Crashes are kept for this long, as the workers of a rack return one by one.
 constexpr Millis MaxRestartTime{10000};
 
-/// Backoff of a suspect after its second crash, and its longest one.
-constexpr Millis MinTrialBackoff{1000};
-constexpr Millis MaxTrialBackoff{30000};
-
 /// An attempt that ran, or may have run, on the crashed worker.
 struct CrashedAttempt {
   TaskKey Key;
@@ -96,10 +90,10 @@
   Dispatch.RecentCrashes.push_back({Rack, CrashedAt});
   const auto IsSameTime = [CrashedAt](Instant SilentSince) {
     return std::max(SilentSince, CrashedAt) - std::min(SilentSince, CrashedAt) <
-           SameCauseWindow;
+           CommonCauseWindow;
   };
-  std::int64_t Workers = 0;
-  std::int64_t Affected = 0;
+  std::size_t Workers = 0;
+  std::size_t Affected = 0;
   for (const auto &[Id, Session] : Dispatch.Sessions) {
     if (State.Workers.contains(Id) && Session.Rack == Rack) {
       Workers += 1;
@@ -108,12 +102,12 @@
                                                                             : 0;
     }
   }
-  Affected += std::count_if(
+  Affected += static_cast<std::size_t>(std::count_if(
       Dispatch.RecentCrashes.begin(), Dispatch.RecentCrashes.end(),
       [&](const WorkerCrash &Crash) {
         return Crash.Rack == Rack && IsSameTime(Crash.SilentSince);
-      });
-  return Affected > 1 && Affected * 2 >= Workers;
+      }));
+  return isCommonCause(Affected, Workers);
 }
 
 /// Tells whether an attempt counts among the probable causes: those that were
@@ -130,17 +124,6 @@
                                               : EndKind::CrashedWithOthers;
 }
 
-/// Spreads the trials of different tasks. Two that wait equally long would
-/// crash their workers at the same time again and again, so that neither is the
-/// only suspect.
-Millis trialDelay(const TaskKey &Key, const JobTask &Task, Millis Backoff) {
-  const std::uint64_t Place = (std::uint64_t{Key.Job.Slot} << 32U) ^
-                              (std::uint64_t{Key.Step} << 16U) ^ Key.Task;
-  Random Spread{Place * 31 + Task.Crashes + Task.PossibleCrashes};
-  const auto MaxDelay = static_cast<std::uint64_t>(Backoff.count() / 2);
-  return Millis{static_cast<std::int64_t>(Spread.below(MaxDelay))};
-}
-
 } // namespace
 
 void attributeCrash(DispatchState &Dispatch, const CellState &State,
@@ -191,57 +174,6 @@
                             " rack_crashed=" + (HasCommonCause ? "yes" : "no"));
 }
 
-std::set<TaskKey> collectUnresolvedTasks(const DispatchState &Dispatch,
-                                         Instant Now) {
-  std::set<TaskKey> Tasks;
-  for (const auto &[Id, Session] : Dispatch.Sessions) {
-    if (Session.ConsecutiveMisses != 0 && Now < Session.LeaseEnd) {
-      for (const OrphanedStart &Orphan : Session.Orphans) {
-        Tasks.insert(Orphan.Key);
-      }
-    }
-  }
-  return Tasks;
-}
-
-bool maySuspectCrash(const std::set<TaskKey> &Unresolved, const TaskKey &Key,
-                     const JobTask &Task) {
-  return isCrashSuspect(Task) || Unresolved.contains(Key);
-}
-
-Millis trialBackoff(const JobTask &Task) noexcept {
-  Millis Backoff{0};
-  for (std::uint32_t Crash = 2; Crash <= Task.Crashes + Task.PossibleCrashes &&
-                                Backoff < MaxTrialBackoff;
-       ++Crash) {
-    Backoff = std::clamp(Backoff * 2, MinTrialBackoff, MaxTrialBackoff);
-  }
-  return Backoff;
-}
-
-bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
-                const JobTask &Task, Instant Now) {
-  const Millis Backoff = trialBackoff(Task);
-  if (Backoff == Millis{0}) {
-    return true;
-  }
-  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
-  return Now - (CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
-                                                      : CrashIt->second) >=
-         Backoff + trialDelay(Key, Task, Backoff);
-}
-
-bool isGangTrialDue(const DispatchState &Dispatch, const StepKey &Key,
-                    const JobStep &Step, Instant Now) {
-  for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-    if (!isTrialDue(Dispatch, {Key.Job, Key.Run, Key.Step, Index},
-                    Step.Tasks[Index], Now)) {
-      return false;
-    }
-  }
-  return true;
-}
-
 void proposeCrashEnds(DispatchState &Dispatch, WallTime WallNow) {
   if (Dispatch.CrashEnds.empty()) {
     return;
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -1,6 +1,5 @@
 #include "mulberryramp/cell/orders.hpp"
-
-#include "mulberryramp/cell/crash_attribution.hpp"
+#include "mulberryramp/cell/trials.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -105,6 +105,31 @@
           std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end());
 }
 
+bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
+                 const StepSpec &Step, const StepAdvice *Advice, Instant Now) {
+  return isFeasible(Snapshot, Owner, Step, Now) &&
+         (Advice == nullptr || !Advice->Denied.contains(Snapshot.Worker));
+}
+
+TaskCounts countTasks(const JobStep &Step) {
+  TaskCounts Counts;
+  for (const JobTask &Task : Step.Tasks) {
+    if (Task.State == JobTaskState::Assigned) {
+      Counts[Task.Worker] += 1;
+    }
+  }
+  return Counts;
+}
+
+bool isAtMaxPerWorker(const StepSpec &Step, const WorkerSnapshot &Snapshot,
+                      const TaskCounts &Counts) {
+  if (Step.MaxPerWorker == 0) {
+    return false;
+  }
+  const auto Count = Counts.find(Snapshot.Worker);
+  return Count != Counts.end() && Count->second >= Step.MaxPerWorker;
+}
+
 double scoreWorker(const WorkerSnapshot &Snapshot, const StepSpec &Step,
                    const Resources &Need, const JobTask *Task) {
   const Resources Remaining = Snapshot.Available - Need;
--- a/src/mulberryramp/cell/schedulable_workers.hpp
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -63,6 +63,24 @@
 [[nodiscard]] bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
                               const StepSpec &Step, Instant Now);
 
+/// @brief Tells whether a worker may run a step, as far as the advisor has
+/// decided.
+/// @param Advice Advice on the step, or null if it needs none.
+[[nodiscard]] bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
+                               const StepSpec &Step, const StepAdvice *Advice,
+                               Instant Now);
+
+/// @brief Tasks of a step on each worker.
+using TaskCounts = std::map<WorkerInstanceId, std::uint32_t>;
+
+/// @brief Counts the assigned tasks of a step by worker.
+[[nodiscard]] TaskCounts countTasks(const JobStep &Step);
+
+/// @brief Tells whether a worker has as many tasks of a step as it may have.
+[[nodiscard]] bool isAtMaxPerWorker(const StepSpec &Step,
+                                    const WorkerSnapshot &Snapshot,
+                                    const TaskCounts &Counts);
+
 /// @brief Computes the score of a worker for a step; lower is better.
 /// @param Need Resources of a task of the step.
 /// @param Task The task, or null if it is not yet chosen.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -1,14 +1,15 @@
 #include "mulberryramp/cell/start_planner.hpp"
 
 #include "mulberryramp/cell/advice.hpp"
-#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/cell/preemption.hpp"
+#include "mulberryramp/cell/query_candidates.hpp"
 #include "mulberryramp/cell/reservation.hpp"
 #include "mulberryramp/cell/run_time.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
 #include "mulberryramp/cell/step_order.hpp"
+#include "mulberryramp/cell/trials.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -17,27 +18,12 @@
 
 namespace {
 
-/// Fraction of the unknown workers, on which the advisor has not yet decided,
-/// that it is expected to admit.
-constexpr double ExpectedAdmissionRate = 0.4;
-/// Expected capacity that a query covers, as a multiple of the unplaced tasks.
-constexpr double QueryCapacityFactor = 1.5;
-/// A query that names unknown workers names at least this many, if available.
-constexpr std::size_t MinUnknownWorkers = 8;
 /// Shortest time between two choices of tasks to stop; their cost grows with
 /// the number of workers.
 constexpr Millis PreemptionInterval{40};
 /// A step waits for this part of the latency target of its queue before tasks
 /// are stopped for it: tasks that end meanwhile may leave enough room.
 constexpr int PreemptionDelayDivisor = 6;
-/// A step that has no room seeks admission to as many workers as it has
-/// unplaced tasks, within these bounds.
-constexpr std::size_t MinAdmittedWorkers = 4;
-constexpr std::size_t MaxAdmittedWorkers = 16;
-/// Distance between the first busy workers that consecutive jobs ask about.
-constexpr std::size_t BusyCandidateStride = 31;
-/// Score of a busy worker; above that of any worker with room.
-constexpr double BusyCandidateScore = 1000;
 /// Pause of queries for a step after no candidate was found.
 constexpr Millis NoCandidateBackoff{60};
 /// A reservation is planned again after this time.
@@ -55,9 +41,6 @@
 /// Score penalty, per task on the worker, for a task that may crash it.
 constexpr double SuspectCompanyPenalty = 0.2;
 
-/// One in this many suspects of a step is started at a time.
-constexpr std::size_t SuspectsPerTrial = 4;
-
 /// One planning pass.
 class StartPlanner {
 public:
@@ -88,18 +71,6 @@
   }
 
 private:
-  using TaskCounts = std::map<WorkerInstanceId, std::uint32_t>;
-
-  static bool isAtMaxPerWorker(const StepSpec &Step,
-                               const WorkerSnapshot &Snapshot,
-                               const TaskCounts &Counts) {
-    if (Step.MaxPerWorker == 0) {
-      return false;
-    }
-    const auto Count = Counts.find(Snapshot.Worker);
-    return Count != Counts.end() && Count->second >= Step.MaxPerWorker;
-  }
-
   /// Chooses the worker with the lowest score for a task, or null.
   /// @param Advice Advice on the step, or null if it needs none.
   /// @param Rack Rack that the worker must be on, or null for any.
@@ -148,35 +119,6 @@
     return maySuspectCrash(Unresolved, Key, Task);
   }
 
-  /// Computes how many suspects of a step may be started now. They are tried a
-  /// few at a time, and none while one of them may have crashed its worker.
-  std::size_t trialsOf(const StepKey &Key, const JobStep &Step) const {
-    std::size_t Suspects = 0;
-    std::size_t OnTrial = 0;
-    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-      const JobTask &Task = Step.Tasks[Index];
-      if (Task.State == JobTaskState::Done || !isCrashSuspect(Task)) {
-        continue;
-      }
-      Suspects += 1;
-      const auto LaunchIt =
-          Dispatch.Launches.find({Key.Job, Key.Run, Key.Step, Index});
-      if (LaunchIt == Dispatch.Launches.end()) {
-        continue;
-      }
-      const auto SessionIt =
-          Dispatch.Sessions.find(LaunchIt->second.Assignment.Worker);
-      if (SessionIt != Dispatch.Sessions.end() &&
-          SessionIt->second.ConsecutiveMisses != 0) {
-        return 0;
-      }
-      OnTrial += Now - LaunchIt->second.StartedAt < CrashWindow ? 1 : 0;
-    }
-    const std::size_t Limit =
-        (Suspects + SuspectsPerTrial - 1) / SuspectsPerTrial;
-    return Limit - std::min(Limit, OnTrial);
-  }
-
   bool isSuspectGang(const StepKey &Key, const JobStep &Step) const {
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       if (isSuspect({Key.Job, Key.Run, Key.Step, Index}, Step.Tasks[Index])) {
@@ -203,16 +145,6 @@
     return Use == nullptr || fitsInCap(*Use, Spec.Need, Tasks);
   }
 
-  static TaskCounts countTasks(const JobStep &Step) {
-    TaskCounts Counts;
-    for (const JobTask &Task : Step.Tasks) {
-      if (Task.State == JobTaskState::Assigned) {
-        Counts[Task.Worker] += 1;
-      }
-    }
-    return Counts;
-  }
-
   void planStep(const PendingStep &Pending) {
     const StepKey &Key = Pending.Key;
     const Job &Owner = State.Jobs[Key.Job];
@@ -282,19 +214,6 @@
     }
   }
 
-  /// Tells whether a worker may run a step, as far as the advisor has decided.
-  /// @param Advice Advice on the step, or null if it needs none.
-  bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
-                   const StepSpec &Spec, const StepAdvice *Advice) const {
-    return isFeasible(Snapshot, Owner, Spec, Now) &&
-           (Advice == nullptr || !Advice->Denied.contains(Snapshot.Worker));
-  }
-
-  /// Tells whether the advisor has not yet decided on a worker.
-  static bool isUnknown(const StepAdvice *Advice, WorkerInstanceId Worker) {
-    return Advice != nullptr && !Advice->Admitted.contains(Worker);
-  }
-
   /// Tells whether the workers that may run a step are expected to have room
   /// for its unplaced tasks now.
   bool hasRoom(const Job &Owner, const StepSpec &Spec, const StepAdvice *Advice,
@@ -303,7 +222,7 @@
     double Room = 0;
     for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
       if (!fitsIn(Need, Snapshot.Available) ||
-          !isCandidate(Snapshot, Owner, Spec, Advice)) {
+          !isCandidate(Snapshot, Owner, Spec, Advice, Now)) {
         continue;
       }
       Room +=
@@ -373,7 +292,7 @@
     std::vector<ExpectedSlot> Slots;
     std::vector<ExpectedSlot> UnknownSlots;
     for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
-      if (!isCandidate(Snapshot, Owner, Spec, Advice)) {
+      if (!isCandidate(Snapshot, Owner, Spec, Advice, Now)) {
         continue;
       }
       const auto OnWorker = slotsOn(Snapshot, Spec, Unplaced);
@@ -448,7 +367,7 @@
     // sort has room either. Suspects need workers without a recent start.
     bool HasRoom = true;
     bool HasRoomForSuspect = true;
-    std::size_t Trials = trialsOf(Key, Step);
+    std::size_t Trials = countTrials(Dispatch, Key, Step, Now);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       const JobTask &Task = Step.Tasks[Index];
       const TaskKey Candidate{Key.Job, Key.Run, Key.Step, Index};
@@ -546,112 +465,20 @@
     return true;
   }
 
-  /// Worker that a query may name.
-  struct Candidate {
-    bool IsUnknown = false; ///< The advisor has not yet decided on it.
-    double Score = 0;
-    WorkerInstanceId Worker;
-    double ExpectedTasks = 0; ///< Expected number of tasks that it can run.
-
-    bool operator<(const Candidate &Other) const {
-      return std::tie(IsUnknown, Score, Worker) <
-             std::tie(Other.IsUnknown, Other.Score, Other.Worker);
-    }
-  };
-
-  /// Adds workers without room for a step, so that the advisor has decided on
-  /// them by the time that a task there ends. Otherwise each part of a worker
-  /// that becomes free stays idle for the answer time of the advisor.
-  void addBusyCandidates(const StepKey &Key, const Job &Owner,
-                         const StepSpec &Spec, const StepAdvice &Advice,
-                         std::size_t Unplaced,
-                         std::vector<Candidate> &Candidates) const {
-    const std::size_t Wanted =
-        std::clamp(Unplaced, MinAdmittedWorkers, MaxAdmittedWorkers);
-    const auto Admitted = static_cast<std::size_t>(std::count_if(
-        Advice.Admitted.begin(), Advice.Admitted.end(),
-        [this](const auto &Row) { return Now < Row.second.ExpiresAt; }));
-    if (Admitted >= Wanted || Schedulable.Rows.empty()) {
-      return;
-    }
-    const Resources Need = requiredResources(Spec);
-    const std::size_t Count = Schedulable.Rows.size();
-    // Steps begin at different workers, so that they do not all wait for the
-    // same ones.
-    const std::size_t First =
-        (Key.Job.Slot * BusyCandidateStride + Advice.Denied.size()) % Count;
-    for (std::size_t Offset = 0;
-         Offset < Count && Candidates.size() < MaxQueryWorkers; ++Offset) {
-      const WorkerSnapshot &Snapshot =
-          Schedulable.Rows[(First + Offset) % Count];
-      if (fitsIn(Need, Snapshot.Available) ||
-          !fitsIn(Need, Snapshot.Instance->Report.Capacity) ||
-          !isCandidate(Snapshot, Owner, Spec, &Advice) ||
-          isAdmitted(Advice, Snapshot.Worker, Now)) {
-        continue;
-      }
-      Candidates.push_back({true, BusyCandidateScore, Snapshot.Worker, 0});
-    }
-  }
-
-  /// Queries the advisor about workers with enough free resources: first those
-  /// whose ticket expired, then those it has not decided on.
+  /// Queries the advisor about workers for the unplaced tasks of a step.
   void queryWorkers(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
                     const JobStep &Step, std::size_t Unplaced) {
-    const StepAdvice &Advice = Dispatch.Advice[Key];
+    StepAdvice &Advice = Dispatch.Advice[Key];
     if (!canQueryAdvisor(Dispatch, Advice, *Owner.Queue.Advice, Now)) {
       return;
     }
-    const Resources Need = requiredResources(Spec);
-    const TaskCounts Counts = countTasks(Step);
-    std::vector<Candidate> Candidates;
-    double ExpectedRoom = 0;
-    for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
-      if (!fitsIn(Need, Snapshot.Available) ||
-          !isCandidate(Snapshot, Owner, Spec, &Advice) ||
-          isAdmitted(Advice, Snapshot.Worker, Now) ||
-          isAtMaxPerWorker(Spec, Snapshot, Counts)) {
-        continue;
-      }
-      const bool IsUnknown = isUnknown(&Advice, Snapshot.Worker);
-      Candidates.push_back({IsUnknown,
-                            scoreWorker(Snapshot, Spec, Need, nullptr),
-                            Snapshot.Worker,
-                            (IsUnknown ? ExpectedAdmissionRate : 1.0) *
-                                taskCapacity(Snapshot, Spec)});
-      ExpectedRoom += Candidates.back().ExpectedTasks;
-    }
-    if (Dispatch.Options.HasPreemption &&
-        ExpectedRoom < static_cast<double>(Unplaced)) {
-      addBusyCandidates(Key, Owner, Spec, Advice, Unplaced, Candidates);
-    }
-    if (Candidates.empty()) {
-      Dispatch.Advice[Key].RetryAt = Now + NoCandidateBackoff;
+    const std::vector<WorkerInstanceId> Workers =
+        chooseQueryWorkers({Key, Owner, Spec, Step, Advice}, Unplaced,
+                           Schedulable, Dispatch.Options.HasPreemption, Now);
+    if (Workers.empty()) {
+      Advice.RetryAt = Now + NoCandidateBackoff;
       return;
     }
-    const std::size_t WorkerCount =
-        std::min(MaxQueryWorkers, Candidates.size());
-    std::partial_sort(Candidates.begin(),
-                      Candidates.begin() +
-                          static_cast<std::ptrdiff_t>(WorkerCount),
-                      Candidates.end());
-    Candidates.resize(WorkerCount);
-    std::vector<WorkerInstanceId> Workers;
-    std::size_t UnknownWorkers = 0;
-    double ExpectedTasks = 0;
-    for (const Candidate &Choice : Candidates) {
-      const bool IsEnough =
-          ExpectedTasks >=
-              QueryCapacityFactor * static_cast<double>(Unplaced) &&
-          (!Choice.IsUnknown || UnknownWorkers == 0 ||
-           UnknownWorkers >= MinUnknownWorkers);
-      if (IsEnough) {
-        break;
-      }
-      Workers.push_back(Choice.Worker);
-      ExpectedTasks += Choice.ExpectedTasks;
-      UnknownWorkers += Choice.IsUnknown ? 1 : 0;
-    }
     queryAdvisor(Dispatch, State, Key, *Owner.Queue.Advice, Workers, Now);
   }
 
--- /dev/null
+++ b/src/mulberryramp/cell/trials.cpp
@@ -0,0 +1,109 @@
+#include "mulberryramp/cell/trials.hpp"
+
+#include "mulberryramp/cell/crash_attribution.hpp"
+#include "mulberryramp/core/random.hpp"
+
+#include <algorithm>
+
+namespace mulberryramp {
+
+namespace {
+
+/// Backoff of a suspect after its second crash.
+constexpr Millis MinTrialBackoff{1000};
+/// One in this many suspects of a step is started at a time.
+constexpr std::size_t SuspectsPerTrial = 4;
+
+/// Spreads the trials of different tasks. Two that wait equally long would
+/// crash their workers at the same time again and again, so that neither is the
+/// only suspect.
+Millis trialDelay(const TaskKey &Key, const JobTask &Task, Millis Backoff) {
+  const std::uint64_t Place = (std::uint64_t{Key.Job.Slot} << 32U) ^
+                              (std::uint64_t{Key.Step} << 16U) ^ Key.Task;
+  Random Spread{Place * 31 + Task.Crashes + Task.PossibleCrashes};
+  const auto MaxDelay = static_cast<std::uint64_t>(Backoff.count() / 2);
+  return Millis{static_cast<std::int64_t>(Spread.below(MaxDelay))};
+}
+
+} // namespace
+
+std::set<TaskKey> collectUnresolvedTasks(const DispatchState &Dispatch,
+                                         Instant Now) {
+  std::set<TaskKey> Tasks;
+  for (const auto &[Id, Session] : Dispatch.Sessions) {
+    if (Session.ConsecutiveMisses != 0 && Now < Session.LeaseEnd) {
+      for (const OrphanedStart &Orphan : Session.Orphans) {
+        Tasks.insert(Orphan.Key);
+      }
+    }
+  }
+  return Tasks;
+}
+
+bool maySuspectCrash(const std::set<TaskKey> &Unresolved, const TaskKey &Key,
+                     const JobTask &Task) {
+  return isCrashSuspect(Task) || Unresolved.contains(Key);
+}
+
+Millis trialBackoff(const JobTask &Task) noexcept {
+  Millis Backoff{0};
+  for (std::uint32_t Crash = 2; Crash <= Task.Crashes + Task.PossibleCrashes &&
+                                Backoff < MaxTrialBackoff;
+       ++Crash) {
+    Backoff = std::clamp(Backoff * 2, MinTrialBackoff, MaxTrialBackoff);
+  }
+  return Backoff;
+}
+
+bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
+                const JobTask &Task, Instant Now) {
+  const Millis Backoff = trialBackoff(Task);
+  if (Backoff == Millis{0}) {
+    return true;
+  }
+  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
+  return Now - (CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
+                                                      : CrashIt->second) >=
+         Backoff + trialDelay(Key, Task, Backoff);
+}
+
+bool isGangTrialDue(const DispatchState &Dispatch, const StepKey &Key,
+                    const JobStep &Step, Instant Now) {
+  for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+    if (!isTrialDue(Dispatch, {Key.Job, Key.Run, Key.Step, Index},
+                    Step.Tasks[Index], Now)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::size_t countTrials(const DispatchState &Dispatch, const StepKey &Key,
+                        const JobStep &Step, Instant Now) {
+  std::size_t Suspects = 0;
+  std::size_t OnTrial = 0;
+  for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+    const JobTask &Task = Step.Tasks[Index];
+    if (Task.State == JobTaskState::Done || !isCrashSuspect(Task)) {
+      continue;
+    }
+    Suspects += 1;
+    const auto LaunchIt =
+        Dispatch.Launches.find({Key.Job, Key.Run, Key.Step, Index});
+    if (LaunchIt == Dispatch.Launches.end()) {
+      continue;
+    }
+    const auto SessionIt =
+        Dispatch.Sessions.find(LaunchIt->second.Assignment.Worker);
+    if (SessionIt != Dispatch.Sessions.end() &&
+        SessionIt->second.ConsecutiveMisses != 0) {
+      return 0;
+    }
+    OnTrial += Now - LaunchIt->second.StartedAt < CrashWindow ? 1 : 0;
+  }
+  const std::size_t Limit =
+      (Suspects + SuspectsPerTrial - 1) / SuspectsPerTrial;
+  return Limit - std::min(Limit, OnTrial);
+}
+
+} // namespace mulberryramp
--- /dev/null
+++ b/src/mulberryramp/cell/trials.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "mulberryramp/cell/dispatcher.hpp"
+
+#include <set>
+
+/// @file
+/// @brief When and where tasks that may crash their worker are started again.
+
+namespace mulberryramp {
+
+/// @brief Longest backoff of a suspect.
+inline constexpr Millis MaxTrialBackoff{30000};
+
+/// @brief Collects the tasks with an attempt that was presumed lost while its
+/// lease still runs and its worker does not answer. The worker may have crashed
+/// under it.
+[[nodiscard]] std::set<TaskKey>
+collectUnresolvedTasks(const DispatchState &Dispatch, Instant Now);
+
+/// @brief Tells whether a task may crash the worker that starts it.
+/// @param Unresolved Result of `collectUnresolvedTasks`.
+[[nodiscard]] bool maySuspectCrash(const std::set<TaskKey> &Unresolved,
+                                   const TaskKey &Key, const JobTask &Task);
+
+/// @brief Computes how long after a crash a suspect is started again: 1 s after
+/// the second crash, twice as long after each further one, at most 30 s.
+[[nodiscard]] Millis trialBackoff(const JobTask &Task) noexcept;
+
+/// @brief Tells whether the backoff of a task after its last crash is over,
+/// with up to half of it added, which differs from task to task. For a crash
+/// that an earlier leader saw it begins with the term of this leader.
+[[nodiscard]] bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
+                              const JobTask &Task, Instant Now);
+
+/// @brief Tells whether `isTrialDue` holds for all members of a gang.
+[[nodiscard]] bool isGangTrialDue(const DispatchState &Dispatch,
+                                  const StepKey &Key, const JobStep &Step,
+                                  Instant Now);
+
+/// @brief Computes how many suspects of a step may be started now. They are
+/// tried a few at a time, and none while one of them may have crashed its
+/// worker.
+[[nodiscard]] std::size_t countTrials(const DispatchState &Dispatch,
+                                      const StepKey &Key, const JobStep &Step,
+                                      Instant Now);
+
+} // namespace mulberryramp
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -2,6 +2,7 @@
 #include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/start_planner.hpp"
+#include "mulberryramp/cell/trials.hpp"
 #include "support/cell_parts.hpp"
 
 #include <CppUTest/TestHarness.h>
