Try suspects so that their crashes can be told apart

What callers saw: a job whose task crashes every worker that starts it was never given up and took a worker down every 30 s to 45 s.

If half of the workers of a rack crash within 1 s no task is blamed, and in a rack of four that is two trials of suspects which begin at about the same time. Each such crash also doubles the backoff up to 30 s, so that few trials were left; there was no bound.

Change: a suspect that has waited for its backoff is started only in a rack where the crashes that are under way could not look like a common cause, with its own: in a rack of four 1.5 s after the trial before, in one of eight up to three at a time. Suspects with one crash and gangs are placed as before.

Ruled out: a shorter backoff or a higher count (the crashes still coincide); leaving out the rule of the common cause for suspects (a rack that crashes for its own reasons would fail sound jobs).

Tests: SuspectsOfASmallRackAreTriedOneAfterTheOther failed before (2 starts in place of 1); SuspectsOfALargeRackAreTriedTogether holds before and after. Their fixture lets workers that are not silent list what they run.

--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -205,10 +205,13 @@
   Open.HasLease = true;
   Dispatch.Counters.Starts += 1;
   Session.LastStartAt = Now;
-  if (maySuspectCrash(Unresolved, Assigned.Key,
-                      *findTask(State, Assigned.Key))) {
+  const JobTask &Task = *findTask(State, Assigned.Key);
+  if (maySuspectCrash(Unresolved, Assigned.Key, Task)) {
     Session.SuspectStartedAt = Now;
   }
+  if (trialBackoff(Task) != Millis{0}) {
+    Session.TrialStartedAt = Now;
+  }
   send(Dispatch, std::move(Order), Open, Assigned.Worker, Now);
   if (Session.RenewalOrder == 0) {
     Session.NextRenewalAt =
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace mulberryramp {
 
@@ -41,6 +42,14 @@
 /// Score penalty, per task on the worker, for a task that may crash it.
 constexpr double SuspectCompanyPenalty = 0.2;
 
+/// Risk that a task crashes the worker that starts it; each value restricts the
+/// workers further.
+enum class CrashRisk : std::uint8_t {
+  None,
+  Suspect, ///< It needs a worker without a recent start.
+  Trial    ///< It has waited for its backoff, and needs a rack without others.
+};
+
 /// One planning pass.
 class StartPlanner {
 public:
@@ -51,6 +60,7 @@
   std::vector<TaskAssignment> plan() {
     Schedulable = snapshotWorkers(Dispatch, State, Now);
     Unresolved = collectUnresolvedTasks(Dispatch, Now);
+    Racks = collectRackTrials(Dispatch, State, Now);
     Dispatch.Backlog.clear();
     const PendingSteps Steps =
         collectPendingSteps(Dispatch, State, Now, WallNow);
@@ -75,11 +85,10 @@
   /// @param Advice Advice on the step, or null if it needs none.
   /// @param Rack Rack that the worker must be on, or null for any.
   /// @param Counts Tasks of the step on each worker.
-  /// @param IsSuspect The task may crash the worker that starts it.
   WorkerSnapshot *pickBestWorker(const Job &Owner, const StepSpec &Step,
                                  const StepAdvice *Advice, const JobTask *Task,
                                  const std::string *Rack,
-                                 const TaskCounts &Counts, bool IsSuspect) {
+                                 const TaskCounts &Counts, CrashRisk Risk) {
     const Resources Need = requiredResources(Step);
     WorkerSnapshot *Best = nullptr;
     double BestScore = std::numeric_limits<double>::max();
@@ -87,12 +96,14 @@
       if (!fitsIn(Need, Snapshot.Available) ||
           !isFeasible(Snapshot, Owner, Step, Now) ||
           (Rack != nullptr && Snapshot.Instance->Report.Rack != *Rack) ||
-          (IsSuspect && Snapshot.HasRecentStart) ||
+          (Risk != CrashRisk::None && Snapshot.HasRecentStart) ||
+          (Risk == CrashRisk::Trial &&
+           !canBeginTrial(Racks[Snapshot.Instance->Report.Rack])) ||
           isAtMaxPerWorker(Step, Snapshot, Counts)) {
         return;
       }
       double Score = scoreWorker(Snapshot, Step, Need, Task);
-      if (IsSuspect) {
+      if (Risk != CrashRisk::None) {
         Score += SuspectCompanyPenalty * Snapshot.Instance->Tasks;
       }
       if (Score < BestScore) {
@@ -115,17 +126,24 @@
     return Best;
   }
 
-  bool isSuspect(const TaskKey &Key, const JobTask &Task) const {
-    return maySuspectCrash(Unresolved, Key, Task);
+  CrashRisk riskOf(const TaskKey &Key, const JobTask &Task) const {
+    if (trialBackoff(Task) != Millis{0}) {
+      return CrashRisk::Trial;
+    }
+    return maySuspectCrash(Unresolved, Key, Task) ? CrashRisk::Suspect
+                                                  : CrashRisk::None;
   }
 
-  bool isSuspectGang(const StepKey &Key, const JobStep &Step) const {
+  /// Members crash several workers at the same time anyway, so that a gang
+  /// needs no rack without other trials.
+  CrashRisk riskOfGang(const StepKey &Key, const JobStep &Step) const {
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-      if (isSuspect({Key.Job, Key.Run, Key.Step, Index}, Step.Tasks[Index])) {
-        return true;
+      const TaskKey Member{Key.Job, Key.Run, Key.Step, Index};
+      if (maySuspectCrash(Unresolved, Member, Step.Tasks[Index])) {
+        return CrashRisk::Suspect;
       }
     }
-    return false;
+    return CrashRisk::None;
   }
 
   void reserveWorker(WorkerSnapshot &Snapshot, const StepSpec &Step,
@@ -363,10 +381,9 @@
                         const StepAdvice *Advice) {
     auto Counts = countTasks(Step);
     std::size_t Unplaced = 0;
-    // The tasks of a step need the same, so that no further one of the same
-    // sort has room either. Suspects need workers without a recent start.
-    bool HasRoom = true;
-    bool HasRoomForSuspect = true;
+    // The tasks of a step need the same, so that no further one of the same or
+    // a higher risk has room either.
+    std::optional<CrashRisk> LowestWithoutRoom;
     std::size_t Trials = countTrials(Dispatch, Key, Step, Now);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       const JobTask &Task = Step.Tasks[Index];
@@ -375,17 +392,17 @@
           !isTrialDue(Dispatch, Candidate, Task, Now)) {
         continue;
       }
-      const bool IsSuspect = isSuspect(Candidate, Task);
+      const CrashRisk Risk = riskOf(Candidate, Task);
       const bool IsTrial = isCrashSuspect(Task);
-      const bool MayFit = HasRoom && (HasRoomForSuspect || !IsSuspect) &&
+      const bool MayFit = (!LowestWithoutRoom || Risk < *LowestWithoutRoom) &&
                           (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
       WorkerSnapshot *Chosen = MayFit
                                    ? pickBestWorker(Owner, Spec, Advice, &Task,
-                                                    nullptr, Counts, IsSuspect)
+                                                    nullptr, Counts, Risk)
                                    : nullptr;
       if (Chosen == nullptr) {
         if (MayFit) {
-          (IsSuspect ? HasRoomForSuspect : HasRoom) = false;
+          LowestWithoutRoom = Risk;
         }
         Unplaced += 1;
         continue;
@@ -394,7 +411,9 @@
       Counts[Chosen->Worker] += 1;
       reserveWorker(*Chosen, Spec, Candidate, Task.Attempt + 1);
       Chosen->HasRecentStart = true;
-      Chosen->HasRecentSuspect = IsSuspect;
+      Chosen->HasRecentSuspect = Risk != CrashRisk::None;
+      Racks[Chosen->Instance->Report.Rack].Affected +=
+          Risk == CrashRisk::Trial ? 1 : 0;
     }
     return Unplaced;
   }
@@ -440,10 +459,10 @@
       Attempt = std::max(Attempt, Task.Attempt + 1);
     }
     TaskCounts Counts;
-    const bool IsSuspect = isSuspectGang(Key, Step);
+    const CrashRisk Risk = riskOfGang(Key, Step);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       WorkerSnapshot *Chosen = pickBestWorker(
-          Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts, IsSuspect);
+          Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts, Risk);
       if (Chosen == nullptr) {
         Schedulable.Rows = SavedSnapshots;
         Assignments.resize(AssignmentCount);
@@ -460,7 +479,7 @@
     for (const auto &[Worker, Count] : Counts) {
       WorkerSnapshot &Snapshot = *findSnapshot(Schedulable, Worker);
       Snapshot.HasRecentStart = true;
-      Snapshot.HasRecentSuspect = IsSuspect;
+      Snapshot.HasRecentSuspect = Risk != CrashRisk::None;
     }
     return true;
   }
@@ -503,6 +522,7 @@
   /// no organisations.
   OrganisationUse *Use = nullptr;
   std::set<TaskKey> Unresolved; ///< See `collectUnresolvedTasks`.
+  std::map<std::string, RackTrials> Racks;
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
   std::vector<TaskAssignment> Assignments;
--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -13,6 +13,10 @@
 constexpr Millis MinTrialBackoff{1000};
 /// One in this many suspects of a step is started at a time.
 constexpr std::size_t SuspectsPerTrial = 4;
+/// A worker crashes up to `CrashWindow` after the start of the task that causes
+/// it, and two crashes have no common cause if they are further apart than
+/// `CommonCauseWindow`.
+constexpr Millis TrialWindow = CrashWindow + CommonCauseWindow;
 
 /// Spreads the trials of different tasks. Two that wait equally long would
 /// crash their workers at the same time again and again, so that neither is the
@@ -106,4 +110,31 @@
   return Limit - std::min(Limit, OnTrial);
 }
 
+std::map<std::string, RackTrials>
+collectRackTrials(const DispatchState &Dispatch, const CellState &State,
+                  Instant Now) {
+  std::map<std::string, RackTrials> Racks;
+  for (const auto &[Id, Session] : Dispatch.Sessions) {
+    if (!State.Workers.contains(Id)) {
+      continue;
+    }
+    RackTrials &Rack = Racks[Session.Rack];
+    Rack.Workers += 1;
+    const bool IsOnTrial = Session.TrialStartedAt != Instant{} &&
+                           Now - Session.TrialStartedAt < TrialWindow;
+    const bool IsSilent = Session.ConsecutiveMisses != 0 &&
+                          Now - Session.SilentSince < CommonCauseWindow;
+    Rack.Affected += IsOnTrial || IsSilent ? 1 : 0;
+  }
+  for (const WorkerCrash &Crash : Dispatch.RecentCrashes) {
+    Racks[Crash.Rack].Affected +=
+        Now - Crash.SilentSince < CommonCauseWindow ? 1 : 0;
+  }
+  return Racks;
+}
+
+bool canBeginTrial(const RackTrials &Rack) noexcept {
+  return !isCommonCause(Rack.Affected + 1, Rack.Workers);
+}
+
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/trials.hpp
+++ b/src/mulberryramp/cell/trials.hpp
@@ -2,7 +2,9 @@
 
 #include "mulberryramp/cell/dispatcher.hpp"
 
+#include <map>
 #include <set>
+#include <string>
 
 /// @file
 /// @brief When and where tasks that may crash their worker are started again.
@@ -45,4 +47,21 @@
                                       const StepKey &Key, const JobStep &Step,
                                       Instant Now);
 
+/// @brief Workers of a rack, and those among them that may crash, or crashed,
+/// at about the same time as one that begins a trial now.
+struct RackTrials {
+  std::size_t Workers = 0;
+  std::size_t Affected = 0;
+};
+
+/// @brief Collects the trials of tasks that are in their backoff, and recent
+/// crashes, by rack.
+[[nodiscard]] std::map<std::string, RackTrials>
+collectRackTrials(const DispatchState &Dispatch, const CellState &State,
+                  Instant Now);
+
+/// @brief Tells whether one more trial may begin in a rack: the crashes that it
+/// and the others may cause still show a single task as the cause of each.
+[[nodiscard]] bool canBeginTrial(const RackTrials &Rack) noexcept;
+
 } // namespace mulberryramp
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -16,7 +16,10 @@
 /// address.
 class CrashFixture {
 public:
-  explicit CrashFixture(int Workers, std::uint32_t MaxAttempts = 3) {
+  /// @param Rack Rack of all workers; empty: each has a rack of its own.
+  explicit CrashFixture(int Workers, std::uint32_t MaxAttempts = 3,
+                        std::string Rack = "")
+      : Rack{std::move(Rack)} {
     applyCommand(State,
                  ConfigureCommand{makeTestConfiguration(1, MaxAttempts)});
     beginDispatch(Dispatch, State, 1, Now, wallNow());
@@ -60,9 +63,10 @@
       Dispatch.TouchedWorkers.insert(findWorker(State, Worker));
       renewTouched(Dispatch, State, Now);
       for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
-        answer(Order.Id, Silent.contains(Order.Worker)
-                             ? OrderVerdict::Unanswered
-                             : OrderVerdict::Done);
+        answer(Order.Id,
+               Silent.contains(Order.Worker) ? OrderVerdict::Unanswered
+                                             : OrderVerdict::Done,
+               listTasks(Order.Worker));
       }
     }
     applyCommands();
@@ -82,6 +86,15 @@
     restart(Worker, NewName);
   }
 
+  /// Lets two workers crash at the same time, and return.
+  void crashBoth(const std::string &First, const std::string &Second) {
+    Silent.insert(Second);
+    silence(First);
+    silence(Second);
+    restart(First, First + "-next");
+    restart(Second, Second + "-next");
+  }
+
   void announceExit(const std::string &Worker) {
     const WorkerInstanceId Id = findWorker(State, Worker);
     WorkerReport Report = State.Workers[Id].Report;
@@ -156,7 +169,7 @@
   void registerWorker(const std::string &Name, const std::string &Host) {
     WorkerReport Report = makeTestReport(Name, 4000);
     Report.Address = Host + ":1";
-    Report.Rack = Host;
+    Report.Rack = Rack.empty() ? Host : Rack;
     LastStartTimeMs += 1;
     Report.StartTimeMs = LastStartTimeMs;
     onStateChange(Dispatch, State,
@@ -205,6 +218,7 @@
     }
   }
 
+  std::string Rack;
   CellState State;
   DispatchState Dispatch;
   Instant Now{Millis{100000}};
@@ -349,6 +363,42 @@
   CHECK_EQUAL(1, Cell.task("good", 0).Crashes);
 }
 
+/// Guards against suspects that are never given up because they crash half of
+/// their rack at the same time again and again, which looks like one cause for
+/// all of them.
+TEST(CellCrash, SuspectsOfASmallRackAreTriedOneAfterTheOther) {
+  CrashFixture Cell{4, 3, "rack"};
+  Cell.submit("bad", 1);
+  Cell.submit("worse", 1);
+  CHECK_EQUAL(2, Cell.start());
+  CHECK_EQUAL(Cell.workerOf("bad", 0), Cell.workerOf("worse", 0));
+  Cell.crash(Cell.workerOf("bad", 0), "n1");
+  Cell.pass(Millis{3000});
+  CHECK_EQUAL(2, Cell.start());
+  Cell.crashBoth(Cell.workerOf("bad", 0), Cell.workerOf("worse", 0));
+  Cell.pass(Millis{30000});
+  CHECK_EQUAL(1, Cell.start());
+  Cell.pass(Millis{1400});
+  CHECK_EQUAL(0, Cell.start());
+  Cell.pass(Millis{200});
+  CHECK_EQUAL(1, Cell.start());
+}
+
+/// Guards against sound tasks being held back in a rack that is large enough to
+/// tell the crashes of a few suspects from a common cause.
+TEST(CellCrash, SuspectsOfALargeRackAreTriedTogether) {
+  CrashFixture Cell{8, 3, "rack"};
+  Cell.submit("bad", 1);
+  Cell.submit("worse", 1);
+  CHECK_EQUAL(2, Cell.start());
+  Cell.crash(Cell.workerOf("bad", 0), "n1");
+  Cell.pass(Millis{3000});
+  CHECK_EQUAL(2, Cell.start());
+  Cell.crashBoth(Cell.workerOf("bad", 0), Cell.workerOf("worse", 0));
+  Cell.pass(Millis{30000});
+  CHECK_EQUAL(2, Cell.start());
+}
+
 /// Guards against starts beside a task that may crash the worker at once.
 TEST(CellCrash, NoTaskIsStartedBesideASuspectThatWasJustStarted) {
   CrashFixture Cell{1};
