Blame no task alone if another start was near the crash

What callers saw: nothing.

No order to the worker was open at the crash, as the renewal before had just been answered, so the leader noticed it 35 ms later and dated it so; with the 10 ms before the start arrived, the other start seemed to be 505 ms old, and the crash was blamed on one task alone. On a slower link or disk the delay is longer.

Change: a start up to 600 ms before a crash keeps another task from being blamed alone (SuspectWindow); a task itself is still blamed only within 500 ms. Starts beside suspects are kept apart by the same 600 ms, and trials in a small rack by 1,600 ms.

Ruled out: a longer tolerance in the check, which would hide the wrong blame.

Test: AStartJustBeforeTheCrashWindowIsASuspectToo failed before.

--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -50,9 +50,9 @@
   std::vector<CrashedAttempt> Attempts;
   const auto Add = [&](CrashedAttempt Attempt, Instant StartedAt,
                        bool IsRecovered) {
-    Attempt.IsRecent = StartedAt + CrashWindow >= CrashedAt;
-    Attempt.HasKnownStart =
-        !IsRecovered && Attempt.IsRecent && StartedAt <= CrashedAt;
+    Attempt.IsRecent = StartedAt + SuspectWindow >= CrashedAt;
+    Attempt.HasKnownStart = !IsRecovered && StartedAt <= CrashedAt &&
+                            StartedAt + CrashWindow >= CrashedAt;
     // A task that crashes its worker at once is gone before its start can be
     // confirmed.
     Attempt.IsCertain =
--- a/src/mulberryramp/cell/crash_attribution.hpp
+++ b/src/mulberryramp/cell/crash_attribution.hpp
@@ -14,6 +14,11 @@
 /// that were started within this time, so that a crash shows its cause.
 inline constexpr Millis CrashWindow{500};
 
+/// @brief A start this soon before a crash keeps another task from being blamed
+/// alone. A crash is dated to the first order that fails, which is later than
+/// the crash if no order was open, as between two renewals.
+inline constexpr Millis SuspectWindow = CrashWindow + Millis{100};
+
 /// @brief Workers of a rack that stop to answer within this time may have
 /// crashed for the same reason.
 inline constexpr Millis CommonCauseWindow{1000};
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -33,8 +33,8 @@
               *Snapshot.ReservedFrom);
 }
 
-bool isWithinCrashWindow(Instant StartedAt, Instant Now) {
-  return StartedAt != Instant{} && Now - StartedAt < CrashWindow;
+bool isWithinSuspectWindow(Instant StartedAt, Instant Now) {
+  return StartedAt != Instant{} && Now - StartedAt < SuspectWindow;
 }
 
 void addToPool(SchedulableWorkers &Workers, const WorkerReport &Report) {
@@ -67,9 +67,9 @@
     Snapshot.HasLatencyViolation = Session.HasLatencyViolation;
     Snapshot.HadRecentMiss = Session.LastMissAt != Instant{} &&
                              Now - Session.LastMissAt < OrderLossWindow;
-    Snapshot.HasRecentStart = isWithinCrashWindow(Session.LastStartAt, Now);
+    Snapshot.HasRecentStart = isWithinSuspectWindow(Session.LastStartAt, Now);
     Snapshot.HasRecentSuspect =
-        isWithinCrashWindow(Session.SuspectStartedAt, Now);
+        isWithinSuspectWindow(Session.SuspectStartedAt, Now);
     for (const TaskKey &Key : Session.Tasks) {
       const StepSpec *Spec = findStepSpec(State, Key);
       Snapshot.LongRunningTasks +=
--- a/src/mulberryramp/cell/schedulable_workers.hpp
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -24,8 +24,8 @@
   /// A service there exceeds its tail latency limit.
   bool HasLatencyViolation = false;
   bool HadRecentMiss = false;  ///< An order went unanswered recently.
-  bool HasRecentStart = false; ///< A task was started within `CrashWindow`.
-  /// A task that may crash workers was started within `CrashWindow`.
+  bool HasRecentStart = false; ///< A task was started within `SuspectWindow`.
+  /// A task that may crash workers was started within `SuspectWindow`.
   bool HasRecentSuspect = false;
   /// When a step that was planned before needs the worker, if one reserved it.
   std::optional<Instant> ReservedFrom;
--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -13,10 +13,10 @@
 constexpr Millis MinTrialBackoff{1000};
 /// One in this many suspects of a step is started at a time.
 constexpr std::size_t SuspectsPerTrial = 4;
-/// A worker crashes up to `CrashWindow` after the start of the task that causes
-/// it, and two crashes have no common cause if they are further apart than
+/// The crash that a task causes is dated up to `SuspectWindow` after its start,
+/// and two crashes have no common cause if they are further apart than
 /// `CommonCauseWindow`.
-constexpr Millis TrialWindow = CrashWindow + CommonCauseWindow;
+constexpr Millis TrialWindow = SuspectWindow + CommonCauseWindow;
 
 /// Spreads the trials of different tasks. Two that wait equally long would
 /// crash their workers at the same time again and again, so that neither is the
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -295,6 +295,21 @@
   CHECK_EQUAL(1, Cell.task("good", 0).Crashes);
 }
 
+/// Guards against a task being blamed alone although another was started within
+/// `CrashWindow` before the crash: the leader notices a crash with a delay.
+TEST(CellCrash, AStartJustBeforeTheCrashWindowIsASuspectToo) {
+  CrashFixture Cell{1};
+  Cell.submit("other", 1);
+  CHECK_EQUAL(1, Cell.start());
+  Cell.pass(CrashWindow + Millis{50} - RenewalRetryInterval);
+  Cell.submit("bad", 1);
+  CHECK_EQUAL(1, Cell.start());
+  // The first order fails one renewal later.
+  Cell.crash("w0", "n1");
+  CHECK_EQUAL(1, Cell.task("bad", 0).Crashes);
+  CHECK_EQUAL(0, Cell.task("bad", 0).SoleCrashes);
+}
+
 /// Guards against a job being failed by a leader that recovered its task and
 /// takes the beginning of its own term for the start.
 TEST(CellCrash, ACrashAfterAChangeOfLeaderDoesNotCountAsOneAfterTheStart) {
