Split failed jobs of schedules by their cause

The explorer counted jobs without a crashing task that ended as failed, but not why. It now also counts those of them of which no task ended `failed` as often as its queue allows. checkFailed is the same check, in two functions.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -771,20 +771,40 @@
   /// allows, or that was as often the only one that workers had just started
   /// when they crashed. No other crash may fail a job.
   void checkFailed(const std::string &Name, const TrackedJob &Job) {
+    if (!hasFailedEnough(Name, Job) && !hasCrashedEnough(Name, Job)) {
+      recordViolation("job " + Name + " is failed without failures or crashes");
+    }
+  }
+
+  /// Tells whether a task of a job ended as failed as often as its queue
+  /// allows.
+  bool hasFailedEnough(const std::string &Name, const TrackedJob &Job) {
     for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
       std::uint32_t FailuresOfStep = 0;
       for (std::uint32_t Task = 0; Task < Job.Spec.Steps[Step].Tasks; ++Task) {
-        const TaskName Key{Name, 0, Step, Task};
         // The failures of a gang count for all of its members.
         FailuresOfStep = (Job.Spec.Steps[Step].IsGang ? FailuresOfStep : 0) +
-                         FailedEnds[Key];
-        if (FailuresOfStep >= MaxAttempts ||
-            SoleCrashes[Key].size() >= MinSoleCrashesToGiveUp) {
-          return;
+                         FailedEnds[{Name, 0, Step, Task}];
+        if (FailuresOfStep >= MaxAttempts) {
+          return true;
         }
       }
     }
-    recordViolation("job " + Name + " is failed without failures or crashes");
+    return false;
+  }
+
+  /// Tells whether enough workers crashed under a task of a job that was the
+  /// only suspect.
+  bool hasCrashedEnough(const std::string &Name, const TrackedJob &Job) {
+    for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
+      for (std::uint32_t Task = 0; Task < Job.Spec.Steps[Step].Tasks; ++Task) {
+        if (SoleCrashes[{Name, 0, Step, Task}].size() >=
+            MinSoleCrashesToGiveUp) {
+          return true;
+        }
+      }
+    }
+    return false;
   }
 
   void checkCompleted(const std::string &Name, const TrackedJob &Job) {
@@ -1309,10 +1329,10 @@
       const bool IsTerminal = Job.Phase && isTerminal(*Job.Phase);
       Result.Completed +=
           Job.Phase && *Job.Phase == JobPhase::Completed ? 1 : 0;
-      Result.FailedBystanders +=
-          Job.Phase && !isCrashingJob(Job) && *Job.Phase == JobPhase::Failed
-              ? 1
-              : 0;
+      if (Job.Phase && !isCrashingJob(Job) && *Job.Phase == JobPhase::Failed) {
+        Result.FailedBystanders += 1;
+        Result.BystandersFailedByCrashes += hasFailedEnough(Name, Job) ? 0 : 1;
+      }
       if (!IsTerminal && !IsLongRunning && !Job.CancelledAt) {
         recordViolation("job " + Name +
                         " is not done: " + describeUnfinished(Name, Job));
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -76,6 +76,8 @@
   std::uint64_t MaxTaskCrashesOfJob = 0;
   /// Jobs without a crashing task that ended as failed.
   std::uint64_t FailedBystanders = 0;
+  /// Those of them of which no task ended as failed as often as it may.
+  std::uint64_t BystandersFailedByCrashes = 0;
   std::uint64_t KeyChecks = 0; ///< Answers whose key was checked.
 };
 
--- a/test/cell/explore_main.cpp
+++ b/test/cell/explore_main.cpp
@@ -22,6 +22,7 @@
   std::uint64_t LeaderChanges = 0;
   std::uint64_t TaskCrashes = 0;
   std::uint64_t FailedBystanders = 0;
+  std::uint64_t BystandersFailedByCrashes = 0;
   std::uint64_t KeyChecks = 0;
 };
 
@@ -50,6 +51,7 @@
   Total.LeaderChanges += Result.LeaderChanges;
   Total.TaskCrashes += Result.TaskCrashes;
   Total.FailedBystanders += Result.FailedBystanders;
+  Total.BystandersFailedByCrashes += Result.BystandersFailedByCrashes;
   Total.KeyChecks += Result.KeyChecks;
   if (Result.TaskCrashes != 0) {
     std::cout << "seed " << Options.Seed << ": workers crashed by tasks "
@@ -120,7 +122,8 @@
               << "answers with a checked key " << Total.KeyChecks << '\n'
               << "workers crashed by tasks " << Total.TaskCrashes
               << ", failed jobs without a crashing task "
-              << Total.FailedBystanders << '\n'
+              << Total.FailedBystanders << ", of these by crashes "
+              << Total.BystandersFailedByCrashes << '\n'
               << "schedules " << (EndSeed - FirstSeed) << ", violations "
               << Total.Violations << '\n';
     return Total.Violations == 0 ? 0 : 1;
