--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -60,7 +60,6 @@
   std::vector<TaskAssignment> plan() {
     Schedulable = snapshotWorkers(Dispatch, State, Now);
     Unresolved = collectUnresolvedTasks(Dispatch, Now);
-    Racks = collectRackTrials(Dispatch, State, Now);
     Dispatch.Backlog.clear();
     const PendingSteps Steps =
         collectPendingSteps(Dispatch, State, Now, WallNow);
@@ -98,7 +97,7 @@
           (Rack != nullptr && Snapshot.Instance->Report.Rack != *Rack) ||
           (Risk != CrashRisk::None && Snapshot.HasRecentStart) ||
           (Risk == CrashRisk::Trial &&
-           !canBeginTrial(Racks[Snapshot.Instance->Report.Rack])) ||
+           !canBeginTrial(trialsIn(Snapshot.Instance->Report.Rack))) ||
           isAtMaxPerWorker(Step, Snapshot, Counts)) {
         return;
       }
@@ -126,6 +125,13 @@
     return Best;
   }
 
+  RackTrials &trialsIn(const std::string &Rack) {
+    if (!Racks) {
+      Racks = collectRackTrials(Dispatch, State, Now);
+    }
+    return (*Racks)[Rack];
+  }
+
   CrashRisk riskOf(const TaskKey &Key, const JobTask &Task) const {
     if (trialBackoff(Task) != Millis{0}) {
       return CrashRisk::Trial;
@@ -412,8 +418,9 @@
       reserveWorker(*Chosen, Spec, Candidate, Task.Attempt + 1);
       Chosen->HasRecentStart = true;
       Chosen->HasRecentSuspect = Risk != CrashRisk::None;
-      Racks[Chosen->Instance->Report.Rack].Affected +=
-          Risk == CrashRisk::Trial ? 1 : 0;
+      if (Risk == CrashRisk::Trial) {
+        trialsIn(Chosen->Instance->Report.Rack).Affected += 1;
+      }
     }
     return Unplaced;
   }
@@ -522,7 +529,8 @@
   /// no organisations.
   OrganisationUse *Use = nullptr;
   std::set<TaskKey> Unresolved; ///< See `collectUnresolvedTasks`.
-  std::map<std::string, RackTrials> Racks;
+  /// Trials by rack; collected when first needed, as most passes have none.
+  std::optional<std::map<std::string, RackTrials>> Racks;
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
   std::vector<TaskAssignment> Assignments;
