--- a/src/mulberryramp/cell/crash_attribution.hpp
+++ b/src/mulberryramp/cell/crash_attribution.hpp
@@ -10,13 +10,14 @@
 namespace mulberryramp {
 
 /// @brief A worker that crashes this soon after a start was probably crashed by
-/// the started task. A task that may crash workers shares no worker with tasks
-/// that were started within this time, so that a crash shows its cause.
+/// the started task.
 inline constexpr Millis CrashWindow{500};
 
 /// @brief A start this soon before a crash keeps another task from being blamed
 /// alone. A crash is dated to the first order that fails, which is later than
-/// the crash if no order was open, as between two renewals.
+/// the crash if no order was open, as between two renewals. A task that may
+/// crash workers shares no worker with tasks that were started within this
+/// time, so that a crash shows its cause.
 inline constexpr Millis SuspectWindow = CrashWindow + Millis{100};
 
 /// @brief Workers of a rack that stop to answer within this time may have
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -1,4 +1,5 @@
 #include "mulberryramp/cell/orders.hpp"
+
 #include "mulberryramp/cell/trials.hpp"
 
 #include <algorithm>
