Explore drains, leaves and hand-overs

The explorer gets two kinds of faults. drain-worker: a worker drains, in half of the cases right after a restart, works on and leaves; no task may start on it 100 ms after its drain was confirmed. hand-over: a voter gives up its leadership and stops later.

--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -1,6 +1,7 @@
 #include "cell/cell_world.hpp"
 
 #include "cell/cap_schedule.hpp"
+#include "cell/drain_schedule.hpp"
 #include "cell/fake_worker.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/cell/crash_attribution.hpp"
@@ -83,6 +84,7 @@
   Instant DownUntil;
   Instant PartitionedUntil;
   Instant DiskStalledUntil;
+  Instant StopsAt; ///< When its process ends after a hand-over, if it is set.
   bool IsGone = false;
 };
 
@@ -349,6 +351,7 @@
     Voter.PendingWrite.reset();
     Voter.Files.crash(Rng.below(40));
     Voter.DownUntil = Now + Downtime;
+    Voter.StopsAt = Instant{};
   }
 
   void freezeVoter(NodeId Id, VoterState &Voter, Millis Time) {
@@ -374,12 +377,13 @@
       Disturbances.push_back({Now, State.PartitionedUntil, Name, false});
     }
     if (shouldInject(CellFault::RestartWorker, 1500) && !State.IsDown) {
-      countCrash(Name, State);
-      State.Worker->restart(Now);
-      State.ProcessGeneration += 1;
-      State.PendingRenewals.clear();
+      restartWorker(Name, State);
       State.ReportAt = Now + randomDuration(0, 300);
     }
+    if (shouldInject(CellFault::DrainWorker, 800) && !State.IsDown &&
+        !Drains.contains(Name)) {
+      beginDrain(Name, State);
+    }
     if (shouldInject(CellFault::DelayOrders, 600)) {
       DelayOrdersUntil = Now + randomDuration(200, 1500);
     }
@@ -414,6 +418,32 @@
     }
   }
 
+  void restartWorker(const std::string &Name, WorkerState &State) {
+    countCrash(Name, State);
+    Drains.cancel(Name);
+    State.Worker->restart(Now);
+    State.ProcessGeneration += 1;
+    State.PendingRenewals.clear();
+  }
+
+  /// Lets a worker drain, in half of the cases while its registration may not
+  /// be committed yet.
+  void beginDrain(const std::string &Name, WorkerState &State) {
+    if (Rng.percent(50)) {
+      restartWorker(Name, State);
+      State.ReportAt = Now;
+    }
+    Drains.begin(Name, Now + randomDuration(0, 60));
+  }
+
+  /// Ends the process of a worker that has left; it starts again later.
+  void endDrainedWorker(const std::string &Name) {
+    WorkerState &State = Workers.at(Name);
+    restartWorker(Name, State);
+    State.IsDown = true;
+    State.DownUntil = Now + randomDuration(500, 3000);
+  }
+
   void countCrash(const std::string &Worker, const WorkerState &State) {
     Disturbances.push_back({Now, Now, Worker, true});
     for (const auto &[Task, Attempt] : State.Worker->running()) {
@@ -470,6 +500,7 @@
   void crashWorker(const std::string &Name, const std::string &Cause) {
     WorkerState &State = Workers.at(Name);
     countCrash(Name, State);
+    Drains.cancel(Name);
     if (Options.IsTraced) {
       std::cout << sinceStart() << " worker crashed " << Name << " by " << Cause
                 << ", running " << State.Worker->running().size() << '\n';
@@ -559,6 +590,10 @@
       Voter.PartitionedUntil = Now + randomDuration(200, 4000);
     } else if (shouldInject(CellFault::StallDisk, 600)) {
       Voter.DiskStalledUntil = Now + randomDuration(200, 3000);
+    } else if (shouldInject(CellFault::HandOver, 600) &&
+               Voter.StopsAt == Instant{}) {
+      Voter.Node->beginShutdown(Now);
+      Voter.StopsAt = Now + randomDuration(500, 4000);
     } else if (shouldInject(CellFault::PowerLoss, 1500)) {
       for (auto &[OtherId, OtherVoter] : VotersById) {
         if (!OtherVoter.IsGone) {
@@ -710,6 +745,11 @@
         ConfigureId = 0;
         continue;
       }
+      if (const auto Left =
+              Drains.onReply(Response.CallId, Response.Reply.Verdict, Now)) {
+        endDrainedWorker(*Left);
+        continue;
+      }
       if (const auto Probe = KeyProbes.extract(Response.CallId)) {
         checkKey(Probe.mapped().first, Probe.mapped().second,
                  Response.Reply.Verdict);
@@ -1027,6 +1067,10 @@
       }
       return;
     }
+    if (Voter.StopsAt != Instant{} && Now >= Voter.StopsAt) {
+      crashVoter(Voter, randomDuration(50, 2000));
+      return;
+    }
     if (Voter.PendingWrite && Now >= Voter.WriteEndsAt &&
         Now >= Voter.DiskStalledUntil) {
       (void)Voter.Store->write(*Voter.PendingWrite);
@@ -1101,13 +1145,8 @@
       if (State.IsDown && Now >= State.DownUntil) {
         startCrashedWorker(Name, State);
       }
-      if (!State.IsDown && Now >= State.ReportAt &&
-          Now >= State.PartitionedUntil) {
-        State.ReportAt = Now + ReportInterval;
-        const WorkerReport Report = State.Worker->report(Now);
-        noteReport(State, Report);
-        Frontend->call(NextCall, WorkerReportCall{Report}, Now);
-        NextCall += 1;
+      if (!State.IsDown && Now >= State.PartitionedUntil) {
+        reportIfDue(Name, State);
       }
       for (OrderResult &Answer : State.Worker->advance(Now)) {
         const auto RenewalIt = State.PendingRenewals.find(Answer.Id);
@@ -1127,6 +1166,26 @@
     }
   }
 
+  void reportIfDue(const std::string &Name, WorkerState &State) {
+    if (Now >= State.ReportAt || Drains.isFirstReportDue(Name, Now)) {
+      State.ReportAt = Now + ReportInterval;
+      WorkerReport Report = State.Worker->report(Now);
+      Report.IsDraining = Drains.isDraining(Name, Now);
+      noteReport(State, Report);
+      if (Report.IsDraining) {
+        Drains.onReportSent(Name, NextCall);
+      }
+      Frontend->call(NextCall, WorkerReportCall{Report}, Now);
+      NextCall += 1;
+    }
+    if (Drains.isLeaveDue(Name, Now)) {
+      Drains.onLeaveSent(Name, NextCall);
+      Frontend->call(NextCall,
+                     DeregisterWorkerCall{State.Worker->report(Now).Name}, Now);
+      NextCall += 1;
+    }
+  }
+
   void noteReport(WorkerState &State, const WorkerReport &Report) {
     const std::int64_t MilliCpus = Report.Capacity.MilliCpus;
     if (State.ReportedCpus.empty() ||
@@ -1161,6 +1220,10 @@
       if (!Event.IsLate) {
         checkCapacityAtStart(Workers.at(Worker), Text);
         checkCapAtStart(Event.Task.Job);
+        const std::string Violation = Drains.checkStart(Worker, Now);
+        if (!Violation.empty()) {
+          recordViolation(Violation + ", " + Text);
+        }
       }
       break;
     case WorkerEvent::Type::Ended:
@@ -1416,6 +1479,7 @@
   std::uint64_t ConfigurationVersion = 1;
   CapSchedule Caps{TaskCpus, Options.IsCapTrap};
   bool AreCapsFinal = false;
+  DrainSchedule Drains;
   std::optional<KeyWorld> Keys; ///< Set if callers need keys.
   /// Key and time of the open calls that only check a key, by call.
   std::map<std::uint64_t, std::pair<std::string, Instant>> KeyProbes;
@@ -1447,6 +1511,8 @@
   Faults.erase(CellFault::CrashingTask);
   Faults.erase(CellFault::CrashRack);
   Faults.erase(CellFault::ChangeCap);
+  Faults.erase(CellFault::DrainWorker);
+  Faults.erase(CellFault::HandOver);
   return Faults;
 }
 
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -39,18 +39,21 @@
   CrashRack,    ///< Half of the workers crash at once.
   ShrinkWorker, ///< The capacity of a worker shrinks and grows again.
   ChangeCap,    ///< Jobs belong to organisations, whose caps change.
-  ChangeKeys    ///< Configurations remove, move and add keys of organisations.
+  ChangeKeys,   ///< Configurations remove, move and add keys of organisations.
+  DrainWorker,  ///< A worker drains and leaves, some right after a restart.
+  HandOver      ///< A voter hands over its leadership and stops later.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 20>
+constexpr std::array<std::string_view, 22>
 nameTable(CellFault /*Kind*/) noexcept {
   return {
       "kill-node",         "wipe-node",     "replace-node", "pause-node",
       "cut-node",          "stall-disk",    "cut-worker",   "restart-worker",
       "late-orders",       "lose-messages", "power-off",    "cancel",
       "reset-connections", "cut-path",      "freeze-node",  "crashing-task",
-      "crash-rack",        "shrink-worker", "change-cap",   "change-keys"};
+      "crash-rack",        "shrink-worker", "change-cap",   "change-keys",
+      "drain-worker",      "hand-over"};
 }
 
 /// @brief Seed and faults of a schedule.
@@ -82,7 +85,7 @@
 };
 
 /// @brief Lists the faults of a default schedule: all except `CrashingTask`,
-/// `CrashRack` and `ChangeCap`.
+/// `CrashRack`, `ChangeCap`, `DrainWorker` and `HandOver`.
 [[nodiscard]] std::set<CellFault> allCellFaults();
 
 /// @brief Runs a schedule. The same options give the same result.
