Space the trials of all suspects, not only of those in their backoff

Suspects with one crash have no backoff and were not spaced; several crashed workers of one rack of eight within a second.

Change: each suspect needs a rack for its trial.

Ruled out: counting such crashes as the only suspect although half of the rack crashed (a rack that fails would fail sound jobs).

--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -186,7 +186,7 @@
   Instant LastStartAt;     ///< When a start was last sent to it.
   /// When a start of a task that may crash workers was last sent to it.
   Instant SuspectStartedAt;
-  /// When a start of a task that had waited for its backoff was last sent to
+  /// When a start of a task under which a worker has crashed was last sent to
   /// it.
   Instant TrialStartedAt;
   Instant BackoffUntil; ///< No starts are sent before this time.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -210,7 +210,7 @@
   if (maySuspectCrash(Unresolved, Assigned.Key, Task)) {
     Session.SuspectStartedAt = Now;
   }
-  if (trialBackoff(Task) != Millis{0}) {
+  if (isCrashSuspect(Task)) {
     Session.TrialStartedAt = Now;
   }
   send(Dispatch, std::move(Order), Open, Assigned.Worker, Now);
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -47,7 +47,7 @@
 enum class CrashRisk : std::uint8_t {
   None,
   Suspect, ///< It needs a worker without a recent start.
-  Trial    ///< It has waited for its backoff, and needs a rack without others.
+  Trial    ///< A worker has crashed under it; it needs a rack for its trial.
 };
 
 /// One planning pass.
@@ -133,7 +133,7 @@
   }
 
   CrashRisk riskOf(const TaskKey &Key, const JobTask &Task) const {
-    if (trialBackoff(Task) != Millis{0}) {
+    if (isCrashSuspect(Task)) {
       return CrashRisk::Trial;
     }
     return maySuspectCrash(Unresolved, Key, Task) ? CrashRisk::Suspect
@@ -399,7 +399,7 @@
         continue;
       }
       const CrashRisk Risk = riskOf(Candidate, Task);
-      const bool IsTrial = isCrashSuspect(Task);
+      const bool IsTrial = Risk == CrashRisk::Trial;
       const bool MayFit = (!LowestWithoutRoom || Risk < *LowestWithoutRoom) &&
                           (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
       WorkerSnapshot *Chosen = MayFit
@@ -418,7 +418,7 @@
       reserveWorker(*Chosen, Spec, Candidate, Task.Attempt + 1);
       Chosen->HasRecentStart = true;
       Chosen->HasRecentSuspect = Risk != CrashRisk::None;
-      if (Risk == CrashRisk::Trial) {
+      if (IsTrial) {
         trialsIn(Chosen->Instance->Report.Rack).Affected += 1;
       }
     }
--- a/src/mulberryramp/cell/trials.hpp
+++ b/src/mulberryramp/cell/trials.hpp
@@ -48,14 +48,14 @@
                                       Instant Now);
 
 /// @brief Workers of a rack, and those among them that may crash, or crashed,
-/// at about the same time as one that begins a trial now.
+/// at about the same time as one that begins a trial now: they began a trial
+/// within `SuspectWindow`, or stopped to answer within `CommonCauseWindow`.
 struct RackTrials {
   std::size_t Workers = 0;
   std::size_t Affected = 0;
 };
 
-/// @brief Collects the trials of tasks that are in their backoff, and recent
-/// crashes, by rack.
+/// @brief Collects the trials of suspects and the recent crashes by rack.
 [[nodiscard]] std::map<std::string, RackTrials>
 collectRackTrials(const DispatchState &Dispatch, const CellState &State,
                   Instant Now);
