Reproduce the long-running task without a run in unit tests

Callers saw nothing running of a long-running task for more than 9 s while there was room. The four tests fail on the present code, without network or clock: a worker that had started 1.5 s before an election and is lost keeps its task for 18 s; so does one that had restarted under its name, without any election; with an election every 4 s the task of a lost worker does not run again at all. The fourth shows what a shorter bound needs: an instance that has accepted an order of its own must refuse those for the previous one, and it does not today.

--- /dev/null
+++ b/test/cell/lease_test.cpp
@@ -0,0 +1,283 @@
+#include "cell/fake_worker.hpp"
+#include "mulberryramp/cell/cell_node.hpp"
+#include "support/cell_parts.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryramp;
+using namespace mulberryramp::test;
+
+namespace {
+
+constexpr NodeId VoterCount = 3;
+constexpr Millis StepTime{5};
+constexpr Millis ReportInterval{500};
+constexpr std::int64_t TaskMilliCpus = 1000;
+/// A long-running task runs again within this time of its last run while a
+/// worker has room.
+constexpr Millis MaxTimeWithoutRun{9000};
+
+/// Three voters with disks that sync at once, and workers with room for one
+/// task each.
+class LeaseCell {
+public:
+  LeaseCell() {
+    for (NodeId Id = 1; Id <= VoterCount; ++Id) {
+      CellNodeOptions Options;
+      Options.Self = Id;
+      Options.Seeds = {1, 2, 3};
+      Options.IsVoter = true;
+      Options.Incarnation = 1;
+      Options.ReplicaParameters = makeCellReplicaOptions(1);
+      Options.Dispatch.ReportInterval = ReportInterval;
+      Options.Seed = Id;
+      Voters[Id] = std::make_unique<CellNode>(
+          Options, bootstrapGroup({{1, 1}, {2, 1}, {3, 1}}), Now);
+    }
+    stepFor(Millis{2000});
+    call(ConfigureCall{makeTestConfiguration(1, 1)});
+    stepFor(Millis{500});
+  }
+
+  void addWorker(const std::string &Name) {
+    Resources Capacity;
+    Capacity.MilliCpus = TaskMilliCpus;
+    Workers[Name] =
+        std::make_unique<FakeWorker>(Name, Capacity, Workers.size() + 1, Now);
+  }
+
+  /// Ends the process of a worker for good.
+  void loseWorker(const std::string &Name) { Lost.insert(Name); }
+
+  void restartWorker(const std::string &Name) {
+    Workers.at(Name)->restart(Now);
+  }
+
+  void submitLongRunning(const std::string &Name) {
+    JobSpec Spec;
+    Spec.Payload = "lasting";
+    StepSpec &Only = Spec.Steps.emplace_back();
+    Only.Tasks = 1;
+    Only.Need.MilliCpus = TaskMilliCpus;
+    Only.IsLongRunning = true;
+    call(JobCall{JobVerb::Submit, "host", "/q/" + Name, Spec});
+  }
+
+  /// Suspends the leader for a time, so that another voter is elected.
+  void suspendLeader(Millis Time) { SuspendedUntil[leader()] = Now + Time; }
+
+  void stepFor(Millis Time) {
+    for (const Instant End = Now + Time; Now < End;) {
+      step();
+    }
+  }
+
+  /// Steps until a task runs.
+  /// @return The time that it took, or `Limit`.
+  Millis stepUntilRunning(const std::string &Job, Millis Limit) {
+    const Instant Begin = Now;
+    while (workerOf(Job).empty() && Now - Begin < Limit) {
+      step();
+    }
+    return Now - Begin;
+  }
+
+  /// Returns the worker that runs the task of a job, or an empty name.
+  [[nodiscard]] std::string workerOf(const std::string &Job) const {
+    for (const auto &[Name, Worker] : Workers) {
+      if (Lost.contains(Name)) {
+        continue;
+      }
+      for (const auto &[Task, Attempt] : Worker->running()) {
+        if (Task.Job == Job) {
+          return Name;
+        }
+      }
+    }
+    return {};
+  }
+
+  /// Keeps the start orders from being delivered from now on.
+  void holdStarts() { HoldsStarts = true; }
+
+  /// Delivers the first held order, late, to the instance that runs now.
+  OrderResult deliverHeldStart() {
+    const WorkerOrder &Order = HeldStarts.front();
+    return *Workers.at(Order.Worker)->handleOrder(Order, Now, true);
+  }
+
+private:
+  [[nodiscard]] WallTime wallNow() const {
+    return WallTime{Now.time_since_epoch()};
+  }
+
+  [[nodiscard]] bool isSuspended(NodeId Id) const {
+    const auto It = SuspendedUntil.find(Id);
+    return It != SuspendedUntil.end() && Now < It->second;
+  }
+
+  [[nodiscard]] NodeId leader() const {
+    for (const auto &[Id, Node] : Voters) {
+      if (!isSuspended(Id) && Node->isLeading(Now)) {
+        return Id;
+      }
+    }
+    return 0;
+  }
+
+  void call(CellCall Body) {
+    Voters.at(leader())->call(NextCall, std::move(Body), Now);
+    NextCall += 1;
+  }
+
+  void step() {
+    Now += StepTime;
+    for (const CellMessage &Message : std::exchange(Messages, {})) {
+      if (!isSuspended(Message.To)) {
+        Voters.at(Message.To)->receive(Message, Now, wallNow());
+      }
+    }
+    if (leader() != 0 && Now >= ReportAt) {
+      ReportAt = Now + ReportInterval;
+      for (const auto &[Name, Worker] : Workers) {
+        if (!Lost.contains(Name)) {
+          call(WorkerReportCall{Worker->report(Now)});
+        }
+      }
+    }
+    for (const auto &[Id, Node] : Voters) {
+      if (!isSuspended(Id)) {
+        stepVoter(*Node);
+      }
+    }
+    for (const auto &[Name, Worker] : Workers) {
+      for (const OrderResult &Answer : Worker->advance(Now)) {
+        answer(Answer);
+      }
+    }
+  }
+
+  /// Passes an answer to the leader; other voters do not know the order.
+  void answer(const OrderResult &Answer) {
+    if (leader() != 0) {
+      Voters.at(leader())->onOrderDone(Answer, Now, wallNow());
+    }
+  }
+
+  void stepVoter(CellNode &Node) {
+    CellOutput Output = Node.step(Now, wallNow());
+    if (Output.Write) {
+      Node.onWriteSynced();
+    }
+    std::move(Output.Messages.begin(), Output.Messages.end(),
+              std::back_inserter(Messages));
+    for (const WorkerOrder &Order : Output.Orders) {
+      OrderResult Unanswered;
+      Unanswered.Id = Order.Id;
+      if (Lost.contains(Order.Worker)) {
+        Node.onOrderDone(Unanswered, Now, wallNow());
+      } else if (HoldsStarts && Order.Kind == WorkerOrderKind::Start) {
+        HeldStarts.push_back(Order);
+        Node.onOrderDone(Unanswered, Now, wallNow());
+      } else if (const auto Answer =
+                     Workers.at(Order.Worker)->handleOrder(Order, Now, false)) {
+        Node.onOrderDone(*Answer, Now, wallNow());
+      }
+    }
+  }
+
+  Instant Now{Millis{100000}};
+  std::map<std::string, std::unique_ptr<FakeWorker>> Workers;
+  std::set<std::string> Lost;
+  std::map<NodeId, std::unique_ptr<CellNode>> Voters;
+  std::map<NodeId, Instant> SuspendedUntil;
+  std::vector<CellMessage> Messages;
+  std::vector<WorkerOrder> HeldStarts;
+  bool HoldsStarts = false;
+  Instant ReportAt;
+  std::uint64_t NextCall = 1;
+};
+
+} // namespace
+
+TEST_GROUP(Leases){};
+
+/// Guards against a long-running task without a run: a worker that had started
+/// a few seconds before an election died, and the next leader took its lease
+/// for one of 18 s.
+TEST(Leases, ATaskOfALostNewWorkerRunsAgainAfterAnElection) {
+  LeaseCell Cell;
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.submitLongRunning("j");
+  CHECK(Cell.stepUntilRunning("j", Millis{1000}) < Millis{1000});
+  Cell.addWorker("w1");
+  Cell.stepFor(Millis{1000});
+  Cell.suspendLeader(Millis{2000});
+  Cell.loseWorker("w0");
+  CHECK(Cell.stepUntilRunning("j", Millis{30000}) <= MaxTimeWithoutRun);
+}
+
+/// Guards against a long-running task without a run: its worker had restarted
+/// under its own name and died, and the bound for orders to its previous
+/// instance held for a task that was assigned afterwards.
+TEST(Leases, ATaskOfALostRestartedWorkerRunsAgain) {
+  LeaseCell Cell;
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.submitLongRunning("j0");
+  CHECK(Cell.stepUntilRunning("j0", Millis{1000}) < Millis{1000});
+  Cell.restartWorker("w0");
+  CHECK(Cell.stepUntilRunning("j0", Millis{3000}) < Millis{3000});
+  Cell.addWorker("w1");
+  Cell.stepFor(Millis{1000});
+  Cell.loseWorker("w0");
+  CHECK(Cell.stepUntilRunning("j0", Millis{30000}) <= MaxTimeWithoutRun);
+}
+
+/// Guards against a long-running task without a run: each new leader waited for
+/// a whole lease of a worker that had died long before.
+TEST(Leases, AnyNumberOfElectionsExtendsNoLeaseOfALostWorker) {
+  const Millis TimeBetweenElections{4000};
+  LeaseCell Cell;
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.submitLongRunning("j");
+  CHECK(Cell.stepUntilRunning("j", Millis{1000}) < Millis{1000});
+  Cell.stepFor(Millis{30000}); // No bound of a new worker applies any more.
+  Cell.addWorker("w1");
+  Cell.stepFor(Millis{1000});
+  Cell.loseWorker("w0");
+  Millis Gap{0};
+  for (int Election = 0; Election < 5 && Cell.workerOf("j").empty();
+       ++Election) {
+    Gap += Cell.stepUntilRunning("j", TimeBetweenElections);
+    Cell.suspendLeader(Millis{1000});
+  }
+  CHECK(!Cell.workerOf("j").empty());
+  CHECK(Gap <= MaxTimeWithoutRun);
+}
+
+/// Guards against two runs of one task: a start order for the previous instance
+/// of a worker is executed late, and extends the lease of what the next
+/// instance runs.
+TEST(Leases, AnInstanceRefusesOrdersForThePreviousOne) {
+  LeaseCell Cell;
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.holdStarts();
+  Cell.submitLongRunning("j");
+  Cell.stepFor(Millis{300});
+  Cell.restartWorker("w0");
+  Cell.stepFor(Millis{1000});
+  const OrderResult Result = Cell.deliverHeldStart();
+  CHECK(Result.Verdict == OrderVerdict::Refused);
+  CHECK(Result.Reason == RefusalReason::StaleFencingToken);
+}
