--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/answers.hpp"
 
+#include "mulberryramp/cell/leases.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/trials.hpp"
 
@@ -385,6 +386,7 @@
     Session.NextRenewalAt = Now + RenewalRetryInterval;
     return;
   }
+  onFenceAccepted(Dispatch, Session, Now);
   Session.IsInstanceVerified = true;
   Session.UnverifiedSince = Instant{};
   Session.AreConnectionsVerified = true;
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -265,6 +265,7 @@
   for (std::size_t Position = 0; Position < Commands->size(); ++Position) {
     const CellCommand &Command = (*Commands)[Position];
     const CellChange Change = applyCommand(State, Command);
+    noteChange(Dispatch.Entries, State, Change, {CurrentTime, LogEntry.InTerm});
     if (IsOwn && Change.Outcome == CommandOutcome::InvalidKey) {
       const auto &Denied = std::get<SubmitJobCommand>(Command);
       logDenial({0, JobVerb::Submit, Denied.Prefix, Denied.Key,
@@ -287,6 +288,7 @@
 
 void CellNode::onRestore(const std::string &Data) {
   State = {};
+  noteRestore(Dispatch.Entries, State, CurrentTime);
   if (Data.empty()) {
     return;
   }
@@ -296,6 +298,7 @@
     return;
   }
   State = std::move(*Restored);
+  noteRestore(Dispatch.Entries, State, CurrentTime);
   Events.push_back("event=restore bytes=" + std::to_string(Data.size()) +
                    " jobs=" + std::to_string(State.Jobs.size()));
 }
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/crash_attribution.hpp"
+#include "mulberryramp/cell/leases.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/review.hpp"
 #include "mulberryramp/cell/start_planner.hpp"
@@ -27,8 +28,6 @@
 constexpr Millis PurgeInterval{1000};
 /// An idle worker without contact for this long is deregistered.
 constexpr Millis IdleWorkerTimeout{20000};
-/// Bound on the difference between the wall clocks of two machines.
-constexpr Millis MaxClockSkew{3000};
 
 /// Sets the fields of a session that are recorded of its instance.
 void setReportedFields(WorkerSession &Session, const WorkerReport &Recorded) {
@@ -45,7 +44,7 @@
   setReportedFields(Session, Instance.Report);
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
-  Session.LeaseEnd = Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease);
+  openLease(Dispatch, Session, Worker, Instance, Now);
   return Session;
 }
 
@@ -57,6 +56,7 @@
   Launch.PhaseSince = Now;
   Launch.StartedAt = Now;
   Launch.IsRecovered = true;
+  Launch.IsTransferred = Task.IsTransferred;
   Launch.IsPaceKnown = !Dispatch.MayHavePacedTasks;
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
@@ -169,16 +169,6 @@
   }
 }
 
-/// Extends the lease of a new instance by what orders for the previous instance
-/// can add: such orders may have reached the new instance or may still be
-/// executed. As its clock restarts, their leases last up to the longest lease
-/// that the worker accepts.
-void extendLeaseForPreviousInstance(const DispatchState &Dispatch,
-                                    WorkerSession &Session, Instant Now) {
-  Session.LeaseEnd = Now + Dispatch.Options.MaxOrderDelay +
-                     leaseBound(Dispatch.Options, Dispatch.Options.MaxLease);
-}
-
 /// Forgets what the previous instance of a worker listed about an attempt. If
 /// the new instance runs it, it has started it again.
 void forgetProgress(TaskLaunch &Launch, Instant Now) {
@@ -215,10 +205,12 @@
     Orphan.StopSentAt = Instant{};
     Orphan.StopAckedAt.reset();
   }
-  extendLeaseForPreviousInstance(Dispatch, Session, Now);
   for (const TaskKey &Key : Session.Tasks) {
     TaskLaunch &Launch = Dispatch.Launches.at(Key);
     Launch.Assignment.Worker = To;
+    // A start that was executed is not executed again.
+    Launch.IsTransferred =
+        Launch.IsTransferred || Launch.Phase != LaunchPhase::Confirmed;
     Launch.StopOrder = 0;
     Launch.StopSentAt = Instant{};
     Launch.StopAckedAt.reset();
@@ -315,24 +307,15 @@
 
 } // namespace
 
-Millis leaseBound(const DispatchOptions &Options, Millis Lease) {
-  return Lease * (100 + Options.DriftPercent) / 100 + Options.LeaseSlack;
-}
-
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime WallNow) {
+                   Term FencingToken, Instant Now, WallTime /*WallNow*/) {
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
   Dispatch.BeganAt = Now;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
-    const WorkerInstance &Worker = State.Workers[Id];
-    WorkerSession &Session = openSession(Dispatch, Id, Worker, Now);
-    const WallTime StartTime{Millis{Worker.Report.StartTimeMs}};
-    if (WallNow - StartTime < Dispatch.Options.MaxOrderDelay + MaxClockSkew) {
-      extendLeaseForPreviousInstance(Dispatch, Session, Now);
-    }
+    openSession(Dispatch, Id, State.Workers[Id], Now);
   }
   recoverLaunches(Dispatch, State, Now);
   Dispatch.Nodes[Dispatch.Self].LastContactAt = Now;
@@ -341,6 +324,7 @@
 void endDispatch(DispatchState &Dispatch) {
   DispatchState NewState;
   NewState.Options = Dispatch.Options;
+  NewState.Entries = std::move(Dispatch.Entries);
   NewState.Self = Dispatch.Self;
   NewState.NextId = Dispatch.NextId;
   NewState.Counters = Dispatch.Counters;
@@ -389,6 +373,7 @@
   if (Dispatch.Sessions.size() != State.Workers.size()) {
     removeStaleSessions(Dispatch, State);
   }
+  onLeasesResumed(Dispatch, Change.ResumedLeases, Now);
   for (const JobId Id : Change.FinishedJobs) {
     const Job &JobRow = State.Jobs[Id];
     Dispatch.Events.push_back("event=job-over job=" + JobRow.Name +
@@ -430,6 +415,7 @@
     Dispatch.NextTimersAt = Now + TimerInterval;
     expireQueries(Dispatch, Now);
     expireLeases(Dispatch, State, Now, WallNow);
+    proposeLeaseChanges(Dispatch, State, Now);
     stopOrphans(Dispatch, State, Now);
     probeOverdueStarts(Dispatch, Now);
     sendDueRenewals(Dispatch, State, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryramp/cell/admission.hpp"
+#include "mulberryramp/cell/entry_times.hpp"
 #include "mulberryramp/cell/fwd.hpp"
 #include "mulberryramp/cell/order.hpp"
 #include "mulberryramp/job/state.hpp"
@@ -71,6 +72,9 @@
   /// Its start was found in the log at the beginning of the term, so that the
   /// time of the start is unknown.
   bool IsRecovered = false;
+  /// Its start order was sent to a previous instance of the worker and may
+  /// still be executed.
+  bool IsTransferred = false;
   Instant StopSentAt; ///< Zero if no stop was sent.
   std::optional<Instant> StopAckedAt;
   std::uint64_t StopOrder = 0; ///< Id of the open stop order, or 0.
@@ -158,7 +162,12 @@
   Instant NextRenewalAt;
   Instant ReportedAt; ///< When its last report arrived.
   Instant AnsweredAt; ///< When it last answered an order.
-  Instant LeaseEnd;   ///< No task runs there after this time.
+  Instant LeaseEnd;   ///< No task runs there after this time, except as below.
+  /// A task whose start order was for a previous instance may run until then.
+  Instant FormerOrdersEnd;
+  /// The log says that the worker is granted no leases, or will say so.
+  bool IsLeaseSuspended = false;
+  bool IsResumeProposed = false; ///< The end of the suspension is proposed.
   /// Consecutive orders without an answer.
   std::uint32_t ConsecutiveMisses = 0;
   Instant LastMissAt;  ///< When an order last went unanswered.
@@ -310,6 +319,8 @@
 /// advice. A new leader rebuilds it from the replicated state and the workers.
 struct DispatchState {
   DispatchOptions Options;
+  /// Kept while this node does not lead.
+  EntryTimes Entries;
   bool IsActive = false; ///< This node leads and dispatches.
   /// The node held its leader lease when it began to apply the current entry.
   /// Without it another node may lead, so no start is sent.
@@ -405,11 +416,6 @@
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
                   WallTime WallNow);
 
-/// @brief Computes the longest time from sending an order to the end of its
-/// lease, with clock drift and margin.
-/// @param Lease Length of the lease on the worker clock.
-[[nodiscard]] Millis leaseBound(const DispatchOptions &Options, Millis Lease);
-
 /// @brief Tells whether a start may be sent to a worker now.
 [[nodiscard]] bool isSchedulable(const DispatchState &Dispatch,
                                  const CellState &State,
--- a/src/mulberryramp/cell/order.hpp
+++ b/src/mulberryramp/cell/order.hpp
@@ -40,8 +40,8 @@
   std::uint64_t Id = 0;
   WorkerOrderKind Kind = WorkerOrderKind::Renew;
   std::string Address;
-  std::string Worker;    ///< Name of the worker, as the address may be reused.
-  Term FencingToken = 0; ///< Term of the leader.
+  std::string Worker; ///< Name of the worker, as the address may be reused.
+  std::uint64_t FencingToken = 0; ///< See `fencingTokenOf`.
   TaskName Task;
   std::uint32_t Attempt = 0;
   std::string Payload;
@@ -76,7 +76,8 @@
 /// @brief Reason for which a worker refused an order.
 enum class RefusalReason : std::uint8_t {
   None,
-  StaleFencingToken, ///< The worker has seen the order of a newer leader.
+  StaleFencingToken, ///< The worker has seen an order of a newer leader, or
+                     ///< one for a newer instance.
   StaleAttempt,      ///< The worker has ended this attempt or a later one.
   LeaseExpired,      ///< The lease had expired on arrival.
   NoCapacity,        ///< The available resources are insufficient.
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/orders.hpp"
 
+#include "mulberryramp/cell/leases.hpp"
 #include "mulberryramp/cell/trials.hpp"
 
 #include <algorithm>
@@ -29,27 +30,11 @@
   Order.Kind = Kind;
   Order.Address = Worker.Report.Address;
   Order.Worker = Worker.Report.Name;
-  Order.FencingToken = Dispatch.FencingToken;
+  Order.FencingToken = fencingTokenOf(Dispatch.FencingToken, Worker);
   Order.Timeout = OrderAnswerTimeout;
   return Order;
 }
 
-/// Extends the lease of a worker from now. The lease ends at a time of the
-/// worker clock. It is computed from a lower bound of that clock, so that no
-/// task outlives the lease by more than the clock drift.
-/// @return End of the lease on the worker clock, in ms.
-std::int64_t extendLease(const DispatchState &Dispatch, WorkerSession &Session,
-                         Instant Now) {
-  const auto Elapsed = (Now - Session.Clock->At).count();
-  const auto ClockLowerBound =
-      Session.Clock->Clock +
-      Elapsed * (100 - Dispatch.Options.DriftPercent) / 100;
-  Session.LeaseEnd =
-      std::max(Session.LeaseEnd,
-               Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease));
-  return ClockLowerBound + Dispatch.Options.Lease.count();
-}
-
 /// Builds an order about one attempt.
 WorkerOrder makeTaskOrder(DispatchState &Dispatch, const WorkerInstance &Worker,
                           WorkerOrderKind Kind, TaskName Task,
@@ -110,7 +95,9 @@
 void sendRenewal(DispatchState &Dispatch, const WorkerInstance &Worker,
                  WorkerInstanceId Id, WorkerSession &Session, Instant Now) {
   WorkerOrder Order = makeOrder(Dispatch, Worker, WorkerOrderKind::Renew);
-  const bool IsHealthy = Session.IsReconciled && Session.ConsecutiveMisses == 0;
+  const bool IsHealthy = Session.IsReconciled &&
+                         Session.ConsecutiveMisses == 0 &&
+                         !Session.IsLeaseSuspended;
   const bool MayAck = Session.IsInstanceVerified &&
                       Session.AreConnectionsVerified &&
                       Session.OpenTaskOrders == 0;
@@ -125,7 +112,7 @@
   OpenOrder Open;
   // A worker that does not answer gets no lease extension, and a new instance
   // none that is computed from the clock of this one.
-  if (Session.Clock && Session.ConsecutiveMisses == 0 &&
+  if (mayGrantLease(Session) && Session.ConsecutiveMisses == 0 &&
       Session.IsInstanceVerified) {
     Order.Expires = extendLease(Dispatch, Session, Now);
     Open.HasLease = true;
@@ -183,7 +170,7 @@
   Launch.StartedAt = Now;
   Session.Tasks.insert(Assigned.Key);
   const WorkerInstance *Worker = State.Workers.find(Assigned.Worker);
-  if (Worker == nullptr || !Session.Clock || !Dispatch.HoldsLease) {
+  if (Worker == nullptr || !mayGrantLease(Session) || !Dispatch.HoldsLease) {
     Launch.Phase = LaunchPhase::Recovered;
     Session.NeedsProbe = true;
     Dispatch.TouchedWorkers.insert(Assigned.Worker);
@@ -388,29 +375,6 @@
   }
 }
 
-void expireLeases(DispatchState &Dispatch, const CellState &State, Instant Now,
-                  WallTime WallNow) {
-  for (auto &[Id, Session] : Dispatch.Sessions) {
-    if (Session.Tasks.empty() || Now < Session.LeaseEnd) {
-      continue;
-    }
-    bool HasNewEnds = false;
-    for (const TaskKey &Key : Session.Tasks) {
-      TaskLaunch &Launch = Dispatch.Launches.at(Key);
-      if (!Launch.IsEndProposed && Launch.Phase != LaunchPhase::Sending) {
-        Launch.IsPresumedLost = true;
-        proposeEnd(Dispatch, Launch, EndKind::Lost, WallNow);
-        HasNewEnds = true;
-      }
-    }
-    if (HasNewEnds) {
-      Session.IsReconciled = false;
-      Dispatch.Events.push_back("event=lease-over worker=" +
-                                workerName(State, Id));
-    }
-  }
-}
-
 void proposeEnd(DispatchState &Dispatch, TaskLaunch &Launch, EndKind Kind,
                 WallTime WallNow) {
   if (Launch.IsEndProposed) {
@@ -434,7 +398,7 @@
   const WorkerSession &Session = It->second;
   const Millis Silence = Dispatch.Options.ReportInterval * 5 / 2;
   return Session.IsReconciled && Session.Orphans.empty() &&
-         Session.ConsecutiveMisses == 0 && Session.Clock &&
+         Session.ConsecutiveMisses == 0 && mayGrantLease(Session) &&
          !State.Workers[Worker].Report.IsDraining &&
          !State.Workers[Worker].IsUnannounced && Now >= Session.BackoffUntil &&
          !isRenewalOverdue(Session, Now) &&
--- a/src/mulberryramp/cell/orders.hpp
+++ b/src/mulberryramp/cell/orders.hpp
@@ -76,11 +76,6 @@
 /// @brief Sends stop orders for orphaned starts until the workers confirm them.
 void stopOrphans(DispatchState &Dispatch, const CellState &State, Instant Now);
 
-/// @brief Proposes the loss of all launches on workers whose lease expired.
-/// Launches whose start order is still unanswered are left out.
-void expireLeases(DispatchState &Dispatch, const CellState &State, Instant Now,
-                  WallTime WallNow);
-
 /// @brief Proposes an end of a launch that no worker reported, unless an end is
 /// already proposed.
 void proposeEnd(DispatchState &Dispatch, TaskLaunch &Launch, EndKind Kind,
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -237,6 +237,38 @@
   }
 };
 
+/// @brief A worker instance that is granted no further leases.
+struct LeaseSuspension {
+  WorkerInstanceId Worker;
+  /// Time from the proposal to the end of its leases, with clock drift and
+  /// margin.
+  Millis Remaining{0};
+
+  static constexpr auto fields() {
+    return std::make_tuple(&LeaseSuspension::Worker,
+                           &LeaseSuspension::Remaining);
+  }
+};
+
+/// @brief Records when the leases of unresponsive workers end, so that a new
+/// leader need not wait for a whole lease after its election.
+struct SuspendLeasesCommand {
+  std::vector<LeaseSuspension> Suspensions;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SuspendLeasesCommand::Suspensions);
+  }
+};
+
+/// @brief Allows to grant leases to workers that respond again.
+struct ResumeLeasesCommand {
+  std::vector<WorkerInstanceId> Workers;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ResumeLeasesCommand::Workers);
+  }
+};
+
 /// @brief Any command of the replicated log of a cell. Stored logs name the
 /// alternatives by index, so new ones are appended.
 using CellCommand =
@@ -244,6 +276,7 @@
                  RegisterWorkerCommand, DrainWorkerCommand,
                  DeregisterWorkerCommand, AssignTasksCommand,
                  RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
-                 UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand>;
+                 UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand,
+                 SuspendLeasesCommand, ResumeLeasesCommand>;
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/internal.hpp
+++ b/src/mulberryramp/job/internal.hpp
@@ -23,5 +23,7 @@
 CellChange apply(CellState &State, const UpdateCapacityCommand &Command);
 CellChange apply(CellState &State, const DeregisterWorkerCommand &Command);
 CellChange apply(CellState &State, const LeaveWorkerCommand &Command);
+CellChange apply(CellState &State, const SuspendLeasesCommand &Command);
+CellChange apply(CellState &State, const ResumeLeasesCommand &Command);
 
 } // namespace mulberryramp::internal
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -58,14 +58,17 @@
   /// Number of workers that crashed shortly after they started it while no
   /// other attempt may have been the cause; they are among `Crashes`.
   std::uint32_t SoleCrashes = 0;
+  /// It was assigned to a previous instance of `Worker`, which may get the
+  /// start order late.
+  bool IsTransferred = false;
 
   static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&JobTask::State, &JobTask::Attempt,
-                           &JobTask::Failures, &JobTask::Worker,
-                           &JobTask::Checkpoint, &JobTask::Crashes,
-                           &JobTask::PossibleCrashes, &JobTask::LostAttempt,
-                           &JobTask::LostOn, &JobTask::SoleCrashes);
+    return std::make_tuple(
+        &JobTask::State, &JobTask::Attempt, &JobTask::Failures,
+        &JobTask::Worker, &JobTask::Checkpoint, &JobTask::Crashes,
+        &JobTask::PossibleCrashes, &JobTask::LostAttempt, &JobTask::LostOn,
+        &JobTask::SoleCrashes, &JobTask::IsTransferred);
   }
 };
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -346,6 +346,7 @@
     Task.State = JobTaskState::Assigned;
     Task.Attempt = Assigned.Attempt;
     Task.Worker = Assigned.Worker;
+    Task.IsTransferred = false;
     stepAt(State, Assigned.Key).Assigned += 1;
     addLoad(State, State.Jobs[Assigned.Key.Job], specAt(State, Assigned.Key));
     Job &Owner = State.Jobs[Assigned.Key.Job];
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -35,11 +35,13 @@
   /// Buckets of the organisations that have submitted jobs, in the order of
   /// their names.
   std::vector<OrganisationRate> Rates;
+  std::uint64_t Registrations = 0; ///< Number of registered worker instances.
 
   static constexpr std::size_t MandatoryFields = 3; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
-                           &CellState::Jobs, &CellState::Rates);
+                           &CellState::Jobs, &CellState::Rates,
+                           &CellState::Registrations);
   }
 };
 
@@ -76,6 +78,8 @@
       WorkersToReconcile; ///< Workers that may run unassigned attempts.
   WorkerInstanceId
       ReplacedInstance; ///< Previous instance of the registered worker.
+  std::vector<WorkerInstanceId> SuspendedLeases; ///< Granted no leases now.
+  std::vector<WorkerInstanceId> ResumedLeases;   ///< May be granted leases.
 };
 
 /// @brief Applies a command deterministically.
--- a/src/mulberryramp/job/worker.hpp
+++ b/src/mulberryramp/job/worker.hpp
@@ -47,13 +47,22 @@
   /// It was discovered by a renewal and has not reported yet, so that only the
   /// name, start time, address and pool of `Report` are set.
   bool IsUnannounced = false;
+  /// Number of this registration; it rises with each one of the cell. 0 if it
+  /// was stored before this field existed.
+  std::uint64_t Registration = 0;
+  /// The instance is granted no lease until `ResumeLeasesCommand` is applied.
+  bool IsLeaseSuspended = false;
+  /// Time from `SuspendLeasesCommand` to the end of the leases that were
+  /// granted before, with clock drift and margin.
+  Millis SuspendedLease{0};
 
   static constexpr std::size_t MandatoryFields = 4; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&WorkerInstance::Report, &WorkerInstance::Used,
-                           &WorkerInstance::LastAckedEnd,
-                           &WorkerInstance::Tasks,
-                           &WorkerInstance::IsUnannounced);
+    return std::make_tuple(
+        &WorkerInstance::Report, &WorkerInstance::Used,
+        &WorkerInstance::LastAckedEnd, &WorkerInstance::Tasks,
+        &WorkerInstance::IsUnannounced, &WorkerInstance::Registration,
+        &WorkerInstance::IsLeaseSuspended, &WorkerInstance::SuspendedLease);
   }
 };
 
--- a/src/mulberryramp/job/worker_commands.cpp
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -105,10 +105,14 @@
   WorkerInstance NewInstance;
   NewInstance.Report = Command.Report;
   NewInstance.IsUnannounced = Command.IsUnannounced;
+  State.Registrations += 1;
+  NewInstance.Registration = State.Registrations;
   const WorkerInstanceId Id = State.Workers.insert(std::move(NewInstance));
   if (Previous.isSet()) {
-    forEachTaskOn(State, Previous,
-                  [Id](const TaskKey &, JobTask &Task) { Task.Worker = Id; });
+    forEachTaskOn(State, Previous, [Id](const TaskKey &, JobTask &Task) {
+      Task.Worker = Id;
+      Task.IsTransferred = true;
+    });
     State.Workers[Id].Used = State.Workers[Previous].Used;
     State.Workers[Id].Tasks = State.Workers[Previous].Tasks;
     State.Workers.erase(Previous);
@@ -155,4 +159,27 @@
   return Change;
 }
 
+CellChange apply(CellState &State, const SuspendLeasesCommand &Command) {
+  CellChange Change;
+  for (const LeaseSuspension &Suspension : Command.Suspensions) {
+    if (WorkerInstance *Worker = State.Workers.find(Suspension.Worker)) {
+      Worker->IsLeaseSuspended = true;
+      Worker->SuspendedLease = Suspension.Remaining;
+      Change.SuspendedLeases.push_back(Suspension.Worker);
+    }
+  }
+  return Change;
+}
+
+CellChange apply(CellState &State, const ResumeLeasesCommand &Command) {
+  CellChange Change;
+  for (const WorkerInstanceId Id : Command.Workers) {
+    if (WorkerInstance *Worker = State.Workers.find(Id)) {
+      Worker->IsLeaseSuspended = false;
+      Change.ResumedLeases.push_back(Id);
+    }
+  }
+  return Change;
+}
+
 } // namespace mulberryramp::internal
