Bound former leases by the registration of an instance

A new leader took every worker that had started less than 15 s before for one that an order for a previous instance may reach late, and waited 18.3 s (22.4 s with leases of 10 s). Only an instance that replaced another one of its name can get such an order, and only until it has accepted an order of its own, whose fencing token is higher. The bound counts from the registration in the log, and the log says when it is over. The end of a suspended lease also counts by the wall clock of its proposal, so that a voter which restarts does not begin it anew.

Every registered instance is now asked for its tasks before it gets a start, also one whose name was not known: a worker that had left may get an order of before.

--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -327,7 +327,7 @@
     }
     PendingCaller Registering = Caller;
     Registering.Report = Call.Report;
-    propose(Registering, RegisterWorkerCommand{Call.Report});
+    propose(Registering, RegisterWorkerCommand{Call.Report, false, WallNow});
     return;
   }
   if (Call.Report.StartTimeMs < Instance->Report.StartTimeMs) {
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -38,13 +38,14 @@
 }
 
 WorkerSession &openSession(DispatchState &Dispatch, WorkerInstanceId Worker,
-                           const WorkerInstance &Instance, Instant Now) {
+                           const WorkerInstance &Instance, Instant Now,
+                           WallTime WallNow) {
   WorkerSession &Session = Dispatch.Sessions[Worker];
   Session.EndsProposed = Instance.LastAckedEnd;
   setReportedFields(Session, Instance.Report);
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
-  openLease(Dispatch, Session, Worker, Instance, Now);
+  openLease(Dispatch, Session, Worker, Instance, Now, WallNow);
   return Session;
 }
 
@@ -308,14 +309,14 @@
 } // namespace
 
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime /*WallNow*/) {
+                   Term FencingToken, Instant Now, WallTime WallNow) {
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
   Dispatch.BeganAt = Now;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
-    openSession(Dispatch, Id, State.Workers[Id], Now);
+    openSession(Dispatch, Id, State.Workers[Id], Now, WallNow);
   }
   recoverLaunches(Dispatch, State, Now);
   Dispatch.Nodes[Dispatch.Self].LastContactAt = Now;
@@ -350,9 +351,10 @@
     }
   }
   if (Change.Worker.isSet()) {
-    WorkerSession &Session =
-        openSession(Dispatch, Change.Worker, State.Workers[Change.Worker], Now);
-    Session.IsReconciled = !Change.ReplacedInstance.isSet();
+    const WorkerInstance &Registered = State.Workers[Change.Worker];
+    openSession(Dispatch, Change.Worker, Registered, Now,
+                Registered.RegisteredAt);
+    Dispatch.TouchedWorkers.insert(Change.Worker);
     if (Change.ReplacedInstance.isSet()) {
       transferLaunches(Dispatch, Change.ReplacedInstance, Change.Worker,
                        State.Workers[Change.Worker].IsUnannounced, Now);
@@ -415,7 +417,7 @@
     Dispatch.NextTimersAt = Now + TimerInterval;
     expireQueries(Dispatch, Now);
     expireLeases(Dispatch, State, Now, WallNow);
-    proposeLeaseChanges(Dispatch, State, Now);
+    proposeLeaseChanges(Dispatch, State, Now, WallNow);
     stopOrphans(Dispatch, State, Now);
     probeOverdueStarts(Dispatch, Now);
     sendDueRenewals(Dispatch, State, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -163,8 +163,12 @@
   Instant ReportedAt; ///< When its last report arrived.
   Instant AnsweredAt; ///< When it last answered an order.
   Instant LeaseEnd;   ///< No task runs there after this time, except as below.
-  /// A task whose start order was for a previous instance may run until then.
-  Instant FormerOrdersEnd;
+  /// No lease of an order for a previous instance lasts longer; zero if none
+  /// can be in force.
+  Instant FormerLeaseEnd;
+  /// The instance has answered an order with its own fencing token.
+  bool HasAcceptedFence = false;
+  bool IsFormerLeaseEndProposed = false; ///< See `EndFormerLeasesCommand`.
   /// The log says that the worker is granted no leases, or will say so.
   bool IsLeaseSuspended = false;
   bool IsResumeProposed = false; ///< The end of the suspension is proposed.
--- a/src/mulberryramp/cell/leases.cpp
+++ b/src/mulberryramp/cell/leases.cpp
@@ -14,24 +14,59 @@
 /// The lower bits of a fencing token hold the registration of the worker. Terms
 /// up to 2^21 fit beside it into the integers that JSON numbers keep exactly.
 constexpr int RegistrationBits = 32;
+/// Bound on the difference between the wall clocks of two machines, of which
+/// one may have been set to another time.
+constexpr Millis MaxClockSkew{5000};
+
+/// Returns when a time has passed since the proposal of an entry.
+/// @param AppliedAt When this node applied the entry.
+/// @param ProposedAt When the entry was proposed, by the wall clock there.
+Instant endOfTimeSince(Instant AppliedAt, WallTime ProposedAt, Millis Time,
+                       Instant Now, WallTime WallNow) {
+  // A node that restarted has applied the entry again, long after its proposal.
+  return std::min(AppliedAt + Time,
+                  Now + (ProposedAt + Time + MaxClockSkew - WallNow));
+}
 
-/// Returns when the last order for a previous instance was sent at the latest.
-Instant registeredAt(const DispatchState &Dispatch, WorkerInstanceId Id,
-                     Instant Now) {
+/// Bounds the leases of orders for the previous instance of a worker. Such an
+/// order was sent before the instance was registered, and may reach it late. As
+/// the worker clock restarts, its lease lasts up to the longest one that the
+/// worker accepts.
+Instant formerLeaseBound(const DispatchState &Dispatch, WorkerInstanceId Id,
+                         const WorkerInstance &Worker, Instant Now,
+                         WallTime WallNow) {
+  if (!Worker.MayHoldFormerLease) {
+    return Instant{};
+  }
   const auto TimeIt = Dispatch.Entries.Registrations.find(Id);
-  return TimeIt == Dispatch.Entries.Registrations.end()
-             ? Now
-             : TimeIt->second.AppliedAt;
+  const Instant AppliedAt = TimeIt == Dispatch.Entries.Registrations.end()
+                                ? Now
+                                : TimeIt->second.AppliedAt;
+  return endOfTimeSince(
+      AppliedAt, Worker.RegisteredAt,
+      Dispatch.Options.MaxOrderDelay +
+          leaseBound(Dispatch.Options, Dispatch.Options.MaxLease),
+      Now, WallNow);
+}
+
+/// Tells whether the regular bound, on a lease that is granted from now on or
+/// that the next leader assumes at its election, covers former leases as well.
+bool areFormerLeasesCovered(const DispatchState &Dispatch,
+                            const WorkerSession &Session, Instant Now) {
+  return Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease) >=
+         Session.FormerLeaseEnd;
 }
 
-/// Returns the end of a lease that the instance may accept until now from an
-/// order for a previous instance. As its clock restarts, such a lease lasts up
-/// to the longest one that the worker accepts.
-Instant formerLeaseEnd(const DispatchState &Dispatch,
-                       const WorkerSession &Session, Instant Now) {
-  return std::min(Session.FormerOrdersEnd,
-                  Now +
-                      leaseBound(Dispatch.Options, Dispatch.Options.MaxLease));
+void suspendLease(DispatchState &Dispatch, const CellState &State,
+                  WorkerInstanceId Id, WorkerSession &Session,
+                  SuspendLeasesCommand &Suspend, Instant Now) {
+  const Millis Remaining = Session.LeaseEnd - Now;
+  Session.IsLeaseSuspended = true;
+  Suspend.Suspensions.push_back({Id, Remaining});
+  Dispatch.Events.push_back(
+      "event=lease-suspended worker=" + workerName(State, Id) +
+      " remaining_ms=" + std::to_string(Remaining.count()) +
+      " tasks=" + std::to_string(Session.Tasks.size()));
 }
 
 } // namespace
@@ -41,20 +76,24 @@
 }
 
 void openLease(const DispatchState &Dispatch, WorkerSession &Session,
-               WorkerInstanceId Id, const WorkerInstance &Worker, Instant Now) {
+               WorkerInstanceId Id, const WorkerInstance &Worker, Instant Now,
+               WallTime WallNow) {
   const DispatchOptions &Options = Dispatch.Options;
-  Session.FormerOrdersEnd = registeredAt(Dispatch, Id, Now) +
-                            Options.MaxOrderDelay +
-                            leaseBound(Options, Options.MaxLease);
-  Session.LeaseEnd = std::max(Now + leaseBound(Options, Options.Lease),
-                              formerLeaseEnd(Dispatch, Session, Now));
+  Session.FormerLeaseEnd = formerLeaseBound(Dispatch, Id, Worker, Now, WallNow);
+  // An attempt that was assigned to this instance began after the instance had
+  // accepted its own fencing token, so that no former lease began later.
+  Session.LeaseEnd =
+      std::max(Now + leaseBound(Options, Options.Lease),
+               std::min(Session.FormerLeaseEnd,
+                        Now + leaseBound(Options, Options.MaxLease)));
   Session.IsLeaseSuspended = Worker.IsLeaseSuspended;
   const auto SuspensionIt = Dispatch.Entries.LeaseSuspensions.find(Id);
   if (Worker.IsLeaseSuspended &&
       SuspensionIt != Dispatch.Entries.LeaseSuspensions.end()) {
-    Session.LeaseEnd =
-        std::min(Session.LeaseEnd,
-                 SuspensionIt->second.AppliedAt + Worker.SuspendedLease);
+    Session.LeaseEnd = std::min(
+        Session.LeaseEnd,
+        endOfTimeSince(SuspensionIt->second.AppliedAt, Worker.SuspendedAt,
+                       Worker.SuspendedLease, Now, WallNow));
   }
 }
 
@@ -76,17 +115,20 @@
 
 void onFenceAccepted(const DispatchState &Dispatch, WorkerSession &Session,
                      Instant Now) {
-  if (Now < Session.FormerOrdersEnd) {
-    Session.LeaseEnd =
-        std::max(Session.LeaseEnd, formerLeaseEnd(Dispatch, Session, Now));
-    Session.FormerOrdersEnd = Now;
+  if (Session.HasAcceptedFence) {
+    return;
   }
+  Session.HasAcceptedFence = true;
+  Session.FormerLeaseEnd =
+      std::min(Session.FormerLeaseEnd,
+               Now + leaseBound(Dispatch.Options, Dispatch.Options.MaxLease));
+  Session.LeaseEnd = std::max(Session.LeaseEnd, Session.FormerLeaseEnd);
 }
 
 Instant runBound(const WorkerSession &Session,
                  const TaskLaunch &Launch) noexcept {
   return Launch.IsTransferred
-             ? std::max(Session.LeaseEnd, Session.FormerOrdersEnd)
+             ? std::max(Session.LeaseEnd, Session.FormerLeaseEnd)
              : Session.LeaseEnd;
 }
 
@@ -115,24 +157,30 @@
 }
 
 void proposeLeaseChanges(DispatchState &Dispatch, const CellState &State,
-                         Instant Now) {
+                         Instant Now, WallTime WallNow) {
   SuspendLeasesCommand Suspend;
+  Suspend.At = WallNow;
   ResumeLeasesCommand Resume;
+  EndFormerLeasesCommand EndFormer;
   for (auto &[Id, Session] : Dispatch.Sessions) {
-    const bool IsUnresponsive = Session.ConsecutiveMisses >= SuspendAfterMisses;
-    if (IsUnresponsive && !Session.IsLeaseSuspended && !Session.Tasks.empty() &&
+    const WorkerInstance *Worker = State.Workers.find(Id);
+    const bool IsResponsive =
+        Session.ConsecutiveMisses == 0 && Session.IsInstanceVerified;
+    if (Session.ConsecutiveMisses >= SuspendAfterMisses &&
+        !Session.IsLeaseSuspended && !Session.Tasks.empty() &&
         Now < Session.LeaseEnd) {
-      Session.IsLeaseSuspended = true;
-      Suspend.Suspensions.push_back({Id, Session.LeaseEnd - Now});
-      Dispatch.Events.push_back(
-          "event=lease-suspended worker=" + workerName(State, Id) +
-          " remaining_ms=" + std::to_string((Session.LeaseEnd - Now).count()) +
-          " tasks=" + std::to_string(Session.Tasks.size()));
+      suspendLease(Dispatch, State, Id, Session, Suspend, Now);
     } else if (Session.IsLeaseSuspended && !Session.IsResumeProposed &&
-               Session.ConsecutiveMisses == 0 && Session.IsInstanceVerified) {
+               IsResponsive) {
       Session.IsResumeProposed = true;
       Resume.Workers.push_back(Id);
     }
+    if (Worker != nullptr && Worker->MayHoldFormerLease &&
+        !Session.IsFormerLeaseEndProposed &&
+        areFormerLeasesCovered(Dispatch, Session, Now)) {
+      Session.IsFormerLeaseEndProposed = true;
+      EndFormer.Workers.push_back(Id);
+    }
   }
   if (!Suspend.Suspensions.empty()) {
     Dispatch.Commands.emplace_back(std::move(Suspend));
@@ -140,6 +188,9 @@
   if (!Resume.Workers.empty()) {
     Dispatch.Commands.emplace_back(std::move(Resume));
   }
+  if (!EndFormer.Workers.empty()) {
+    Dispatch.Commands.emplace_back(std::move(EndFormer));
+  }
 }
 
 void onLeasesResumed(DispatchState &Dispatch,
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -21,6 +21,8 @@
 constexpr double PriorFailurePenalty = 3;
 constexpr double ServiceColocationPenalty = 0.6;
 constexpr double RecentMissPenalty = 2;
+/// A long-running task whose worker is lost waits for the former leases there.
+constexpr double FormerLeasePenalty = 2;
 constexpr std::size_t NoIndex = std::numeric_limits<std::size_t>::max();
 
 /// Tells whether a worker is reserved by a step that was planned before and
@@ -156,6 +158,9 @@
   if (!Step.IsLongRunning && Snapshot.LongRunningTasks != 0) {
     Score += ServiceColocationPenalty;
   }
+  if (Step.IsLongRunning && Snapshot.Instance->MayHoldFormerLease) {
+    Score += FormerLeasePenalty;
+  }
   return Score;
 }
 
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -62,11 +62,13 @@
 struct RegisterWorkerCommand {
   WorkerReport Report;
   bool IsUnannounced = false; ///< `WorkerInstance::IsUnannounced`.
+  WallTime At;                ///< When it was proposed.
 
   static constexpr std::size_t MandatoryFields = 1; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&RegisterWorkerCommand::Report,
-                           &RegisterWorkerCommand::IsUnannounced);
+                           &RegisterWorkerCommand::IsUnannounced,
+                           &RegisterWorkerCommand::At);
   }
 };
 
@@ -254,9 +256,11 @@
 /// leader need not wait for a whole lease after its election.
 struct SuspendLeasesCommand {
   std::vector<LeaseSuspension> Suspensions;
+  WallTime At;
 
   static constexpr auto fields() {
-    return std::make_tuple(&SuspendLeasesCommand::Suspensions);
+    return std::make_tuple(&SuspendLeasesCommand::Suspensions,
+                           &SuspendLeasesCommand::At);
   }
 };
 
@@ -269,14 +273,23 @@
   }
 };
 
+/// @brief Records that no lease of an order for a previous instance of these
+/// workers outlasts one that is granted from now on.
+struct EndFormerLeasesCommand {
+  std::vector<WorkerInstanceId> Workers;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&EndFormerLeasesCommand::Workers);
+  }
+};
+
 /// @brief Any command of the replicated log of a cell. Stored logs name the
 /// alternatives by index, so new ones are appended.
-using CellCommand =
-    std::variant<SubmitJobCommand, CancelJobCommand, ConfigureCommand,
-                 RegisterWorkerCommand, DrainWorkerCommand,
-                 DeregisterWorkerCommand, AssignTasksCommand,
-                 RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
-                 UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand,
-                 SuspendLeasesCommand, ResumeLeasesCommand>;
+using CellCommand = std::variant<
+    SubmitJobCommand, CancelJobCommand, ConfigureCommand, RegisterWorkerCommand,
+    DrainWorkerCommand, DeregisterWorkerCommand, AssignTasksCommand,
+    RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
+    UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand,
+    SuspendLeasesCommand, ResumeLeasesCommand, EndFormerLeasesCommand>;
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/internal.hpp
+++ b/src/mulberryramp/job/internal.hpp
@@ -25,5 +25,6 @@
 CellChange apply(CellState &State, const LeaveWorkerCommand &Command);
 CellChange apply(CellState &State, const SuspendLeasesCommand &Command);
 CellChange apply(CellState &State, const ResumeLeasesCommand &Command);
+CellChange apply(CellState &State, const EndFormerLeasesCommand &Command);
 
 } // namespace mulberryramp::internal
--- a/src/mulberryramp/job/worker_commands.cpp
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -107,6 +107,8 @@
   NewInstance.IsUnannounced = Command.IsUnannounced;
   State.Registrations += 1;
   NewInstance.Registration = State.Registrations;
+  NewInstance.MayHoldFormerLease = Previous.isSet();
+  NewInstance.RegisteredAt = Command.At;
   const WorkerInstanceId Id = State.Workers.insert(std::move(NewInstance));
   if (Previous.isSet()) {
     forEachTaskOn(State, Previous, [Id](const TaskKey &, JobTask &Task) {
@@ -165,6 +167,7 @@
     if (WorkerInstance *Worker = State.Workers.find(Suspension.Worker)) {
       Worker->IsLeaseSuspended = true;
       Worker->SuspendedLease = Suspension.Remaining;
+      Worker->SuspendedAt = Command.At;
       Change.SuspendedLeases.push_back(Suspension.Worker);
     }
   }
@@ -182,4 +185,13 @@
   return Change;
 }
 
+CellChange apply(CellState &State, const EndFormerLeasesCommand &Command) {
+  for (const WorkerInstanceId Id : Command.Workers) {
+    if (WorkerInstance *Worker = State.Workers.find(Id)) {
+      Worker->MayHoldFormerLease = false;
+    }
+  }
+  return {};
+}
+
 } // namespace mulberryramp::internal
