Test leases over kills of leaders and after a worker has left

Callers see nothing running of a long-running task for more than 9 s, or see it run twice. The tests extend the cell of three voters in memory by disks, so that a leader can be killed and start again, and by workers that get no orders or leave.

Times that a voter keeps of entries in memory begin anew when its process does and it replays its log, so that kills in series extend them.

The fourth test needs no election: a worker leaves while a start order is on its way and registers again. The cell knows no previous instance then, sends it no order before its first start, and so no fencing token keeps it from executing the former order while the task runs elsewhere.

--- a/test/cell/lease_test.cpp
+++ b/test/cell/lease_test.cpp
@@ -1,6 +1,8 @@
 #include "cell/fake_worker.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
+#include "mulberryramp/storage/group_store.hpp"
 #include "support/cell_parts.hpp"
+#include "support/memory_files.hpp"
 
 #include <map>
 #include <memory>
@@ -30,16 +32,7 @@
 public:
   LeaseCell() {
     for (NodeId Id = 1; Id <= VoterCount; ++Id) {
-      CellNodeOptions Options;
-      Options.Self = Id;
-      Options.Seeds = {1, 2, 3};
-      Options.IsVoter = true;
-      Options.Incarnation = 1;
-      Options.ReplicaParameters = makeCellReplicaOptions(1);
-      Options.Dispatch.ReportInterval = ReportInterval;
-      Options.Seed = Id;
-      Voters[Id] = std::make_unique<CellNode>(
-          Options, bootstrapGroup({{1, 1}, {2, 1}, {3, 1}}), Now);
+      startVoter(Id);
     }
     stepFor(Millis{2000});
     call(ConfigureCall{makeTestConfiguration(1, 1)});
@@ -57,9 +50,24 @@
   void loseWorker(const std::string &Name) { Lost.insert(Name); }
 
   void restartWorker(const std::string &Name) {
+    Lost.erase(Name);
     Workers.at(Name)->restart(Now);
   }
 
+  /// Drains a worker, which leaves and ends its process.
+  void leave(const std::string &Name) {
+    WorkerReport Report = Workers.at(Name)->report(Now);
+    Report.IsDraining = true;
+    call(WorkerReportCall{Report});
+    stepFor(Millis{50});
+    Lost.insert(Name);
+    call(DeregisterWorkerCall{Name});
+    stepFor(Millis{50});
+  }
+
+  /// Delivers start orders again, except those that are held.
+  void passStarts() { HoldsStarts = false; }
+
   void submitLongRunning(const std::string &Name) {
     JobSpec Spec;
     Spec.Payload = "lasting";
@@ -73,6 +81,19 @@
   /// Suspends the leader for a time, so that another voter is elected.
   void suspendLeader(Millis Time) { SuspendedUntil[leader()] = Now + Time; }
 
+  /// Ends the process of the leader. It starts again with its disk after a
+  /// time.
+  void killLeader(Millis Time) {
+    const NodeId Killed = leader();
+    if (Killed != 0) {
+      SuspendedUntil[Killed] = Now + Time;
+      Ended.insert(Killed);
+    }
+  }
+
+  /// Keeps orders from a worker, while its reports arrive.
+  void cutOrders(const std::string &Name) { WithoutOrders.insert(Name); }
+
   void stepFor(Millis Time) {
     for (const Instant End = Now + Time; Now < End;) {
       step();
@@ -114,6 +135,27 @@
   }
 
 private:
+  void startVoter(NodeId Id) {
+    StoredGroup Stored;
+    Stores.erase(Id);
+    Stores.emplace(Id, *GroupStore::open(Files[Id], "cell", Stored));
+    if (Stored.LatestSnapshot.Voters.Voters.empty()) {
+      Stored = bootstrapGroup({{1, 1}, {2, 1}, {3, 1}});
+      PersistBatch First;
+      First.NewSnapshot = Stored.LatestSnapshot;
+      (void)Stores.at(Id).write(First);
+    }
+    CellNodeOptions Options;
+    Options.Self = Id;
+    Options.Seeds = {1, 2, 3};
+    Options.IsVoter = true;
+    Options.Incarnation = 1;
+    Options.ReplicaParameters = makeCellReplicaOptions(1);
+    Options.Dispatch.ReportInterval = ReportInterval;
+    Options.Seed = Id;
+    Voters[Id] = std::make_unique<CellNode>(Options, std::move(Stored), Now);
+  }
+
   [[nodiscard]] WallTime wallNow() const {
     return WallTime{Now.time_since_epoch()};
   }
@@ -139,6 +181,13 @@
 
   void step() {
     Now += StepTime;
+    std::erase_if(Ended, [this](NodeId Id) {
+      const bool IsDue = !isSuspended(Id);
+      if (IsDue) {
+        startVoter(Id);
+      }
+      return IsDue;
+    });
     for (const CellMessage &Message : std::exchange(Messages, {})) {
       if (!isSuspended(Message.To)) {
         Voters.at(Message.To)->receive(Message, Now, wallNow());
@@ -154,7 +203,7 @@
     }
     for (const auto &[Id, Node] : Voters) {
       if (!isSuspended(Id)) {
-        stepVoter(*Node);
+        stepVoter(Id, *Node);
       }
     }
     for (const auto &[Name, Worker] : Workers) {
@@ -171,9 +220,10 @@
     }
   }
 
-  void stepVoter(CellNode &Node) {
+  void stepVoter(NodeId Id, CellNode &Node) {
     CellOutput Output = Node.step(Now, wallNow());
     if (Output.Write) {
+      (void)Stores.at(Id).write(*Output.Write);
       Node.onWriteSynced();
     }
     std::move(Output.Messages.begin(), Output.Messages.end(),
@@ -181,7 +231,7 @@
     for (const WorkerOrder &Order : Output.Orders) {
       OrderResult Unanswered;
       Unanswered.Id = Order.Id;
-      if (Lost.contains(Order.Worker)) {
+      if (Lost.contains(Order.Worker) || WithoutOrders.contains(Order.Worker)) {
         Node.onOrderDone(Unanswered, Now, wallNow());
       } else if (HoldsStarts && Order.Kind == WorkerOrderKind::Start) {
         HeldStarts.push_back(Order);
@@ -196,6 +246,10 @@
   Instant Now{Millis{100000}};
   std::map<std::string, std::unique_ptr<FakeWorker>> Workers;
   std::set<std::string> Lost;
+  std::set<std::string> WithoutOrders;
+  std::map<NodeId, MemoryFiles> Files;
+  std::map<NodeId, GroupStore> Stores;
+  std::set<NodeId> Ended; ///< Voters whose process has ended.
   std::map<NodeId, std::unique_ptr<CellNode>> Voters;
   std::map<NodeId, Instant> SuspendedUntil;
   std::vector<CellMessage> Messages;
@@ -281,3 +335,75 @@
   CHECK(Result.Verdict == OrderVerdict::Refused);
   CHECK(Result.Reason == RefusalReason::StaleFencingToken);
 }
+
+TEST_GROUP(LeaseSeries){};
+
+/// Returns how long a long-running task has no run while the leader is killed
+/// at an interval. Its worker is lost for good.
+/// @param HasRestarted The worker had restarted under its name just before, and
+/// no order reached its last instance.
+Millis timeWithoutRun(Millis Interval, bool HasRestarted) {
+  const Millis RestartTime{500};
+  LeaseCell Cell;
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.submitLongRunning("j");
+  CHECK(Cell.stepUntilRunning("j", Millis{1000}) < Millis{1000});
+  Cell.stepFor(Millis{30000}); // No bound of a new worker applies any more.
+  Cell.addWorker("w1");
+  Cell.stepFor(Millis{1000});
+  Millis Gap{0};
+  if (HasRestarted) {
+    Cell.cutOrders("w0");
+    Cell.restartWorker("w0");
+    Cell.stepFor(Millis{600});
+    Gap += Millis{600};
+  }
+  Cell.loseWorker("w0");
+  while (Cell.workerOf("j").empty() && Gap < Millis{90000}) {
+    Cell.killLeader(RestartTime);
+    Gap += Cell.stepUntilRunning("j", Interval);
+  }
+  return Gap;
+}
+
+/// Guards against a long-running task without a run: a voter that starts again
+/// counts the end of a lease from its restart, and then leads.
+TEST(LeaseSeries, KillsOfLeadersExtendNoLeaseOfALostWorker) {
+  for (const std::int64_t Ms : {2000, 5000, 7800, 10000}) {
+    CHECK(timeWithoutRun(Millis{Ms}, false) <= MaxTimeWithoutRun);
+  }
+}
+
+/// Guards against a long-running task without a run: the bound for orders to a
+/// previous instance held for a task that its next instance never ran.
+TEST(LeaseSeries, ATaskOfAnInstanceThatGotNoOrderRunsAgain) {
+  CHECK(timeWithoutRun(Millis{60000}, true) <= MaxTimeWithoutRun);
+}
+
+/// Guards against the same over kills of leaders, each of which extends that
+/// bound.
+TEST(LeaseSeries, KillsOfLeadersExtendNoBoundOfAPreviousInstance) {
+  CHECK(timeWithoutRun(Millis{5000}, true) <= MaxTimeWithoutRun);
+}
+
+/// Guards against two runs of one task: a worker left while a start order was
+/// on its way, and its next process under that name, which the cell knows as a
+/// new worker, executes the order late.
+TEST(LeaseSeries, AnInstanceRefusesOrdersForOneThatHasLeft) {
+  LeaseCell Cell;
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.holdStarts();
+  Cell.submitLongRunning("j");
+  Cell.stepFor(Millis{100});
+  Cell.leave("w0");
+  Cell.passStarts();
+  Cell.addWorker("w1");
+  CHECK(Cell.stepUntilRunning("j", Millis{2000}) < Millis{2000});
+  STRCMP_EQUAL("w1", Cell.workerOf("j").c_str());
+  Cell.restartWorker("w0");
+  Cell.stepFor(Millis{3000});
+  const OrderResult Result = Cell.deliverHeldStart();
+  CHECK(Result.Verdict == OrderVerdict::Refused);
+}
