Let the scheduling conditions name what failed

`isSchedulable` and `isFeasible` tell only that a worker is out, and the end of a crash backoff and the crash risk of a task are computed within the planner or behind a yes or no. A log line that explains why a task waits needs the same conditions with their cause, and must not write them a second time.

`findExclusion` and `findInfeasibility` return the first failed condition, and the former predicates compare their result with none. `trialDueAt` returns the end of the backoff that `isTrialDue` tested. `lastCrashAt` is the only reader of `LastCrashAt` in the backoff. The crash risk moves from the planner to trials. The conditions are the same; the order in which they are tested does not change the result, as none has an effect.

--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -410,6 +410,33 @@
 /// @param Lease Length of the lease on the worker clock.
 [[nodiscard]] Millis leaseBound(const DispatchOptions &Options, Millis Lease);
 
+/// @brief Why no start may be sent to a worker now.
+enum class WorkerExclusion : std::uint8_t {
+  None,         ///< Starts may be sent.
+  NoSession,    ///< The leader keeps no session for it.
+  Unresponsive, ///< Orders or reports of it are missing.
+  NotReconciled,
+  OrphanedStarts, ///< Attempts that were recorded as lost may still run there.
+  NoClock,        ///< It has not reported to this leader yet.
+  Unannounced,
+  Draining,
+  Backoff ///< Tasks failed there recently.
+};
+
+/// @brief Names of the exclusions, by value.
+constexpr std::array<std::string_view, 9>
+nameTable(WorkerExclusion /*Exclusion*/) noexcept {
+  return {"none",           "no-session",      "unresponsive",
+          "not-reconciled", "orphaned-starts", "no-clock",
+          "unannounced",    "draining",        "backoff"};
+}
+
+/// @brief Finds the first reason for which no start may be sent to a worker.
+[[nodiscard]] WorkerExclusion findExclusion(const DispatchState &Dispatch,
+                                            const CellState &State,
+                                            WorkerInstanceId Worker,
+                                            Instant Now);
+
 /// @brief Tells whether a start may be sent to a worker now.
 [[nodiscard]] bool isSchedulable(const DispatchState &Dispatch,
                                  const CellState &State,
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -425,20 +425,41 @@
   Dispatch.Commands.emplace_back(std::move(Command));
 }
 
-bool isSchedulable(const DispatchState &Dispatch, const CellState &State,
-                   WorkerInstanceId Worker, Instant Now) {
+WorkerExclusion findExclusion(const DispatchState &Dispatch,
+                              const CellState &State, WorkerInstanceId Worker,
+                              Instant Now) {
   const auto It = Dispatch.Sessions.find(Worker);
   if (It == Dispatch.Sessions.end()) {
-    return false;
+    return WorkerExclusion::NoSession;
   }
   const WorkerSession &Session = It->second;
   const Millis Silence = Dispatch.Options.ReportInterval * 5 / 2;
-  return Session.IsReconciled && Session.Orphans.empty() &&
-         Session.ConsecutiveMisses == 0 && Session.Clock &&
-         !State.Workers[Worker].Report.IsDraining &&
-         !State.Workers[Worker].IsUnannounced && Now >= Session.BackoffUntil &&
-         !isRenewalOverdue(Session, Now) &&
-         Now - std::max(Session.ReportedAt, Session.AnsweredAt) < Silence;
+  if (Session.ConsecutiveMisses != 0 || isRenewalOverdue(Session, Now) ||
+      Now - std::max(Session.ReportedAt, Session.AnsweredAt) >= Silence) {
+    return WorkerExclusion::Unresponsive;
+  }
+  if (!Session.IsReconciled) {
+    return WorkerExclusion::NotReconciled;
+  }
+  if (!Session.Orphans.empty()) {
+    return WorkerExclusion::OrphanedStarts;
+  }
+  if (!Session.Clock) {
+    return WorkerExclusion::NoClock;
+  }
+  if (State.Workers[Worker].IsUnannounced) {
+    return WorkerExclusion::Unannounced;
+  }
+  if (State.Workers[Worker].Report.IsDraining) {
+    return WorkerExclusion::Draining;
+  }
+  return Now < Session.BackoffUntil ? WorkerExclusion::Backoff
+                                    : WorkerExclusion::None;
+}
+
+bool isSchedulable(const DispatchState &Dispatch, const CellState &State,
+                   WorkerInstanceId Worker, Instant Now) {
+  return findExclusion(Dispatch, State, Worker, Now) == WorkerExclusion::None;
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -95,14 +95,32 @@
   return Snapshot.Worker == Worker ? &Snapshot : nullptr;
 }
 
+Infeasibility findInfeasibility(const WorkerSnapshot &Snapshot,
+                                const Job &Owner, const StepSpec &Step,
+                                Instant Now) {
+  const auto &Labels = Snapshot.Instance->Report.Labels;
+  if (Snapshot.Instance->Report.Pool != Owner.Queue.Pool) {
+    return Infeasibility::OtherPool;
+  }
+  if (!Step.Label.empty() &&
+      std::find(Labels.begin(), Labels.end(), Step.Label) == Labels.end()) {
+    return Infeasibility::MissingLabel;
+  }
+  if (isReserved(Snapshot, Step, Now)) {
+    return Infeasibility::Reserved;
+  }
+  if (Snapshot.HasRecentSuspect) {
+    return Infeasibility::RecentSuspect;
+  }
+  if (!Step.IsLongRunning && Snapshot.HasLatencyViolation) {
+    return Infeasibility::LatencyViolation;
+  }
+  return Infeasibility::None;
+}
+
 bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
                 const StepSpec &Step, Instant Now) {
-  const auto &Labels = Snapshot.Instance->Report.Labels;
-  return Snapshot.Instance->Report.Pool == Owner.Queue.Pool &&
-         !isReserved(Snapshot, Step, Now) && !Snapshot.HasRecentSuspect &&
-         (Step.IsLongRunning || !Snapshot.HasLatencyViolation) &&
-         (Step.Label.empty() ||
-          std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end());
+  return findInfeasibility(Snapshot, Owner, Step, Now) == Infeasibility::None;
 }
 
 bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
--- a/src/mulberryramp/cell/schedulable_workers.hpp
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -56,6 +56,22 @@
 [[nodiscard]] WorkerSnapshot *findSnapshot(SchedulableWorkers &Workers,
                                            WorkerInstanceId Worker);
 
+/// @brief Why a worker may not run a step, apart from its free resources.
+enum class Infeasibility : std::uint8_t {
+  None,
+  OtherPool,
+  MissingLabel,
+  Reserved,        ///< A step that was planned before needs it.
+  RecentSuspect,   ///< It just started a task that may crash it.
+  LatencyViolation ///< A service there exceeds its tail latency limit.
+};
+
+/// @brief Finds the first reason for which a worker may not run a step.
+[[nodiscard]] Infeasibility findInfeasibility(const WorkerSnapshot &Snapshot,
+                                              const Job &Owner,
+                                              const StepSpec &Step,
+                                              Instant Now);
+
 /// @brief Tells whether a worker may run a step, apart from its free resources.
 /// A worker that a step planned before has reserved may only run tasks that end
 /// before that step needs it, and one that just started a task that may crash
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -42,14 +42,6 @@
 /// Score penalty, per task on the worker, for a task that may crash it.
 constexpr double SuspectCompanyPenalty = 0.2;
 
-/// Risk that a task crashes the worker that starts it; each value restricts the
-/// workers further.
-enum class CrashRisk : std::uint8_t {
-  None,
-  Suspect, ///< It needs a worker without a recent start.
-  Trial    ///< A worker has crashed under it; it needs a rack for its trial.
-};
-
 /// One planning pass.
 class StartPlanner {
 public:
@@ -132,26 +124,6 @@
     return (*Racks)[Rack];
   }
 
-  CrashRisk riskOf(const TaskKey &Key, const JobTask &Task) const {
-    if (isCrashSuspect(Task)) {
-      return CrashRisk::Trial;
-    }
-    return maySuspectCrash(Unresolved, Key, Task) ? CrashRisk::Suspect
-                                                  : CrashRisk::None;
-  }
-
-  /// Members crash several workers at the same time anyway, so that a gang
-  /// needs no rack without other trials.
-  CrashRisk riskOfGang(const StepKey &Key, const JobStep &Step) const {
-    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-      const TaskKey Member{Key.Job, Key.Run, Key.Step, Index};
-      if (maySuspectCrash(Unresolved, Member, Step.Tasks[Index])) {
-        return CrashRisk::Suspect;
-      }
-    }
-    return CrashRisk::None;
-  }
-
   void reserveWorker(WorkerSnapshot &Snapshot, const StepSpec &Step,
                      const TaskKey &Key, std::uint32_t Attempt) {
     Snapshot.Available -= requiredResources(Step);
@@ -398,7 +370,7 @@
           !isTrialDue(Dispatch, Candidate, Task, Now)) {
         continue;
       }
-      const CrashRisk Risk = riskOf(Candidate, Task);
+      const CrashRisk Risk = crashRiskOf(Unresolved, Candidate, Task);
       const bool IsTrial = Risk == CrashRisk::Trial;
       const bool MayFit = (!LowestWithoutRoom || Risk < *LowestWithoutRoom) &&
                           (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
@@ -466,7 +438,7 @@
       Attempt = std::max(Attempt, Task.Attempt + 1);
     }
     TaskCounts Counts;
-    const CrashRisk Risk = riskOfGang(Key, Step);
+    const CrashRisk Risk = gangCrashRiskOf(Unresolved, Key, Step);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       WorkerSnapshot *Chosen = pickBestWorker(
           Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts, Risk);
--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -44,6 +44,26 @@
   return isCrashSuspect(Task) || Unresolved.contains(Key);
 }
 
+CrashRisk crashRiskOf(const std::set<TaskKey> &Unresolved, const TaskKey &Key,
+                      const JobTask &Task) {
+  if (isCrashSuspect(Task)) {
+    return CrashRisk::Trial;
+  }
+  return maySuspectCrash(Unresolved, Key, Task) ? CrashRisk::Suspect
+                                                : CrashRisk::None;
+}
+
+CrashRisk gangCrashRiskOf(const std::set<TaskKey> &Unresolved,
+                          const StepKey &Key, const JobStep &Step) {
+  for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+    const TaskKey Member{Key.Job, Key.Run, Key.Step, Index};
+    if (maySuspectCrash(Unresolved, Member, Step.Tasks[Index])) {
+      return CrashRisk::Suspect;
+    }
+  }
+  return CrashRisk::None;
+}
+
 Millis trialBackoff(const JobTask &Task) noexcept {
   Millis Backoff{0};
   for (std::uint32_t Crash = 2; Crash <= Task.Crashes + Task.PossibleCrashes &&
@@ -54,16 +74,25 @@
   return Backoff;
 }
 
-bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
-                const JobTask &Task, Instant Now) {
+Instant lastCrashAt(const DispatchState &Dispatch, const TaskKey &Key) {
+  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
+  return CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
+                                               : CrashIt->second;
+}
+
+std::optional<Instant> trialDueAt(const DispatchState &Dispatch,
+                                  const TaskKey &Key, const JobTask &Task) {
   const Millis Backoff = trialBackoff(Task);
   if (Backoff == Millis{0}) {
-    return true;
+    return std::nullopt;
   }
-  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
-  return Now - (CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
-                                                      : CrashIt->second) >=
-         Backoff + trialDelay(Key, Task, Backoff);
+  return lastCrashAt(Dispatch, Key) + Backoff + trialDelay(Key, Task, Backoff);
+}
+
+bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
+                const JobTask &Task, Instant Now) {
+  const std::optional<Instant> DueAt = trialDueAt(Dispatch, Key, Task);
+  return !DueAt || Now >= *DueAt;
 }
 
 bool isGangTrialDue(const DispatchState &Dispatch, const StepKey &Key,
--- a/src/mulberryramp/cell/trials.hpp
+++ b/src/mulberryramp/cell/trials.hpp
@@ -3,6 +3,7 @@
 #include "mulberryramp/cell/dispatcher.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -25,13 +26,43 @@
 [[nodiscard]] bool maySuspectCrash(const std::set<TaskKey> &Unresolved,
                                    const TaskKey &Key, const JobTask &Task);
 
+/// @brief Risk that a task crashes the worker that starts it; each value
+/// restricts the workers further.
+enum class CrashRisk : std::uint8_t {
+  None,
+  Suspect, ///< It needs a worker without a recent start.
+  Trial    ///< A worker has crashed under it; it needs a rack for its trial.
+};
+
+/// @brief Returns the risk of a task.
+/// @param Unresolved Result of `collectUnresolvedTasks`.
+[[nodiscard]] CrashRisk crashRiskOf(const std::set<TaskKey> &Unresolved,
+                                    const TaskKey &Key, const JobTask &Task);
+
+/// @brief Returns the risk of a gang. Members crash several workers at the same
+/// time anyway, so that a gang needs no rack without other trials.
+/// @param Unresolved Result of `collectUnresolvedTasks`.
+[[nodiscard]] CrashRisk gangCrashRiskOf(const std::set<TaskKey> &Unresolved,
+                                        const StepKey &Key,
+                                        const JobStep &Step);
+
 /// @brief Computes how long after a crash a suspect is started again: 1 s after
 /// the second crash, twice as long after each further one, at most 30 s.
 [[nodiscard]] Millis trialBackoff(const JobTask &Task) noexcept;
 
-/// @brief Tells whether the backoff of a task after its last crash is over,
-/// with up to half of it added, which differs from task to task. For a crash
-/// that an earlier leader saw it begins with the term of this leader.
+/// @brief Returns when the last crash under a task counts as noticed. A crash
+/// that an earlier leader saw counts from the begin of this term.
+[[nodiscard]] Instant lastCrashAt(const DispatchState &Dispatch,
+                                  const TaskKey &Key);
+
+/// @brief Computes when the backoff of a task after its last crash is over,
+/// with up to half of it added, which differs from task to task.
+/// @return The time, which may be past, or nothing if the task has no backoff.
+[[nodiscard]] std::optional<Instant> trialDueAt(const DispatchState &Dispatch,
+                                                const TaskKey &Key,
+                                                const JobTask &Task);
+
+/// @brief Tells whether the backoff of a task is over, see `trialDueAt`.
 [[nodiscard]] bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
                               const JobTask &Task, Instant Now);
 
