Log why a task whose turn has come has nothing running

Once a second the leader looks for tasks of ready steps with nothing running. `explainAssigned` and `explainWaiting` return the reason from the replicated and the dispatch state; they use the conditions of the planner. `logWaits` writes a reason once it has held for 1 s (the wait of a step that is not long-running: 3 s), and again only if the reason or the worker changes. `event=wait-over` has the length of a logged wait. No decision reads any of it.

Bounds of a look: 32 steps in turn, 64 unassigned tasks of each, 50 `event=waits` lines. Workers without room are skipped after one comparison.

--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -325,6 +325,7 @@
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
   Dispatch.BeganAt = Now;
+  Dispatch.Waits.NextLookAt = Now + WaitLookInterval;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
     const WorkerInstance &Worker = State.Workers[Id];
@@ -463,6 +464,7 @@
     }
   }
   renewTouched(Dispatch, State, Now);
+  logWaits(Dispatch, State, Now, WallNow);
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "mulberryramp/cell/admission.hpp"
 #include "mulberryramp/cell/fwd.hpp"
 #include "mulberryramp/cell/order.hpp"
+#include "mulberryramp/cell/wait_log.hpp"
 #include "mulberryramp/job/state.hpp"
 
 #include <cstdint>
@@ -359,6 +360,7 @@
   Instant BeganAt; ///< When this node began to dispatch.
   /// When the last worker crashed under a task, as far as this leader saw it.
   std::map<TaskKey, Instant> LastCrashAt;
+  WaitLog Waits; ///< Tasks with nothing running, for the log.
   DispatchCounters Counters;
 
   /// Output, drained by the node after each step.
