--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -314,6 +314,7 @@
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
   Dispatch.BeganAt = Now;
+  Dispatch.Waits.NextLookAt = Now + WaitLookInterval;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
     openSession(Dispatch, Id, State.Workers[Id], Now, WallNow);
@@ -451,6 +452,7 @@
     }
   }
   renewTouched(Dispatch, State, Now);
+  logWaits(Dispatch, State, Now, WallNow);
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "mulberryramp/cell/entry_times.hpp"
 #include "mulberryramp/cell/fwd.hpp"
 #include "mulberryramp/cell/order.hpp"
+#include "mulberryramp/cell/wait_log.hpp"
 #include "mulberryramp/job/state.hpp"
 
 #include <cstdint>
@@ -374,6 +375,7 @@
   Instant BeganAt; ///< When this node began to dispatch.
   /// When the last worker crashed under a task, as far as this leader saw it.
   std::map<TaskKey, Instant> LastCrashAt;
+  WaitLog Waits; ///< Tasks with nothing running, for the log.
   DispatchCounters Counters;
 
   /// Output, drained by the node after each step.
@@ -420,6 +422,35 @@
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
                   WallTime WallNow);
 
+/// @brief Why no start may be sent to a worker now.
+enum class WorkerExclusion : std::uint8_t {
+  None,           ///< Starts may be sent.
+  NoSession,      ///< The leader keeps no session for it.
+  Unresponsive,   ///< Orders or reports of it are missing.
+  LeaseSuspended, ///< It responds, and the log does not yet say so.
+  NotReconciled,
+  OrphanedStarts, ///< Attempts that were recorded as lost may still run there.
+  NoClock,        ///< It has not reported to this leader yet.
+  Unannounced,
+  Draining,
+  Backoff ///< Tasks failed there recently.
+};
+
+/// @brief Names of the exclusions, by value.
+constexpr std::array<std::string_view, 10>
+nameTable(WorkerExclusion /*Exclusion*/) noexcept {
+  return {
+      "none",           "no-session",      "unresponsive", "lease-suspended",
+      "not-reconciled", "orphaned-starts", "no-clock",     "unannounced",
+      "draining",       "backoff"};
+}
+
+/// @brief Finds the first reason for which no start may be sent to a worker.
+[[nodiscard]] WorkerExclusion findExclusion(const DispatchState &Dispatch,
+                                            const CellState &State,
+                                            WorkerInstanceId Worker,
+                                            Instant Now);
+
 /// @brief Tells whether a start may be sent to a worker now.
 [[nodiscard]] bool isSchedulable(const DispatchState &Dispatch,
                                  const CellState &State,
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -62,7 +62,7 @@
 struct RegisterWorkerCommand {
   WorkerReport Report;
   bool IsUnannounced = false; ///< `WorkerInstance::IsUnannounced`.
-  WallTime At;                ///< When it was proposed.
+  WallTime At{};              ///< When it was proposed.
 
   static constexpr std::size_t MandatoryFields = 1; ///< See `encode`.
   static constexpr auto fields() {
