Check how long long-running tasks have no run

The explorer looked at these tasks once, at the end of a schedule, long after the last fault.

Each step now looks for the tasks that should run and do not. A gap counts while capacity for two tasks is free on workers that can be reached, and while the cell can serve: a majority of the voters is up and connected, and somebody leads or 2 s have passed since a voter last failed. Counted time adds up over all leaders within a gap; the time under a leader that led for less than 2 s does not count. More than 9 s is a violation. Jobs in schedules with caps are not checked, as a cap may keep them from running.

--- a/test/cell/cell_network.cpp
+++ b/test/cell/cell_network.cpp
@@ -54,8 +54,9 @@
     InFlight.Order = std::move(Order);
     Orders.push_back(std::move(InFlight));
   }
-  if (Options.IsTraced) {
-    for (const std::string &Line : Output.Events) {
+  for (const std::string &Line : Output.Events) {
+    noteEvent(Line);
+    if (Options.IsTraced) {
       std::cout << (Now - Instant{Millis{100000}}).count() << " node=" << From
                 << ' ' << Line << '\n';
     }
--- a/test/cell/cell_simulation.hpp
+++ b/test/cell/cell_simulation.hpp
@@ -4,6 +4,7 @@
 #include "cell/cell_state.hpp"
 #include "cell/cell_world.hpp"
 #include "cell/drain_schedule.hpp"
+#include "cell/run_gaps.hpp"
 #include "mulberryramp/core/random.hpp"
 
 #include <map>
@@ -161,6 +162,25 @@
   /// full.
   void checkLongRunning(const std::string &Name, const TrackedJob &Job);
 
+  // Times without a run of long-running tasks.
+
+  /// Tells whether a voter can take part in commits.
+  bool canServe(const VoterState &Voter) const;
+  /// Returns the voter that leads and can serve, or 0.
+  NodeId servingLeader() const;
+  /// Tells whether the cell is excused from starting tasks: no majority of the
+  /// voters can serve, or nobody leads and an election may still be going on
+  /// since a voter last failed. A voter that returns excuses nothing.
+  bool isCellExcused(NodeId Leader);
+  /// Tells whether workers that can be reached have room for two tasks. Workers
+  /// that drain, leave or have shrunk are not counted.
+  bool hasRoomForLongRunning();
+  void checkRunGaps(Millis StepTime);
+  void checkRunGap(const RunGap &Gap);
+  /// Keeps the last log line on each job and worker for violations.
+  void noteEvent(const std::string &Line);
+  std::string describeLastEvents(const RunGap &Gap) const;
+
   CellScheduleOptions Options;
   Random Rng;
   Instant Now{Millis{100000}};
@@ -211,6 +231,11 @@
   std::map<TaskName, Instant> LastCrashAt;
   std::vector<Disturbance> Disturbances;
   std::map<std::string, std::uint64_t> TaskCrashesByJob;
+  RunGaps LongRunGaps;
+  std::set<NodeId> ServingVoters;
+  Instant ElectionDueAt; ///< The cell is excused until then without a leader.
+  /// Last log line on each job and worker, by name, with its time.
+  std::map<std::string, std::string> LastEvents;
   CellScheduleResult Result;
 };
 
--- a/test/cell/cell_state.hpp
+++ b/test/cell/cell_state.hpp
@@ -98,6 +98,8 @@
   std::vector<std::pair<Instant, std::int64_t>>
       ReportedCpus; ///< Each reported capacity, with the first such report.
   std::uint64_t ProcessGeneration = 0;
+  std::uint64_t SeenGeneration = 0; ///< At the last check of the room.
+  Instant RoomSince;                ///< Its room counts from then on.
   /// Generation of this worker that last answered each process of a node. The
   /// open connections of that process lead to it.
   std::map<std::pair<NodeId, std::uint64_t>, std::uint64_t> ConnectedGeneration;
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -49,6 +49,10 @@
     processOutput(FrontendId, 0, Frontend->step(Now, wallNow()));
     stepWorkers();
     checkWorkers();
+    checkRunGaps(StepTime);
+  }
+  for (const RunGap &Gap : LongRunGaps.open(Now)) {
+    checkRunGap(Gap);
   }
   checkFinalState();
   return Result;
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -82,6 +82,9 @@
   /// Those of them of which no task ended as failed as often as it may.
   std::uint64_t BystandersFailedByCrashes = 0;
   std::uint64_t KeyChecks = 0; ///< Answers whose key was checked.
+  /// Longest time for which a long-running task had no run although there was
+  /// room and the cell could serve.
+  Millis LongestRunGap{0};
 };
 
 /// @brief Lists the faults of a default schedule: all except `CrashingTask`,
--- a/test/cell/explore_main.cpp
+++ b/test/cell/explore_main.cpp
@@ -24,6 +24,7 @@
   std::uint64_t FailedBystanders = 0;
   std::uint64_t BystandersFailedByCrashes = 0;
   std::uint64_t KeyChecks = 0;
+  Millis LongestRunGap{0};
 };
 
 std::set<CellFault> readFaults(const std::string &Text) {
@@ -53,6 +54,7 @@
   Total.FailedBystanders += Result.FailedBystanders;
   Total.BystandersFailedByCrashes += Result.BystandersFailedByCrashes;
   Total.KeyChecks += Result.KeyChecks;
+  Total.LongestRunGap = std::max(Total.LongestRunGap, Result.LongestRunGap);
   if (Result.TaskCrashes != 0) {
     std::cout << "seed " << Options.Seed << ": workers crashed by tasks "
               << Result.TaskCrashes << ", by tasks of one job at most "
@@ -124,6 +126,8 @@
               << ", failed jobs without a crashing task "
               << Total.FailedBystanders << ", of these by crashes "
               << Total.BystandersFailedByCrashes << '\n'
+              << "longest gap of a long-running task "
+              << Total.LongestRunGap.count() << " ms\n"
               << "schedules " << (EndSeed - FirstSeed) << ", violations "
               << Total.Violations << '\n';
     return Total.Violations == 0 ? 0 : 1;
