Add series of leader changes and lost workers to the explorer

No schedule had a series of leader changes, or a worker that died for good shortly after it had started a long-running task.

leader-series disturbs the present leader every 5 to 10 s, by kills only in half of the schedules. lose-worker ends a worker up to 3 s after the start of a long-running task, for good or for 60 s, half of them within 15 s of their own start; another worker joins 0.5 to 5 s later. With kill-node or leader-series a leader is killed within 2 s of half of the losses. Schedules with either last 94 s, have faults for 65 s and a third of the load. With lost workers up to five jobs are long-running, with one or two tasks each.

The new faults are not among the default ones.

--- a/test/cell/cell_start_invariants.cpp
+++ b/test/cell/cell_start_invariants.cpp
@@ -95,6 +95,9 @@
   switch (Event.Kind) {
   case WorkerEvent::Type::Started:
     Result.Starts += 1;
+    if (Step.IsLongRunning) {
+      planLoss(Workers.at(Worker));
+    }
     checkStart(Event, Step, Text);
     if (!Event.IsLate) {
       checkCapacityAtStart(Workers.at(Worker), Text);
--- a/test/cell/cell_state.hpp
+++ b/test/cell/cell_state.hpp
@@ -24,6 +24,13 @@
 /// Duration of a schedule. All faults end before, and all jobs have to be
 /// finished by then.
 inline constexpr Millis ScheduleTime{45000};
+/// Period of new faults with a series of leader changes or with lost workers:
+/// at least six changes 10 s apart, and time in which workers are no longer
+/// young.
+inline constexpr Millis LongFaultPeriod{65000};
+/// Duration of a schedule with a long period of faults.
+inline constexpr Millis LongScheduleTime{LongFaultPeriod +
+                                         (ScheduleTime - FaultPeriod)};
 /// Duration of a schedule with tasks that crash workers. Each crash takes a
 /// worker away for up to 5 s, until three jobs with five crashes are given up.
 /// Crashes that coincide count for none of them, and each further trial of a
@@ -90,7 +97,10 @@
   Instant PartitionedUntil;
   Instant DownUntil; ///< The process has crashed and starts again then.
   bool IsDown = false;
-  Instant ResetUntil; ///< Its connections are reset until then.
+  Instant StartedAt;             ///< When its process last started.
+  std::optional<Instant> DiesAt; ///< Set if the worker is about to be lost.
+  bool IsLost = false;           ///< It is down for good, or for 60 s.
+  Instant ResetUntil;            ///< Its connections are reset until then.
   /// Times until which single nodes exchange nothing with this worker.
   std::map<NodeId, Instant> PathsCutUntil;
   Instant ReportAt;
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -25,8 +25,10 @@
     const std::string Name = "w" + std::to_string(Index);
     Workers[Name].Worker = std::make_unique<FakeWorker>(
         Name, capacityOf(WorkerCpus), Options.Seed * 31 + Index, Now);
+    Workers[Name].StartedAt = Now;
   }
   LastLeader = 0;
+  beginLeaderSeries();
   if (Options.Faults.contains(CellFault::ChangeKeys)) {
     Keys.emplace(Options.Seed, Options.Trap);
   }
@@ -39,6 +41,7 @@
     if (Now < FaultsEnd) {
       injectFaults();
     }
+    joinDueWorkers();
     restoreCapacities();
     changeCaps();
     issueCalls();
@@ -191,6 +194,8 @@
   Faults.erase(CellFault::ChangeCap);
   Faults.erase(CellFault::DrainWorker);
   Faults.erase(CellFault::HandOver);
+  Faults.erase(CellFault::LeaderSeries);
+  Faults.erase(CellFault::LoseWorker);
   return Faults;
 }
 
