Count leases from the log without wall clocks, also after a leave

A name that has left may be registered again while an order of before is on its way. Such an instance counts as one with a previous instance: it is asked for its tasks before it gets a start, and refuses that order. Each leader records the suspensions that it finds once more, so that a voter which restarts does not count them from their beginning.

A task was evicted from a draining worker after each election, because a new leader took the time until the exit as 0 until the next report.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -376,7 +376,6 @@
       Register.Report.Pool = Worker.Report.Pool;
       Register.Report.Address = Worker.Report.Address;
       Register.IsUnannounced = true;
-      Register.At = WallNow;
       Dispatch.Events.push_back(
           "event=worker-restarted worker=" + Worker.Report.Name +
           " found_by=renewal start=" + std::to_string(Result.StartTimeMs) +
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -327,7 +327,7 @@
     }
     PendingCaller Registering = Caller;
     Registering.Report = Call.Report;
-    propose(Registering, RegisterWorkerCommand{Call.Report, false, WallNow});
+    propose(Registering, RegisterWorkerCommand{Call.Report});
     return;
   }
   if (Call.Report.StartTimeMs < Instance->Report.StartTimeMs) {
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -38,14 +38,13 @@
 }
 
 WorkerSession &openSession(DispatchState &Dispatch, WorkerInstanceId Worker,
-                           const WorkerInstance &Instance, Instant Now,
-                           WallTime WallNow) {
+                           const WorkerInstance &Instance, Instant Now) {
   WorkerSession &Session = Dispatch.Sessions[Worker];
   Session.EndsProposed = Instance.LastAckedEnd;
   setReportedFields(Session, Instance.Report);
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
-  openLease(Dispatch, Session, Worker, Instance, Now, WallNow);
+  openLease(Dispatch, Session, Worker, Instance, Now);
   return Session;
 }
 
@@ -309,7 +308,7 @@
 } // namespace
 
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime WallNow) {
+                   Term FencingToken, Instant Now, WallTime /*WallNow*/) {
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
@@ -317,7 +316,7 @@
   Dispatch.Waits.NextLookAt = Now + WaitLookInterval;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
-    openSession(Dispatch, Id, State.Workers[Id], Now, WallNow);
+    openSession(Dispatch, Id, State.Workers[Id], Now);
   }
   recoverLaunches(Dispatch, State, Now);
   Dispatch.Nodes[Dispatch.Self].LastContactAt = Now;
@@ -353,9 +352,12 @@
   }
   if (Change.Worker.isSet()) {
     const WorkerInstance &Registered = State.Workers[Change.Worker];
-    openSession(Dispatch, Change.Worker, Registered, Now,
-                Registered.RegisteredAt);
-    Dispatch.TouchedWorkers.insert(Change.Worker);
+    WorkerSession &Session =
+        openSession(Dispatch, Change.Worker, Registered, Now);
+    Session.IsReconciled = !Registered.MayHoldFormerLease;
+    if (!Session.IsReconciled) {
+      Dispatch.TouchedWorkers.insert(Change.Worker);
+    }
     if (Change.ReplacedInstance.isSet()) {
       transferLaunches(Dispatch, Change.ReplacedInstance, Change.Worker,
                        State.Workers[Change.Worker].IsUnannounced, Now);
@@ -418,7 +420,7 @@
     Dispatch.NextTimersAt = Now + TimerInterval;
     expireQueries(Dispatch, Now);
     expireLeases(Dispatch, State, Now, WallNow);
-    proposeLeaseChanges(Dispatch, State, Now, WallNow);
+    proposeLeaseChanges(Dispatch, State, Now);
     stopOrphans(Dispatch, State, Now);
     probeOverdueStarts(Dispatch, Now);
     sendDueRenewals(Dispatch, State, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -172,7 +172,8 @@
   bool IsFormerLeaseEndProposed = false; ///< See `EndFormerLeasesCommand`.
   /// The log says that the worker is granted no leases, or will say so.
   bool IsLeaseSuspended = false;
-  bool IsResumeProposed = false; ///< The end of the suspension is proposed.
+  bool IsSuspensionRecorded = false; ///< This leader has proposed it.
+  bool IsResumeProposed = false;     ///< The end of the suspension is proposed.
   /// Consecutive orders without an answer.
   std::uint32_t ConsecutiveMisses = 0;
   Instant LastMissAt;  ///< When an order last went unanswered.
--- a/src/mulberryramp/cell/leases.cpp
+++ b/src/mulberryramp/cell/leases.cpp
@@ -14,39 +14,22 @@
 /// The lower bits of a fencing token hold the registration of the worker. Terms
 /// up to 2^21 fit beside it into the integers that JSON numbers keep exactly.
 constexpr int RegistrationBits = 32;
-/// Bound on the difference between the wall clocks of two machines, of which
-/// one may have been set to another time.
-constexpr Millis MaxClockSkew{5000};
-
-/// Returns when a time has passed since the proposal of an entry.
-/// @param AppliedAt When this node applied the entry.
-/// @param ProposedAt When the entry was proposed, by the wall clock there.
-Instant endOfTimeSince(Instant AppliedAt, WallTime ProposedAt, Millis Time,
-                       Instant Now, WallTime WallNow) {
-  // A node that restarted has applied the entry again, long after its proposal.
-  return std::min(AppliedAt + Time,
-                  Now + (ProposedAt + Time + MaxClockSkew - WallNow));
-}
 
 /// Bounds the leases of orders for the previous instance of a worker. Such an
 /// order was sent before the instance was registered, and may reach it late. As
 /// the worker clock restarts, its lease lasts up to the longest one that the
 /// worker accepts.
 Instant formerLeaseBound(const DispatchState &Dispatch, WorkerInstanceId Id,
-                         const WorkerInstance &Worker, Instant Now,
-                         WallTime WallNow) {
+                         const WorkerInstance &Worker, Instant Now) {
   if (!Worker.MayHoldFormerLease) {
     return Instant{};
   }
   const auto TimeIt = Dispatch.Entries.Registrations.find(Id);
-  const Instant AppliedAt = TimeIt == Dispatch.Entries.Registrations.end()
-                                ? Now
-                                : TimeIt->second.AppliedAt;
-  return endOfTimeSince(
-      AppliedAt, Worker.RegisteredAt,
-      Dispatch.Options.MaxOrderDelay +
-          leaseBound(Dispatch.Options, Dispatch.Options.MaxLease),
-      Now, WallNow);
+  const Instant RegisteredAt = TimeIt == Dispatch.Entries.Registrations.end()
+                                   ? Now
+                                   : TimeIt->second.AppliedAt;
+  return RegisteredAt + Dispatch.Options.MaxOrderDelay +
+         leaseBound(Dispatch.Options, Dispatch.Options.MaxLease);
 }
 
 /// Tells whether the regular bound, on a lease that is granted from now on or
@@ -62,6 +45,7 @@
                   SuspendLeasesCommand &Suspend, Instant Now) {
   const Millis Remaining = Session.LeaseEnd - Now;
   Session.IsLeaseSuspended = true;
+  Session.IsSuspensionRecorded = true;
   Suspend.Suspensions.push_back({Id, Remaining});
   Dispatch.Events.push_back(
       "event=lease-suspended worker=" + workerName(State, Id) +
@@ -76,10 +60,9 @@
 }
 
 void openLease(const DispatchState &Dispatch, WorkerSession &Session,
-               WorkerInstanceId Id, const WorkerInstance &Worker, Instant Now,
-               WallTime WallNow) {
+               WorkerInstanceId Id, const WorkerInstance &Worker, Instant Now) {
   const DispatchOptions &Options = Dispatch.Options;
-  Session.FormerLeaseEnd = formerLeaseBound(Dispatch, Id, Worker, Now, WallNow);
+  Session.FormerLeaseEnd = formerLeaseBound(Dispatch, Id, Worker, Now);
   // An attempt that was assigned to this instance began after the instance had
   // accepted its own fencing token, so that no former lease began later.
   Session.LeaseEnd =
@@ -90,10 +73,9 @@
   const auto SuspensionIt = Dispatch.Entries.LeaseSuspensions.find(Id);
   if (Worker.IsLeaseSuspended &&
       SuspensionIt != Dispatch.Entries.LeaseSuspensions.end()) {
-    Session.LeaseEnd = std::min(
-        Session.LeaseEnd,
-        endOfTimeSince(SuspensionIt->second.AppliedAt, Worker.SuspendedAt,
-                       Worker.SuspendedLease, Now, WallNow));
+    Session.LeaseEnd =
+        std::min(Session.LeaseEnd,
+                 SuspensionIt->second.AppliedAt + Worker.SuspendedLease);
   }
 }
 
@@ -157,18 +139,20 @@
 }
 
 void proposeLeaseChanges(DispatchState &Dispatch, const CellState &State,
-                         Instant Now, WallTime WallNow) {
+                         Instant Now) {
   SuspendLeasesCommand Suspend;
-  Suspend.At = WallNow;
   ResumeLeasesCommand Resume;
   EndFormerLeasesCommand EndFormer;
   for (auto &[Id, Session] : Dispatch.Sessions) {
     const WorkerInstance *Worker = State.Workers.find(Id);
     const bool IsResponsive =
         Session.ConsecutiveMisses == 0 && Session.IsInstanceVerified;
-    if (Session.ConsecutiveMisses >= SuspendAfterMisses &&
-        !Session.IsLeaseSuspended && !Session.Tasks.empty() &&
-        Now < Session.LeaseEnd) {
+    // A voter that restarts counts a suspension from its restart. So that it
+    // finds the time that is left now, each leader records it again.
+    const bool IsSuspended = Session.ConsecutiveMisses >= SuspendAfterMisses ||
+                             Session.IsLeaseSuspended;
+    if (IsSuspended && !Session.IsSuspensionRecorded &&
+        !Session.Tasks.empty() && Now < Session.LeaseEnd) {
       suspendLease(Dispatch, State, Id, Session, Suspend, Now);
     } else if (Session.IsLeaseSuspended && !Session.IsResumeProposed &&
                IsResponsive) {
@@ -202,6 +186,7 @@
       continue;
     }
     SessionIt->second.IsLeaseSuspended = false;
+    SessionIt->second.IsSuspensionRecorded = false;
     SessionIt->second.IsResumeProposed = false;
     SessionIt->second.NextRenewalAt = Now;
     Dispatch.TouchedWorkers.insert(Id);
--- a/src/mulberryramp/cell/leases.hpp
+++ b/src/mulberryramp/cell/leases.hpp
@@ -21,8 +21,7 @@
 /// @brief Sets the bounds on the leases of a worker at the beginning of its
 /// session.
 void openLease(const DispatchState &Dispatch, WorkerSession &Session,
-               WorkerInstanceId Id, const WorkerInstance &Worker, Instant Now,
-               WallTime WallNow);
+               WorkerInstanceId Id, const WorkerInstance &Worker, Instant Now);
 
 /// @brief Extends the lease of a worker from now. The lease ends at a time of
 /// the worker clock. It is computed from a lower bound of that clock, so that
@@ -52,7 +51,7 @@
 /// @brief Proposes to suspend the leases of workers that have become
 /// unresponsive, and to resume those of workers that respond again.
 void proposeLeaseChanges(DispatchState &Dispatch, const CellState &State,
-                         Instant Now, WallTime WallNow);
+                         Instant Now);
 
 /// @brief Handles leases that were resumed.
 void onLeasesResumed(DispatchState &Dispatch,
--- a/src/mulberryramp/cell/review.cpp
+++ b/src/mulberryramp/cell/review.cpp
@@ -228,11 +228,17 @@
       Launch.Phase != LaunchPhase::Confirmed || Spec.IsGang) {
     return false;
   }
+  if (Spec.IsLongRunning) {
+    return true;
+  }
+  if (Session.Sequence == 0) {
+    return false; // The time until the exit is known from the next report.
+  }
   const Millis TimeToExit = Session.Remaining - (Now - Session.ReportedAt);
   const Millis Needed = hasSpeedSample(Launch, Spec)
                             ? estimateRemainingTime(Launch, Now)
                             : Launch.StartedAt + Spec.Estimate - Now;
-  return Spec.IsLongRunning || Needed > std::max(TimeToExit, Millis{0});
+  return Needed > std::max(TimeToExit, Millis{0});
 }
 
 /// Tells whether the end of a task is overdue and the renewal that should
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -62,13 +62,11 @@
 struct RegisterWorkerCommand {
   WorkerReport Report;
   bool IsUnannounced = false; ///< `WorkerInstance::IsUnannounced`.
-  WallTime At{};              ///< When it was proposed.
 
   static constexpr std::size_t MandatoryFields = 1; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&RegisterWorkerCommand::Report,
-                           &RegisterWorkerCommand::IsUnannounced,
-                           &RegisterWorkerCommand::At);
+                           &RegisterWorkerCommand::IsUnannounced);
   }
 };
 
@@ -256,11 +254,9 @@
 /// leader need not wait for a whole lease after its election.
 struct SuspendLeasesCommand {
   std::vector<LeaseSuspension> Suspensions;
-  WallTime At;
 
   static constexpr auto fields() {
-    return std::make_tuple(&SuspendLeasesCommand::Suspensions,
-                           &SuspendLeasesCommand::At);
+    return std::make_tuple(&SuspendLeasesCommand::Suspensions);
   }
 };
 
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -36,12 +36,15 @@
   /// their names.
   std::vector<OrganisationRate> Rates;
   std::uint64_t Registrations = 0; ///< Number of registered worker instances.
+  /// Names of the workers that were deregistered last, the latest at the end.
+  std::vector<std::string> FormerWorkers;
 
   static constexpr std::size_t MandatoryFields = 3; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
                            &CellState::Jobs, &CellState::Rates,
-                           &CellState::Registrations);
+                           &CellState::Registrations,
+                           &CellState::FormerWorkers);
   }
 };
 
--- a/src/mulberryramp/job/worker.hpp
+++ b/src/mulberryramp/job/worker.hpp
@@ -50,16 +50,14 @@
   /// Number of this registration; it rises with each one of the cell. 0 if it
   /// was stored before this field existed.
   std::uint64_t Registration = 0;
-  /// It replaced an instance of its name, and may have accepted a lease from an
-  /// order for that one. Cleared by `EndFormerLeasesCommand`.
+  /// An instance of its name was registered before. It may have accepted a
+  /// lease from an order for that one. Cleared by `EndFormerLeasesCommand`.
   bool MayHoldFormerLease = false;
   /// The instance is granted no lease until `ResumeLeasesCommand` is applied.
   bool IsLeaseSuspended = false;
-  /// Time from `SuspendedAt` to the end of the leases that were granted before,
-  /// with clock drift and margin.
+  /// Time from `SuspendLeasesCommand` to the end of the leases that were
+  /// granted before, with clock drift and margin.
   Millis SuspendedLease{0};
-  WallTime SuspendedAt;  ///< By the wall clock of the leader that proposed it.
-  WallTime RegisteredAt; ///< By the wall clock of the leader that proposed it.
 
   static constexpr std::size_t MandatoryFields = 4; ///< See `encode`.
   static constexpr auto fields() {
@@ -68,8 +66,7 @@
         &WorkerInstance::LastAckedEnd, &WorkerInstance::Tasks,
         &WorkerInstance::IsUnannounced, &WorkerInstance::Registration,
         &WorkerInstance::MayHoldFormerLease, &WorkerInstance::IsLeaseSuspended,
-        &WorkerInstance::SuspendedLease, &WorkerInstance::SuspendedAt,
-        &WorkerInstance::RegisteredAt);
+        &WorkerInstance::SuspendedLease);
   }
 };
 
--- a/src/mulberryramp/job/worker_commands.cpp
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Names of deregistered workers that are kept. An order for such a worker may
+/// arrive up to 12 s later, and no more workers are deregistered in that time.
+constexpr std::size_t MaxFormerWorkers = 4000;
+
 /// Calls a visitor for each task that is assigned to a worker instance.
 template <typename Visitor>
 void forEachTaskOn(CellState &State, WorkerInstanceId Worker, Visitor Visit) {
@@ -43,6 +47,10 @@
     recordBegin(State.Jobs[Key.Job], EndKind::Lost);
     Change.Ended.push_back({Key, Task.Attempt, EndKind::Lost, ""});
   });
+  if (State.FormerWorkers.size() >= MaxFormerWorkers) {
+    State.FormerWorkers.erase(State.FormerWorkers.begin());
+  }
+  State.FormerWorkers.push_back(Worker->Report.Name);
   const auto NameIt = State.WorkerNames.find(Worker->Report.Name);
   if (NameIt != State.WorkerNames.end() && NameIt->second == Id) {
     State.WorkerNames.erase(NameIt);
@@ -107,8 +115,8 @@
   NewInstance.IsUnannounced = Command.IsUnannounced;
   State.Registrations += 1;
   NewInstance.Registration = State.Registrations;
-  NewInstance.MayHoldFormerLease = Previous.isSet();
-  NewInstance.RegisteredAt = Command.At;
+  const auto HasLeft = std::erase(State.FormerWorkers, Command.Report.Name);
+  NewInstance.MayHoldFormerLease = Previous.isSet() || HasLeft != 0;
   const WorkerInstanceId Id = State.Workers.insert(std::move(NewInstance));
   if (Previous.isSet()) {
     forEachTaskOn(State, Previous, [Id](const TaskKey &, JobTask &Task) {
@@ -167,7 +175,6 @@
     if (WorkerInstance *Worker = State.Workers.find(Suspension.Worker)) {
       Worker->IsLeaseSuspended = true;
       Worker->SuspendedLease = Suspension.Remaining;
-      Worker->SuspendedAt = Command.At;
       Change.SuspendedLeases.push_back(Suspension.Worker);
     }
   }
