Count a crash with the entry that frees its tasks

What callers saw: a task that crashes its workers was started once more than its crashes allow, or a start followed without its backoff.

Cause: the leader attributed a crash after it had applied the registration of the next instance, and proposed the ends in a further entry. A start planned between the two had the backoff of one crash less. Ends of attempts that move to the next instance of the same name were kept in memory, so that a leader that ended there took the attribution along.

RegisterWorkerCommand now names the crashes of the instances that it replaces. They are attributed when it is proposed, and the entry that frees the tasks counts them. A moved attempt keeps its end in JobTask::EndIfUnlisted, for whichever leader finds it unlisted; ConfirmAttemptsCommand clears it once the next instance lists the attempt. A crash takes effect only if the entry replaces its instance, so that a repeated proposal counts nothing twice.

Both faults are one cause and one field, hence one commit.

Evidence: CellCrash, TheEntryThatFreesTheTaskCountsTheCrash and ANewLeaderCountsACrashThatItsPredecessorAttributed failed before (1 instead of 2 crashes, 0 instead of 1) and pass. unit_tests -g Cell, -g Job, -g Leases, -g WorkerReports pass. In one run of -g Cell under load CelldShutdown, AResponseIsSentToItsEndBeforeTheDaemonExits failed; it passed in the next run of -g Cell and in three runs alone. All 13 ctest entries of the cell explorer pass.

The mutation guard of a found instance follows its line; it was not played.

--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/answers.hpp"
 
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/leases.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/trials.hpp"
@@ -370,11 +371,13 @@
     // registered. It may be of another kind, so labels, rack, capacity and
     // drain state are those of its own first report.
     if (Result.StartTimeMs > Worker.Report.StartTimeMs) {
-      RegisterWorkerCommand Register;
-      Register.Report.Name = Worker.Report.Name;
-      Register.Report.StartTimeMs = Result.StartTimeMs;
-      Register.Report.Pool = Worker.Report.Pool;
-      Register.Report.Address = Worker.Report.Address;
+      WorkerReport Found;
+      Found.Name = Worker.Report.Name;
+      Found.StartTimeMs = Result.StartTimeMs;
+      Found.Pool = Worker.Report.Pool;
+      Found.Address = Worker.Report.Address;
+      RegisterWorkerCommand Register =
+          makeRegistration(Dispatch, State, Found, Now, WallNow);
       Register.IsUnannounced = true;
       Dispatch.Events.push_back(
           "event=worker-restarted worker=" + Worker.Report.Name +
@@ -391,6 +394,7 @@
   Session.UnverifiedSince = Instant{};
   Session.AreConnectionsVerified = true;
   Session.AckSent = std::max(Session.AckSent, Order.LastAckedEnd);
+  ConfirmAttemptsCommand Confirm;
   std::set<TaskKey> Listed;
   bool HasUnknownTasks = false;
   Session.UnknownTasks.clear();
@@ -410,13 +414,19 @@
     }
     TaskLaunch &Launch = LaunchIt->second;
     Listed.insert(*Key);
-    Launch.EndIfUnlisted = EndKind::Lost;
+    if (Launch.EndIfUnlisted != EndKind::Lost) {
+      Launch.EndIfUnlisted = EndKind::Lost;
+      Confirm.Attempts.push_back(Launch.Assignment);
+    }
     if (Launch.Phase != LaunchPhase::Confirmed) {
       Launch.Phase = LaunchPhase::Confirmed;
       Launch.PhaseSince = Now;
     }
     updateProgress(Launch, Running, Now);
   }
+  if (!Confirm.Attempts.empty()) {
+    Dispatch.Commands.emplace_back(std::move(Confirm));
+  }
   removeStoppedOrphans(Session, Result, Order.SentAt);
   proposeReportedEnds(Dispatch, State, Order.Worker, Session, Result, Now,
                       WallNow);
--- a/src/mulberryramp/cell/cell_calls.cpp
+++ b/src/mulberryramp/cell/cell_calls.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/core/digest.hpp"
 #include "mulberryramp/job/organisation_accounts.hpp"
@@ -327,7 +328,8 @@
     }
     PendingCaller Registering = Caller;
     Registering.Report = Call.Report;
-    propose(Registering, RegisterWorkerCommand{Call.Report});
+    propose(Registering, makeRegistration(Dispatch, State, Call.Report,
+                                          CurrentTime, WallNow));
     return;
   }
   if (Call.Report.StartTimeMs < Instance->Report.StartTimeMs) {
--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -22,7 +22,6 @@
   bool IsRecent = false;  ///< It was started, or recovered, shortly before it.
   /// This leader sent its start at a known time that is shortly before it.
   bool HasKnownStart = false;
-  TaskLaunch *Launch = nullptr; ///< Null for an orphan.
 };
 
 /// Members of a gang start together and count as one cause.
@@ -42,7 +41,7 @@
 /// Collects the attempts that may have caused a crash. A long-running task that
 /// was at work for some time did not. If the worker was silent before it
 /// crashed, for instance as it was partitioned, attempts may have ended first.
-std::vector<CrashedAttempt> collectAttempts(DispatchState &Dispatch,
+std::vector<CrashedAttempt> collectAttempts(const DispatchState &Dispatch,
                                             const CellState &State,
                                             const WorkerSession &Session,
                                             Instant CrashedAt, Instant Now) {
@@ -62,40 +61,40 @@
     }
   };
   for (const TaskKey &Key : Session.Tasks) {
-    TaskLaunch &Launch = Dispatch.Launches.at(Key);
+    const TaskLaunch &Launch = Dispatch.Launches.at(Key);
     if (!Launch.IsEndProposed || Launch.IsPresumedLost) {
       Add({Key, Launch.Assignment.Attempt,
-           Launch.Phase == LaunchPhase::Confirmed, false, false, &Launch},
+           Launch.Phase == LaunchPhase::Confirmed, false, false},
           Launch.StartedAt, Launch.IsRecovered);
     }
   }
   for (const OrphanedStart &Orphan : Session.Orphans) {
     if (!Orphan.IsCrashCounted) {
-      Add({Orphan.Key, Orphan.Attempt, Orphan.WasConfirmed, false, false,
-           nullptr},
+      Add({Orphan.Key, Orphan.Attempt, Orphan.WasConfirmed, false, false},
           Orphan.StartedAt, Orphan.IsRecovered);
     }
   }
   return Attempts;
 }
 
-/// Records a crash.
-/// @return Whether at least half of the workers of the rack crashed, or stopped
-/// to answer, at about the same time.
-bool recordRecentCrash(DispatchState &Dispatch, const CellState &State,
-                       const std::string &Rack, Instant CrashedAt) {
-  std::erase_if(Dispatch.RecentCrashes, [CrashedAt](const WorkerCrash &Crash) {
-    return CrashedAt - Crash.SilentSince > MaxRestartTime;
-  });
-  Dispatch.RecentCrashes.push_back({Rack, CrashedAt});
+/// Returns when a worker crashed, as far as this leader saw it.
+Instant crashTime(const WorkerSession &Session, Instant Now) {
+  return Session.UnverifiedSince == Instant{} ? Now : Session.UnverifiedSince;
+}
+
+/// Tells whether at least half of the workers of the rack crashed, or stopped
+/// to answer, at about the same time as a worker that crashed.
+bool hasCommonCause(const DispatchState &Dispatch, const CellState &State,
+                    WorkerInstanceId Crashed, const std::string &Rack,
+                    Instant CrashedAt) {
   const auto IsSameTime = [CrashedAt](Instant SilentSince) {
     return std::max(SilentSince, CrashedAt) - std::min(SilentSince, CrashedAt) <
            CommonCauseWindow;
   };
   std::size_t Workers = 0;
-  std::size_t Affected = 0;
+  std::size_t Affected = 1;
   for (const auto &[Id, Session] : Dispatch.Sessions) {
-    if (State.Workers.contains(Id) && Session.Rack == Rack) {
+    if (Id != Crashed && State.Workers.contains(Id) && Session.Rack == Rack) {
       Workers += 1;
       Affected +=
           Session.ConsecutiveMisses != 0 && IsSameTime(Session.SilentSince) ? 1
@@ -124,18 +123,14 @@
                                               : EndKind::CrashedWithOthers;
 }
 
-} // namespace
-
-void attributeCrash(DispatchState &Dispatch, const CellState &State,
-                    const WorkerSession &Session, const WorkerReport &Next,
-                    bool IsSameWorker, Instant Now) {
-  const Instant CrashedAt =
-      Session.UnverifiedSince == Instant{} ? Now : Session.UnverifiedSince;
+/// Attributes the crash of a worker instance to its launches and orphans.
+InstanceCrash attributeCrash(DispatchState &Dispatch, const CellState &State,
+                             WorkerInstanceId Id, const WorkerReport &Next,
+                             Instant Now) {
+  const WorkerSession &Session = Dispatch.Sessions.at(Id);
+  const Instant CrashedAt = crashTime(Session, Now);
   const std::vector<CrashedAttempt> Attempts =
       collectAttempts(Dispatch, State, Session, CrashedAt, Now);
-  if (Attempts.empty()) {
-    return;
-  }
   const bool HasRecent = std::any_of(
       Attempts.begin(), Attempts.end(), [](const CrashedAttempt &Attempt) {
         return Attempt.IsRecent && Attempt.IsCertain;
@@ -147,41 +142,71 @@
     }
   }
   const bool HasCommonCause =
-      recordRecentCrash(Dispatch, State, Session.Rack, CrashedAt);
+      hasCommonCause(Dispatch, State, Id, Session.Rack, CrashedAt);
   const bool IsOnlyCause = Causes.size() == 1 && !HasCommonCause;
-  std::erase_if(Dispatch.LastCrashAt, [CrashedAt](const auto &Crash) {
-    return CrashedAt - Crash.second > MaxTrialBackoff;
-  });
+  InstanceCrash Crash;
+  Crash.Worker = Id;
   for (const CrashedAttempt &Attempt : Attempts) {
-    Dispatch.LastCrashAt[Attempt.Key] = CrashedAt;
-    const EndKind Kind = endOf(Attempt, HasRecent, IsOnlyCause);
-    if (IsSameWorker && Attempt.Launch != nullptr &&
-        !Attempt.Launch->IsEndProposed) {
-      Attempt.Launch->EndIfUnlisted = Kind;
-    } else {
-      Dispatch.CrashEnds.push_back({Attempt.Key, Attempt.Attempt, Kind, ""});
-      Dispatch.Events.push_back(
-          "event=crash-end " +
-          describeStart(nameTask(State, Attempt.Key), Attempt.Attempt) +
-          " how=" + std::string{nameOf(Kind)});
+    Crash.Ends.push_back({Attempt.Key, Attempt.Attempt,
+                          endOf(Attempt, HasRecent, IsOnlyCause), ""});
+  }
+  if (!Attempts.empty()) {
+    Dispatch.Events.push_back(
+        "event=worker-crashed next=" + Next.Name + " rack=" + Session.Rack +
+        " attempts=" + std::to_string(Attempts.size()) +
+        " suspects=" + std::to_string(Causes.size()) +
+        " rack_crashed=" + (HasCommonCause ? "yes" : "no"));
+  }
+  return Crash;
+}
+
+} // namespace
+
+RegisterWorkerCommand makeRegistration(DispatchState &Dispatch,
+                                       const CellState &State,
+                                       const WorkerReport &Report, Instant Now,
+                                       WallTime WallNow) {
+  RegisterWorkerCommand Command;
+  Command.Report = Report;
+  for (const WorkerInstanceId Id : findEndedInstances(State, Report)) {
+    const auto SessionIt = Dispatch.Sessions.find(Id);
+    // An instance that has announced its exit did not crash.
+    if (SessionIt == Dispatch.Sessions.end() || SessionIt->second.IsDraining) {
+      continue;
+    }
+    InstanceCrash Crash = attributeCrash(Dispatch, State, Id, Report, Now);
+    if (!Crash.Ends.empty()) {
+      Command.Crashes.push_back(std::move(Crash));
+      Command.At = WallNow;
     }
   }
-  Dispatch.Counters.WorkerCrashes += 1;
-  Dispatch.Events.push_back("event=worker-crashed next=" + Next.Name +
-                            " rack=" + Session.Rack +
-                            " attempts=" + std::to_string(Attempts.size()) +
-                            " suspects=" + std::to_string(Causes.size()) +
-                            " rack_crashed=" + (HasCommonCause ? "yes" : "no"));
+  return Command;
 }
 
-void proposeCrashEnds(DispatchState &Dispatch, WallTime WallNow) {
-  if (Dispatch.CrashEnds.empty()) {
-    return;
+void onWorkersCrashed(DispatchState &Dispatch, const CellState &State,
+                      const std::vector<InstanceCrash> &Crashes, Instant Now) {
+  for (const InstanceCrash &Crash : Crashes) {
+    const auto SessionIt = Dispatch.Sessions.find(Crash.Worker);
+    if (SessionIt == Dispatch.Sessions.end()) {
+      continue;
+    }
+    const Instant CrashedAt = crashTime(SessionIt->second, Now);
+    std::erase_if(Dispatch.RecentCrashes, [CrashedAt](const WorkerCrash &Old) {
+      return CrashedAt - Old.SilentSince > MaxRestartTime;
+    });
+    Dispatch.RecentCrashes.push_back({SessionIt->second.Rack, CrashedAt});
+    Dispatch.Counters.WorkerCrashes += 1;
+    for (const TaskEnd &End : Crash.Ends) {
+      Dispatch.LastCrashAt[End.Key] = CrashedAt;
+      Dispatch.Events.push_back(
+          "event=crash-end " +
+          describeStart(nameTask(State, End.Key), End.Attempt) +
+          " how=" + std::string{nameOf(End.Kind)});
+    }
+    std::erase_if(Dispatch.LastCrashAt, [CrashedAt](const auto &Last) {
+      return CrashedAt - Last.second > MaxTrialBackoff;
+    });
   }
-  RecordTaskEndsCommand Command;
-  Command.Ends = std::exchange(Dispatch.CrashEnds, {});
-  Command.At = WallNow;
-  Dispatch.Commands.emplace_back(std::move(Command));
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/crash_attribution.hpp
+++ b/src/mulberryramp/cell/crash_attribution.hpp
@@ -31,21 +31,16 @@
   return Crashed > 1 && Crashed * 2 >= Workers;
 }
 
-/// @brief Attributes the crash of a worker instance to its launches and
-/// orphans.
-///
-/// The ends of orphans and of deregistered launches are queued. A launch that
-/// moves to the next instance of the worker may have reached that one; it gets
-/// the end to record if that instance does not list it.
-/// @param Session Session of the crashed instance.
-/// @param Next Report of the next worker at its address.
-/// @param IsSameWorker The next instance has the name of the crashed one and
-/// takes over its launches.
-void attributeCrash(DispatchState &Dispatch, const CellState &State,
-                    const WorkerSession &Session, const WorkerReport &Next,
-                    bool IsSameWorker, Instant Now);
-
-/// @brief Proposes the queued ends of attempts whose worker crashed.
-void proposeCrashEnds(DispatchState &Dispatch, WallTime WallNow);
+/// @brief Builds the command that registers a worker instance, with the crashes
+/// of the instances that it replaces, attributed to their launches and orphans.
+/// @param Report Report of the next worker at the address.
+[[nodiscard]] RegisterWorkerCommand
+makeRegistration(DispatchState &Dispatch, const CellState &State,
+                 const WorkerReport &Report, Instant Now, WallTime WallNow);
+
+/// @brief Notes crashes that took effect, before the sessions of their
+/// instances are removed.
+void onWorkersCrashed(DispatchState &Dispatch, const CellState &State,
+                      const std::vector<InstanceCrash> &Crashes, Instant Now);
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -57,6 +57,7 @@
   Launch.StartedAt = Now;
   Launch.IsRecovered = true;
   Launch.IsTransferred = Task.IsTransferred;
+  Launch.EndIfUnlisted = Task.EndIfUnlisted;
   Launch.IsPaceKnown = !Dispatch.MayHavePacedTasks;
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
@@ -186,15 +187,15 @@
 /// Moves the launches and orphans of a worker to its new instance. An order
 /// that was sent to the previous instance may still start there, so what was
 /// stopped is stopped again on the new one.
-void transferLaunches(DispatchState &Dispatch, WorkerInstanceId From,
-                      WorkerInstanceId To, bool IsUnannounced, Instant Now) {
+void transferLaunches(DispatchState &Dispatch, const CellState &State,
+                      WorkerInstanceId From, WorkerInstanceId To, Instant Now) {
   const auto PreviousSession = Dispatch.Sessions.find(From);
   if (PreviousSession == Dispatch.Sessions.end()) {
     return;
   }
   WorkerSession &Session = Dispatch.Sessions[To];
   Dispatch.TouchedWorkers.insert(To);
-  if (IsUnannounced) {
+  if (State.Workers[To].IsUnannounced) {
     Session.Rack = PreviousSession->second.Rack;
   }
   Session.Tasks = std::move(PreviousSession->second.Tasks);
@@ -214,6 +215,9 @@
     Launch.StopOrder = 0;
     Launch.StopSentAt = Instant{};
     Launch.StopAckedAt.reset();
+    if (const JobTask *Task = findTask(State, Key)) {
+      Launch.EndIfUnlisted = Task->EndIfUnlisted;
+    }
     forgetProgress(Launch, Now);
   }
   Dispatch.Sessions.erase(From);
@@ -236,23 +240,6 @@
   });
 }
 
-/// Attributes the crashes of the instances that a registered worker follows. An
-/// instance that has announced its exit did not crash.
-void attributeCrashes(DispatchState &Dispatch, const CellState &State,
-                      const CellChange &Change, Instant Now) {
-  const WorkerReport &Next =
-      State
-          .Workers[Change.Worker.isSet() ? Change.Worker
-                                         : Change.AnnouncedWorker]
-          .Report;
-  for (const auto &[Id, Session] : Dispatch.Sessions) {
-    if (!State.Workers.contains(Id) && !Session.IsDraining) {
-      attributeCrash(Dispatch, State, Session, Next,
-                     Id == Change.ReplacedInstance, Now);
-    }
-  }
-}
-
 void purgeObsolete(DispatchState &Dispatch, const CellState &State, Instant Now,
                    WallTime WallNow) {
   PurgeJobsCommand Purge;
@@ -335,9 +322,7 @@
 void onStateChange(DispatchState &Dispatch, const CellState &State,
                    const CellChange &Change, Instant Now) {
   Dispatch.NeedsPlan = true;
-  if (Change.Worker.isSet() || Change.AnnouncedWorker.isSet()) {
-    attributeCrashes(Dispatch, State, Change, Now);
-  }
+  onWorkersCrashed(Dispatch, State, Change.Crashes, Now);
   for (const TaskEnd &End : Change.Ended) {
     Dispatch.Counters.Ends += 1;
     removeLaunch(Dispatch, State, End, Change);
@@ -354,8 +339,8 @@
         openSession(Dispatch, Change.Worker, State.Workers[Change.Worker], Now);
     Session.IsReconciled = !Change.ReplacedInstance.isSet();
     if (Change.ReplacedInstance.isSet()) {
-      transferLaunches(Dispatch, Change.ReplacedInstance, Change.Worker,
-                       State.Workers[Change.Worker].IsUnannounced, Now);
+      transferLaunches(Dispatch, State, Change.ReplacedInstance, Change.Worker,
+                       Now);
     }
     Dispatch.Events.push_back(
         "event=worker-joined worker=" +
@@ -410,7 +395,6 @@
 
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
                   WallTime WallNow) {
-  proposeCrashEnds(Dispatch, WallNow);
   if (Now >= Dispatch.NextTimersAt) {
     Dispatch.NextTimersAt = Now + TimerInterval;
     expireQueries(Dispatch, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -101,7 +101,7 @@
   /// executed until then; zero if there is none.
   Instant PaceDoubtfulUntil;
   bool IsProbed = false; ///< A probe was requested because its end is overdue.
-  /// End to record if its worker, which has crashed, does not list it.
+  /// `JobTask::EndIfUnlisted`; `Lost` once its worker has listed it.
   EndKind EndIfUnlisted = EndKind::Lost;
 };
 
@@ -365,9 +365,7 @@
   std::set<WorkerInstanceId> TouchedWorkers;
   Instant LastMissAt; ///< When an order last went unanswered.
   std::vector<WorkerCrash> RecentCrashes; ///< Pruned when one is added.
-  /// Ends of attempts whose worker crashed, to be proposed in the next step.
-  std::vector<TaskEnd> CrashEnds;
-  Instant BeganAt; ///< When this node began to dispatch.
+  Instant BeganAt;                        ///< When this node began to dispatch.
   /// When the last worker crashed under a task, as far as this leader saw it.
   std::map<TaskKey, Instant> LastCrashAt;
   DispatchCounters Counters;
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -49,6 +49,30 @@
   }
 };
 
+/// @brief The end of one attempt.
+struct TaskEnd {
+  TaskKey Key;
+  std::uint32_t Attempt = 0;
+  EndKind Kind = EndKind::Done;
+  std::string Checkpoint; ///< Last checkpoint; empty if there is none.
+
+  static constexpr auto fields() {
+    return std::make_tuple(&TaskEnd::Key, &TaskEnd::Attempt, &TaskEnd::Kind,
+                           &TaskEnd::Checkpoint);
+  }
+};
+
+/// @brief Crash of a worker instance.
+struct InstanceCrash {
+  WorkerInstanceId Worker;
+  /// Attempts that may have run there, with the kinds to record.
+  std::vector<TaskEnd> Ends;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&InstanceCrash::Worker, &InstanceCrash::Ends);
+  }
+};
+
 /// @brief Registers a worker instance and replaces earlier instances.
 ///
 /// A worker that restarts under the same name takes over the tasks of its
@@ -59,14 +83,22 @@
 ///
 /// A report of an instance that is registered as unannounced replaces what is
 /// recorded of it.
+///
+/// The command names the crashes that it shows. They are counted with the entry
+/// that frees the tasks, so that no start is planned and no leader ends in
+/// between. A crash is ignored unless the command replaces its instance, so
+/// that one which is proposed again counts once.
 struct RegisterWorkerCommand {
   WorkerReport Report;
   bool IsUnannounced = false; ///< `WorkerInstance::IsUnannounced`.
+  std::vector<InstanceCrash> Crashes{};
+  WallTime At{}; ///< When it was proposed; zero if it names no crashes.
 
   static constexpr std::size_t MandatoryFields = 1; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(&RegisterWorkerCommand::Report,
-                           &RegisterWorkerCommand::IsUnannounced);
+    return std::make_tuple(
+        &RegisterWorkerCommand::Report, &RegisterWorkerCommand::IsUnannounced,
+        &RegisterWorkerCommand::Crashes, &RegisterWorkerCommand::At);
   }
 };
 
@@ -111,60 +143,6 @@
   }
 };
 
-/// @brief How an attempt ended.
-enum class EndKind : std::uint8_t {
-  Done,
-  Failed,
-  Stopped,      ///< Stopped by an order.
-  LeaseExpired, ///< The worker lease expired.
-  GangBroken,   ///< Another member of its gang ended.
-  GangTimedOut, ///< The gang was not complete within its timeout.
-  Lost,         ///< No end is known; may still run if presumed lost.
-  Refused,      ///< The worker did not start it.
-  /// The worker crashed shortly after its start, and no other attempt may be
-  /// the cause.
-  Crashed,
-  /// The worker crashed under it, and there may be another cause.
-  CrashedWithOthers,
-  /// The worker crashed, and the attempt may have run there.
-  PossiblyCrashed
-};
-
-/// @brief Names of the kinds, by value.
-constexpr std::array<std::string_view, 11>
-nameTable(EndKind /*Kind*/) noexcept {
-  return {"done",
-          "failed",
-          "stopped",
-          "lapsed",
-          "broken",
-          "alone",
-          "lost",
-          "refused",
-          "crashed",
-          "crashed-with-others",
-          "possibly-crashed"};
-}
-
-/// @brief Tells whether an attempt ended with a crash of its worker.
-[[nodiscard]] constexpr bool isCrash(EndKind Kind) noexcept {
-  return Kind == EndKind::Crashed || Kind == EndKind::CrashedWithOthers ||
-         Kind == EndKind::PossiblyCrashed;
-}
-
-/// @brief The end of one attempt.
-struct TaskEnd {
-  TaskKey Key;
-  std::uint32_t Attempt = 0;
-  EndKind Kind = EndKind::Done;
-  std::string Checkpoint; ///< Last checkpoint; empty if there is none.
-
-  static constexpr auto fields() {
-    return std::make_tuple(&TaskEnd::Key, &TaskEnd::Attempt, &TaskEnd::Kind,
-                           &TaskEnd::Checkpoint);
-  }
-};
-
 /// @brief Records reported ends, so that the worker may discard them.
 struct RecordTaskEndsCommand {
   WorkerInstanceId Worker;
@@ -269,14 +247,23 @@
   }
 };
 
+/// @brief Records that a worker instance lists attempts which were assigned to
+/// a previous one: the crash of that one does not end them.
+struct ConfirmAttemptsCommand {
+  std::vector<TaskAssignment> Attempts;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ConfirmAttemptsCommand::Attempts);
+  }
+};
+
 /// @brief Any command of the replicated log of a cell. Stored logs name the
 /// alternatives by index, so new ones are appended.
-using CellCommand =
-    std::variant<SubmitJobCommand, CancelJobCommand, ConfigureCommand,
-                 RegisterWorkerCommand, DrainWorkerCommand,
-                 DeregisterWorkerCommand, AssignTasksCommand,
-                 RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
-                 UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand,
-                 SuspendLeasesCommand, ResumeLeasesCommand>;
+using CellCommand = std::variant<
+    SubmitJobCommand, CancelJobCommand, ConfigureCommand, RegisterWorkerCommand,
+    DrainWorkerCommand, DeregisterWorkerCommand, AssignTasksCommand,
+    RecordTaskEndsCommand, CreateRunCommand, PurgeJobsCommand,
+    UpdateCapacityCommand, StripJobsCommand, LeaveWorkerCommand,
+    SuspendLeasesCommand, ResumeLeasesCommand, ConfirmAttemptsCommand>;
 
 } // namespace mulberryramp
--- a/src/mulberryramp/job/internal.hpp
+++ b/src/mulberryramp/job/internal.hpp
@@ -16,6 +16,9 @@
 /// Records whether a task of a job has begun. A refused start has not, so that
 /// a job without any other is queued again.
 void recordBegin(Job &JobRow, EndKind Kind);
+/// Records the end of an attempt, also if it is no longer assigned.
+void recordTaskEnd(CellState &State, const TaskEnd &End, WallTime At,
+                   CellChange &Change);
 
 // worker_commands.cpp
 CellChange apply(CellState &State, const RegisterWorkerCommand &Command);
@@ -25,5 +28,6 @@
 CellChange apply(CellState &State, const LeaveWorkerCommand &Command);
 CellChange apply(CellState &State, const SuspendLeasesCommand &Command);
 CellChange apply(CellState &State, const ResumeLeasesCommand &Command);
+CellChange apply(CellState &State, const ConfirmAttemptsCommand &Command);
 
 } // namespace mulberryramp::internal
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/core/names.hpp"
 #include "mulberryramp/job/configuration.hpp"
+#include "mulberryramp/job/end_kind.hpp"
 #include "mulberryramp/job/spec.hpp"
 
 #include <array>
@@ -61,14 +62,18 @@
   /// It was assigned to a previous instance of `Worker`, which may get the
   /// start order late.
   bool IsTransferred = false;
+  /// End to record if its worker does not list it: another kind than `Lost` if
+  /// the instance that it was assigned to has crashed.
+  EndKind EndIfUnlisted = EndKind::Lost;
 
   static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
-    return std::make_tuple(
-        &JobTask::State, &JobTask::Attempt, &JobTask::Failures,
-        &JobTask::Worker, &JobTask::Checkpoint, &JobTask::Crashes,
-        &JobTask::PossibleCrashes, &JobTask::LostAttempt, &JobTask::LostOn,
-        &JobTask::SoleCrashes, &JobTask::IsTransferred);
+    return std::make_tuple(&JobTask::State, &JobTask::Attempt,
+                           &JobTask::Failures, &JobTask::Worker,
+                           &JobTask::Checkpoint, &JobTask::Crashes,
+                           &JobTask::PossibleCrashes, &JobTask::LostAttempt,
+                           &JobTask::LostOn, &JobTask::SoleCrashes,
+                           &JobTask::IsTransferred, &JobTask::EndIfUnlisted);
   }
 };
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -43,6 +43,7 @@
 
 using internal::apply;
 using internal::recordBegin;
+using internal::recordTaskEnd;
 using internal::specAt;
 using internal::stepAt;
 using internal::unassignTask;
@@ -191,8 +192,10 @@
   completeRunIfDone(State, End.Key, At, Change);
 }
 
-void recordTaskEnd(CellState &State, const TaskEnd &End, WallTime At,
-                   CellChange &Change) {
+} // namespace
+
+void internal::recordTaskEnd(CellState &State, const TaskEnd &End, WallTime At,
+                             CellChange &Change) {
   JobTask *Task = taskAt(State, End.Key);
   if (Task == nullptr || End.Attempt > Task->Attempt) {
     return;
@@ -227,6 +230,8 @@
   completeRunIfDone(State, End.Key, At, Change);
 }
 
+namespace {
+
 void indexOrganisations(CellState &State) {
   State.OrganisationsByKey.clear();
   State.OrganisationsByName.clear();
@@ -347,6 +352,7 @@
     Task.Attempt = Assigned.Attempt;
     Task.Worker = Assigned.Worker;
     Task.IsTransferred = false;
+    Task.EndIfUnlisted = EndKind::Lost;
     stepAt(State, Assigned.Key).Assigned += 1;
     addLoad(State, State.Jobs[Assigned.Key.Job], specAt(State, Assigned.Key));
     Job &Owner = State.Jobs[Assigned.Key.Job];
@@ -445,6 +451,19 @@
   return It == State.WorkerNames.end() ? WorkerInstanceId{} : It->second;
 }
 
+std::vector<WorkerInstanceId> findEndedInstances(const CellState &State,
+                                                 const WorkerReport &Report) {
+  std::vector<WorkerInstanceId> Ended;
+  for (const WorkerInstanceId Id : State.Workers.ids()) {
+    const WorkerReport &Other = State.Workers[Id].Report;
+    if (Other.StartTimeMs < Report.StartTimeMs &&
+        (Other.Name == Report.Name || Other.Address == Report.Address)) {
+      Ended.push_back(Id);
+    }
+  }
+  return Ended;
+}
+
 bool isPoolInUse(const CellState &State, std::string_view Pool) {
   const CellConfiguration &Configuration = State.Configuration;
   return Configuration.Version == 0 ||
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -78,6 +78,7 @@
       WorkersToReconcile; ///< Workers that may run unassigned attempts.
   WorkerInstanceId
       ReplacedInstance; ///< Previous instance of the registered worker.
+  std::vector<InstanceCrash> Crashes;            ///< Crashes that took effect.
   std::vector<WorkerInstanceId> SuspendedLeases; ///< Granted no leases now.
   std::vector<WorkerInstanceId> ResumedLeases;   ///< May be granted leases.
 };
@@ -104,6 +105,11 @@
 [[nodiscard]] WorkerInstanceId findWorker(const CellState &State,
                                           std::string_view Name);
 
+/// @brief Finds the registered instances that have ended if a worker reports:
+/// its previous instance, and earlier ones under other names at its address.
+[[nodiscard]] std::vector<WorkerInstanceId>
+findEndedInstances(const CellState &State, const WorkerReport &Report);
+
 /// @brief Finds the organisation that a key belongs to.
 /// @param KeyDigest SHA-256 digest of the key.
 /// @return The organisation, or null; valid while the configuration is
--- a/src/mulberryramp/job/worker_commands.cpp
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -1,5 +1,7 @@
 #include "mulberryramp/job/internal.hpp"
 
+#include <algorithm>
+
 /// @file
 /// @brief Commands about workers: registration, drain, capacity and leave.
 
@@ -32,6 +34,18 @@
   }
 }
 
+/// Finds the task of an attempt that is assigned to a worker instance.
+/// @return The task, or null if the attempt is not assigned to it.
+JobTask *findAssigned(CellState &State, const TaskAssignment &Assigned) {
+  auto *Task = const_cast<JobTask *>( // NOLINT: non-const.
+      findTask(State, Assigned.Key));
+  return Task != nullptr && Task->State == JobTaskState::Assigned &&
+                 Task->Attempt == Assigned.Attempt &&
+                 Task->Worker == Assigned.Worker
+             ? Task
+             : nullptr;
+}
+
 void deregisterWorker(CellState &State, WorkerInstanceId Id,
                       CellChange &Change) {
   WorkerInstance *Worker = State.Workers.find(Id);
@@ -50,31 +64,51 @@
   State.Workers.erase(Id);
 }
 
+/// Records the ends of attempts whose worker instance crashed and is replaced.
+/// An attempt that moves to the next instance may have reached that one, so its
+/// end is recorded only once that instance does not list it.
+/// @param Current Instance under the name of the worker.
+void recordCrashes(CellState &State, const RegisterWorkerCommand &Command,
+                   WorkerInstanceId Current, CellChange &Change) {
+  const auto Ended = findEndedInstances(State, Command.Report);
+  for (const InstanceCrash &Crash : Command.Crashes) {
+    if (std::find(Ended.begin(), Ended.end(), Crash.Worker) == Ended.end()) {
+      continue;
+    }
+    Change.Crashes.push_back(Crash);
+    for (const TaskEnd &End : Crash.Ends) {
+      JobTask *Task = findAssigned(State, {End.Key, End.Attempt, Current});
+      if (Task == nullptr) {
+        recordTaskEnd(State, End, Command.At, Change);
+      } else if (Task->EndIfUnlisted == EndKind::Lost) {
+        // Otherwise an earlier crash is not counted yet. The order was sent to
+        // that instance, so its crash is the one to count.
+        Task->EndIfUnlisted = End.Kind;
+      }
+    }
+  }
+}
+
 /// Deregisters the earlier instances under other names at the address of a
 /// worker.
 /// @param Current Instance under the name of the worker, which stays.
 void deregisterPredecessors(CellState &State, const WorkerReport &Report,
                             WorkerInstanceId Current, CellChange &Change) {
-  std::vector<WorkerInstanceId> Ended;
-  for (const WorkerInstanceId Id : State.Workers.ids()) {
-    const WorkerReport &Other = State.Workers[Id].Report;
-    if (Id != Current && Other.Address == Report.Address &&
-        Other.StartTimeMs < Report.StartTimeMs) {
-      Ended.push_back(Id);
+  for (const WorkerInstanceId Id : findEndedInstances(State, Report)) {
+    if (Id != Current) {
+      deregisterWorker(State, Id, Change);
     }
   }
-  for (const WorkerInstanceId Id : Ended) {
-    deregisterWorker(State, Id, Change);
-  }
 }
 
 /// Records the first report of an unannounced instance. Its drain state is its
 /// own, as nothing was copied from the previous instance.
 void announceWorker(CellState &State, WorkerInstanceId Id,
-                    const WorkerReport &Report, CellChange &Change) {
-  deregisterPredecessors(State, Report, Id, Change);
+                    const RegisterWorkerCommand &Command, CellChange &Change) {
+  recordCrashes(State, Command, Id, Change);
+  deregisterPredecessors(State, Command.Report, Id, Change);
   WorkerInstance &Worker = State.Workers[Id];
-  Worker.Report = Report;
+  Worker.Report = Command.Report;
   Worker.IsUnannounced = false;
   Change.AnnouncedWorker = Id;
 }
@@ -89,7 +123,7 @@
       Known->Report.StartTimeMs >= Command.Report.StartTimeMs) {
     if (Known->IsUnannounced && !Command.IsUnannounced &&
         Known->Report.StartTimeMs == Command.Report.StartTimeMs) {
-      announceWorker(State, Previous, Command.Report, Change);
+      announceWorker(State, Previous, Command, Change);
     }
     const bool IsKnown =
         Known->Report.StartTimeMs == Command.Report.StartTimeMs;
@@ -101,6 +135,7 @@
     Change.Outcome = IsKnown ? CommandOutcome::Done : CommandOutcome::Overtaken;
     return Change;
   }
+  recordCrashes(State, Command, Previous, Change);
   deregisterPredecessors(State, Command.Report, Previous, Change);
   WorkerInstance NewInstance;
   NewInstance.Report = Command.Report;
@@ -182,4 +217,13 @@
   return Change;
 }
 
+CellChange apply(CellState &State, const ConfirmAttemptsCommand &Command) {
+  for (const TaskAssignment &Confirmed : Command.Attempts) {
+    if (JobTask *Task = findAssigned(State, Confirmed)) {
+      Task->EndIfUnlisted = EndKind::Lost;
+    }
+  }
+  return {};
+}
+
 } // namespace mulberryramp::internal
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -72,14 +72,31 @@
     applyCommands();
   }
 
-  /// Lets a silent worker return.
-  void restart(const std::string &Worker, const std::string &NewName) {
+  /// Lets the next instance of a silent worker register, with no later entry.
+  void registerNext(const std::string &Worker, const std::string &NewName) {
     const std::string Address =
         State.Workers[findWorker(State, Worker)].Report.Address;
     registerWorker(NewName, Address.substr(0, Address.find(':')));
+  }
+
+  /// Lets a silent worker return.
+  void restart(const std::string &Worker, const std::string &NewName) {
+    registerNext(Worker, NewName);
     proposeCommands();
   }
 
+  /// Lets a worker list no task, and applies the ends that are proposed then.
+  void listNothing(const std::string &Worker) {
+    Silent.erase(Worker);
+    Dispatch.TouchedWorkers.insert(findWorker(State, Worker));
+    Now += RenewalRetryInterval;
+    renewTouched(Dispatch, State, Now);
+    for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+      answer(Order.Id, OrderVerdict::Done);
+    }
+    applyCommands();
+  }
+
   /// Lets a worker crash right after the starts, and return.
   void crash(const std::string &Worker, const std::string &NewName) {
     silence(Worker);
@@ -164,7 +181,9 @@
     LastStartTimeMs += 1;
     Report.StartTimeMs = LastStartTimeMs;
     onStateChange(Dispatch, State,
-                  applyCommand(State, RegisterWorkerCommand{Report}), Now);
+                  applyCommand(State, makeRegistration(Dispatch, State, Report,
+                                                       Now, wallNow())),
+                  Now);
     onWorkerReport(Dispatch, findWorker(State, Name), Report, Now);
   }
 
@@ -348,6 +367,35 @@
   CHECK_EQUAL(1, Cell.start());
 }
 
+/// Guards against a start with the backoff of one crash less, planned between
+/// the entry that frees the task and a later one that counts the crash.
+TEST(CellCrash, TheEntryThatFreesTheTaskCountsTheCrash) {
+  CrashFixture Cell{4, 9};
+  Cell.submit("bad", 1);
+  Cell.startAndCrash("bad", "n1");
+  CHECK_EQUAL(1, Cell.start());
+  const std::string Worker = Cell.workerOf("bad", 0);
+  Cell.silence(Worker);
+  Cell.registerNext(Worker, "n2");
+  CHECK_EQUAL(2, Cell.task("bad", 0).SoleCrashes);
+  CHECK_EQUAL(0, Cell.start());
+}
+
+/// Guards against a crash that is not counted because the leader ended between
+/// the registration of the next instance and the entry with the end.
+TEST(CellCrash, ANewLeaderCountsACrashThatItsPredecessorAttributed) {
+  CrashFixture Cell{4, 9};
+  Cell.submit("bad", 1);
+  CHECK_EQUAL(1, Cell.start());
+  const std::string Worker = Cell.workerOf("bad", 0);
+  Cell.silence(Worker);
+  Cell.registerNext(Worker, Worker);
+  Cell.changeLeader();
+  Cell.listNothing(Worker);
+  CHECK(JobTaskState::Waiting == Cell.task("bad", 0).State);
+  CHECK_EQUAL(1, Cell.task("bad", 0).SoleCrashes);
+}
+
 /// Guards against a job being given up for the crash that another one caused.
 TEST(CellCrash, VictimsOfACrashAreStartedApartFromTheCause) {
   CrashFixture Cell{4};
