Count a backoff from the crash over any number of elections

What callers saw: a task whose worker had crashed waited for its backoff, of up to 45 s, from the beginning with each new leader.

Cause: only the leader noted when a worker crashed under a task. A new leader counted from its own election, so that a series of elections extended the wait without limit.

Each voter now notes on its own monotonic clock when it applied the entry that records the crash, less the age of the crash at the proposal. No voter applies it before it was proposed, so no backoff ends early.

--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -146,6 +146,7 @@
   const bool IsOnlyCause = Causes.size() == 1 && !HasCommonCause;
   InstanceCrash Crash;
   Crash.Worker = Id;
+  Crash.Age = Now - CrashedAt;
   for (const CrashedAttempt &Attempt : Attempts) {
     Crash.Ends.push_back({Attempt.Key, Attempt.Attempt,
                           endOf(Attempt, HasRecent, IsOnlyCause), ""});
@@ -197,15 +198,11 @@
     Dispatch.RecentCrashes.push_back({SessionIt->second.Rack, CrashedAt});
     Dispatch.Counters.WorkerCrashes += 1;
     for (const TaskEnd &End : Crash.Ends) {
-      Dispatch.LastCrashAt[End.Key] = CrashedAt;
       Dispatch.Events.push_back(
           "event=crash-end " +
           describeStart(nameTask(State, End.Key), End.Attempt) +
           " how=" + std::string{nameOf(End.Kind)});
     }
-    std::erase_if(Dispatch.LastCrashAt, [CrashedAt](const auto &Last) {
-      return CrashedAt - Last.second > MaxTrialBackoff;
-    });
   }
 }
 
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -366,8 +366,6 @@
   Instant LastMissAt; ///< When an order last went unanswered.
   std::vector<WorkerCrash> RecentCrashes; ///< Pruned when one is added.
   Instant BeganAt;                        ///< When this node began to dispatch.
-  /// When the last worker crashed under a task, as far as this leader saw it.
-  std::map<TaskKey, Instant> LastCrashAt;
   DispatchCounters Counters;
 
   /// Output, drained by the node after each step.
--- a/src/mulberryramp/cell/entry_times.hpp
+++ b/src/mulberryramp/cell/entry_times.hpp
@@ -30,6 +30,8 @@
   std::map<WorkerInstanceId, EntryTime> Registrations;
   /// Last suspension of the leases of a worker, until they are resumed.
   std::map<WorkerInstanceId, EntryTime> LeaseSuspensions;
+  /// Last crash of a worker under each unfinished task.
+  std::map<TaskKey, Instant> Crashes;
 };
 
 /// @brief Notes the effects of an applied command.
--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -60,9 +60,10 @@
   if (Backoff == Millis{0}) {
     return true;
   }
-  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
-  return Now - (CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
-                                                      : CrashIt->second) >=
+  const std::map<TaskKey, Instant> &Crashes = Dispatch.Entries.Crashes;
+  const auto CrashIt = Crashes.find(Key);
+  return Now -
+             (CrashIt == Crashes.end() ? Dispatch.BeganAt : CrashIt->second) >=
          Backoff + trialDelay(Key, Task, Backoff);
 }
 
--- a/src/mulberryramp/cell/trials.hpp
+++ b/src/mulberryramp/cell/trials.hpp
@@ -30,8 +30,9 @@
 [[nodiscard]] Millis trialBackoff(const JobTask &Task) noexcept;
 
 /// @brief Tells whether the backoff of a task after its last crash is over,
-/// with up to half of it added, which differs from task to task. For a crash
-/// that an earlier leader saw it begins with the term of this leader.
+/// with up to half of it added, which differs from task to task. It counts from
+/// the crash under any leader; on a node that restarted, from its start. For a
+/// crash that a former build recorded it begins with the term of this leader.
 [[nodiscard]] bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
                               const JobTask &Task, Instant Now);
 
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -67,9 +67,11 @@
   WorkerInstanceId Worker;
   /// Attempts that may have run there, with the kinds to record.
   std::vector<TaskEnd> Ends;
+  Millis Age{0}; ///< Time from the crash to the proposal.
 
   static constexpr auto fields() {
-    return std::make_tuple(&InstanceCrash::Worker, &InstanceCrash::Ends);
+    return std::make_tuple(&InstanceCrash::Worker, &InstanceCrash::Ends,
+                           &InstanceCrash::Age);
   }
 };
 
