--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -75,9 +75,9 @@
 }
 
 Instant lastCrashAt(const DispatchState &Dispatch, const TaskKey &Key) {
-  const auto CrashIt = Dispatch.LastCrashAt.find(Key);
-  return CrashIt == Dispatch.LastCrashAt.end() ? Dispatch.BeganAt
-                                               : CrashIt->second;
+  const std::map<TaskKey, Instant> &Crashes = Dispatch.Entries.Crashes;
+  const auto CrashIt = Crashes.find(Key);
+  return CrashIt == Crashes.end() ? Dispatch.BeganAt : CrashIt->second;
 }
 
 std::optional<Instant> trialDueAt(const DispatchState &Dispatch,
--- a/src/mulberryramp/cell/trials.hpp
+++ b/src/mulberryramp/cell/trials.hpp
@@ -50,8 +50,9 @@
 /// the second crash, twice as long after each further one, at most 30 s.
 [[nodiscard]] Millis trialBackoff(const JobTask &Task) noexcept;
 
-/// @brief Returns when the last crash under a task counts as noticed. A crash
-/// that an earlier leader saw counts from the begin of this term.
+/// @brief Returns when the last worker crashed under a task. A crash counts
+/// from there under any leader; on a node that restarted, from its start. One
+/// that a former build recorded counts from the begin of this term.
 [[nodiscard]] Instant lastCrashAt(const DispatchState &Dispatch,
                                   const TaskKey &Key);
 
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -45,8 +45,7 @@
   /// @return Number of started tasks.
   std::size_t start(OrderVerdict Verdict = OrderVerdict::Done) {
     const auto Assignments = planStarts(Dispatch, State, Now, wallNow());
-    onStateChange(Dispatch, State,
-                  applyCommand(State, AssignTasksCommand{Assignments}), Now);
+    change(AssignTasksCommand{Assignments});
     for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
       if (Order.Kind == WorkerOrderKind::Start) {
         answer(Order.Id, Verdict);
@@ -72,14 +71,31 @@
     applyCommands();
   }
 
-  /// Lets a silent worker return.
-  void restart(const std::string &Worker, const std::string &NewName) {
+  /// Lets the next instance of a silent worker register, with no later entry.
+  void registerNext(const std::string &Worker, const std::string &NewName) {
     const std::string Address =
         State.Workers[findWorker(State, Worker)].Report.Address;
     registerWorker(NewName, Address.substr(0, Address.find(':')));
+  }
+
+  /// Lets a silent worker return.
+  void restart(const std::string &Worker, const std::string &NewName) {
+    registerNext(Worker, NewName);
     proposeCommands();
   }
 
+  /// Lets a worker list no task, and applies the ends that are proposed then.
+  void listNothing(const std::string &Worker) {
+    Silent.erase(Worker);
+    Dispatch.TouchedWorkers.insert(findWorker(State, Worker));
+    Now += RenewalRetryInterval;
+    renewTouched(Dispatch, State, Now);
+    for (const WorkerOrder &Order : std::exchange(Dispatch.Orders, {})) {
+      answer(Order.Id, OrderVerdict::Done);
+    }
+    applyCommands();
+  }
+
   /// Lets a worker crash right after the starts, and return.
   void crash(const std::string &Worker, const std::string &NewName) {
     silence(Worker);
@@ -103,12 +119,19 @@
     pass(Millis{30000});
   }
 
-  /// Replaces the leader by one that knows the replicated state only.
+  /// Replaces the leader by one that knows the replicated state and the times
+  /// at which it applied the entries.
   void changeLeader() {
     beginDispatch(Dispatch, State, 2, Now, wallNow());
     Dispatch.Commands.clear();
   }
 
+  /// Replaces the leader by a voter that has just restored a snapshot.
+  void restoreLeader() {
+    noteRestore(Dispatch.Entries, State, Now);
+    changeLeader();
+  }
+
   /// Lets all workers answer a renewal, with the attempts that run there.
   void answerRenewals() {
     for (const WorkerInstanceId Id : State.Workers.ids()) {
@@ -157,14 +180,20 @@
     return WallTime{Now.time_since_epoch()};
   }
 
+  /// Applies a command as a voter that leads does.
+  void change(const CellCommand &Command) {
+    const CellChange Change = applyCommand(State, Command);
+    noteChange(Dispatch.Entries, State, Change, {Now, 1});
+    onStateChange(Dispatch, State, Change, Now);
+  }
+
   void registerWorker(const std::string &Name, const std::string &Host) {
     WorkerReport Report = makeTestReport(Name, 4000);
     Report.Address = Host + ":1";
     Report.Rack = Rack.empty() ? Host : Rack;
     LastStartTimeMs += 1;
     Report.StartTimeMs = LastStartTimeMs;
-    onStateChange(Dispatch, State,
-                  applyCommand(State, RegisterWorkerCommand{Report}), Now);
+    change(makeRegistration(Dispatch, State, Report, Now, wallNow()));
     onWorkerReport(Dispatch, findWorker(State, Name), Report, Now);
   }
 
@@ -204,7 +233,7 @@
   void applyCommands() {
     for (const CellCommand &Command : std::exchange(Dispatch.Commands, {})) {
       if (std::holds_alternative<RecordTaskEndsCommand>(Command)) {
-        onStateChange(Dispatch, State, applyCommand(State, Command), Now);
+        change(Command);
       }
     }
   }
@@ -342,9 +371,74 @@
   Cell.pass(Millis{6000});
   CHECK_EQUAL(0, Cell.start());
   Cell.changeLeader();
-  Cell.pass(Millis{7000});
+  Cell.pass(Millis{1900});
+  CHECK_EQUAL(0, Cell.start());
+  Cell.pass(Millis{4200});
+  CHECK_EQUAL(1, Cell.start());
+}
+
+/// Guards against a start with the backoff of one crash less, planned between
+/// the entry that frees the task and a later one that counts the crash.
+TEST(CellCrash, TheEntryThatFreesTheTaskCountsTheCrash) {
+  CrashFixture Cell{4, 9};
+  Cell.submit("bad", 1);
+  Cell.startAndCrash("bad", "n1");
+  CHECK_EQUAL(1, Cell.start());
+  const std::string Worker = Cell.workerOf("bad", 0);
+  Cell.silence(Worker);
+  Cell.registerNext(Worker, "n2");
+  CHECK_EQUAL(2, Cell.task("bad", 0).SoleCrashes);
+  CHECK_EQUAL(0, Cell.start());
+}
+
+/// Guards against a crash that is not counted because the leader ended between
+/// the registration of the next instance and the entry with the end.
+TEST(CellCrash, ANewLeaderCountsACrashThatItsPredecessorAttributed) {
+  CrashFixture Cell{4, 9};
+  Cell.submit("bad", 1);
+  CHECK_EQUAL(1, Cell.start());
+  const std::string Worker = Cell.workerOf("bad", 0);
+  Cell.silence(Worker);
+  Cell.registerNext(Worker, Worker);
+  Cell.changeLeader();
+  Cell.listNothing(Worker);
+  CHECK(JobTaskState::Waiting == Cell.task("bad", 0).State);
+  CHECK_EQUAL(1, Cell.task("bad", 0).SoleCrashes);
+}
+
+/// Guards against a sound task that waits without limit because each leader
+/// counts the backoff from its own election.
+TEST(CellCrash, ElectionsDoNotExtendTheBackoff) {
+  CrashFixture Cell{6, 9};
+  Cell.submit("bad", 1);
+  for (int Crash = 1; Crash <= 4; ++Crash) {
+    Cell.startAndCrash("bad", "n" + std::to_string(Crash));
+  }
+  CHECK_EQUAL(1, Cell.start());
+  Cell.crash(Cell.workerOf("bad", 0), "n5");
+  // The backoff of 8 s lasts up to 12 s with its spread.
+  for (int Election = 0; Election < 4; ++Election) {
+    Cell.pass(Millis{3000});
+    Cell.changeLeader();
+    Cell.reportAll();
+  }
+  CHECK_EQUAL(1, Cell.start());
+}
+
+/// Guards against a suspect that is tried again too early by a voter that knows
+/// from a snapshot that workers crashed, but not when, and against a sound one
+/// that waits longer with each election after that.
+TEST(CellCrash, ABackoffBeginsWithARestoredSnapshot) {
+  CrashFixture Cell{6, 9};
+  Cell.submit("bad", 1);
+  for (int Crash = 1; Crash <= 5; ++Crash) {
+    Cell.startAndCrash("bad", "n" + std::to_string(Crash));
+  }
+  Cell.restoreLeader();
+  Cell.pass(Millis{7900});
   CHECK_EQUAL(0, Cell.start());
-  Cell.pass(Millis{5000});
+  Cell.changeLeader();
+  Cell.pass(Millis{4100});
   CHECK_EQUAL(1, Cell.start());
 }
 
