Bound the crash backoff of long-running tasks

A sound long-running task waited for up to 45 s after its workers had crashed for other reasons: the backoff of a suspect doubles to 30 s, and up to half of it is added. It is promised a run within 9 s of its last one. Its backoff is at most 4 s now, 6 s with the delay, and its trials no longer wait for the other tasks of its step on silent workers. A task that crashes its workers alone is given up as before.

--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -362,12 +362,12 @@
     // The tasks of a step need the same, so that no further one of the same or
     // a higher risk has room either.
     std::optional<CrashRisk> LowestWithoutRoom;
-    std::size_t Trials = countTrials(Dispatch, Key, Step, Now);
+    std::size_t Trials = countTrials(Dispatch, Key, Step, Spec, Now);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       const JobTask &Task = Step.Tasks[Index];
       const TaskKey Candidate{Key.Job, Key.Run, Key.Step, Index};
       if (Task.State != JobTaskState::Waiting ||
-          !isTrialDue(Dispatch, Candidate, Task, Now)) {
+          !isTrialDue(Dispatch, Candidate, Task, Spec, Now)) {
         continue;
       }
       const CrashRisk Risk = crashRiskOf(Unresolved, Candidate, Task);
@@ -403,7 +403,7 @@
   std::size_t planGang(const StepKey &Key, const Job &Owner,
                        const StepSpec &Spec, const JobStep &Step,
                        const StepAdvice *Advice) {
-    if (Step.Assigned != 0 || !isGangTrialDue(Dispatch, Key, Step, Now)) {
+    if (Step.Assigned != 0 || !isGangTrialDue(Dispatch, Key, Step, Spec, Now)) {
       return 0;
     }
     if (!fitsInOwnCap(Spec, Step.Tasks.size())) {
--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -11,6 +11,10 @@
 
 /// Backoff of a suspect after its second crash.
 constexpr Millis MinTrialBackoff{1000};
+/// Longest backoff of a long-running task, without the delay that spreads the
+/// trials. It is promised a run within 9 s of its last one, also if it is sound
+/// and only its workers crash.
+constexpr Millis MaxLongRunningBackoff{4000};
 /// One in this many suspects of a step is started at a time.
 constexpr std::size_t SuspectsPerTrial = 4;
 /// Spreads the trials of different tasks. Two that wait equally long would
@@ -64,12 +68,14 @@
   return CrashRisk::None;
 }
 
-Millis trialBackoff(const JobTask &Task) noexcept {
+Millis trialBackoff(const JobTask &Task, const StepSpec &Spec) noexcept {
+  const Millis MaxBackoff =
+      Spec.IsLongRunning ? MaxLongRunningBackoff : MaxTrialBackoff;
   Millis Backoff{0};
-  for (std::uint32_t Crash = 2; Crash <= Task.Crashes + Task.PossibleCrashes &&
-                                Backoff < MaxTrialBackoff;
+  for (std::uint32_t Crash = 2;
+       Crash <= Task.Crashes + Task.PossibleCrashes && Backoff < MaxBackoff;
        ++Crash) {
-    Backoff = std::clamp(Backoff * 2, MinTrialBackoff, MaxTrialBackoff);
+    Backoff = std::clamp(Backoff * 2, MinTrialBackoff, MaxBackoff);
   }
   return Backoff;
 }
@@ -81,8 +87,9 @@
 }
 
 std::optional<Instant> trialDueAt(const DispatchState &Dispatch,
-                                  const TaskKey &Key, const JobTask &Task) {
-  const Millis Backoff = trialBackoff(Task);
+                                  const TaskKey &Key, const JobTask &Task,
+                                  const StepSpec &Spec) {
+  const Millis Backoff = trialBackoff(Task, Spec);
   if (Backoff == Millis{0}) {
     return std::nullopt;
   }
@@ -90,16 +97,16 @@
 }
 
 bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
-                const JobTask &Task, Instant Now) {
-  const std::optional<Instant> DueAt = trialDueAt(Dispatch, Key, Task);
+                const JobTask &Task, const StepSpec &Spec, Instant Now) {
+  const std::optional<Instant> DueAt = trialDueAt(Dispatch, Key, Task, Spec);
   return !DueAt || Now >= *DueAt;
 }
 
 bool isGangTrialDue(const DispatchState &Dispatch, const StepKey &Key,
-                    const JobStep &Step, Instant Now) {
+                    const JobStep &Step, const StepSpec &Spec, Instant Now) {
   for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
     if (!isTrialDue(Dispatch, {Key.Job, Key.Run, Key.Step, Index},
-                    Step.Tasks[Index], Now)) {
+                    Step.Tasks[Index], Spec, Now)) {
       return false;
     }
   }
@@ -107,7 +114,8 @@
 }
 
 std::size_t countTrials(const DispatchState &Dispatch, const StepKey &Key,
-                        const JobStep &Step, Instant Now) {
+                        const JobStep &Step, const StepSpec &Spec,
+                        Instant Now) {
   std::size_t Suspects = 0;
   std::size_t OnTrial = 0;
   for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
@@ -123,8 +131,9 @@
     }
     const auto SessionIt =
         Dispatch.Sessions.find(LaunchIt->second.Assignment.Worker);
-    if (SessionIt != Dispatch.Sessions.end() &&
-        SessionIt->second.ConsecutiveMisses != 0) {
+    const bool IsSilent = SessionIt != Dispatch.Sessions.end() &&
+                          SessionIt->second.ConsecutiveMisses != 0;
+    if (IsSilent && !Spec.IsLongRunning) {
       return 0;
     }
     OnTrial += Now - LaunchIt->second.StartedAt < CrashWindow ? 1 : 0;
--- a/src/mulberryramp/cell/trials.hpp
+++ b/src/mulberryramp/cell/trials.hpp
@@ -47,8 +47,10 @@
                                         const JobStep &Step);
 
 /// @brief Computes how long after a crash a suspect is started again: 1 s after
-/// the second crash, twice as long after each further one, at most 30 s.
-[[nodiscard]] Millis trialBackoff(const JobTask &Task) noexcept;
+/// the second crash, twice as long after each further one, at most 30 s; at
+/// most 4 s for a long-running task.
+[[nodiscard]] Millis trialBackoff(const JobTask &Task,
+                                  const StepSpec &Spec) noexcept;
 
 /// @brief Returns when the last worker crashed under a task. A crash counts
 /// from there under any leader; on a node that restarted, from its start. One
@@ -61,23 +63,25 @@
 /// @return The time, which may be past, or nothing if the task has no backoff.
 [[nodiscard]] std::optional<Instant> trialDueAt(const DispatchState &Dispatch,
                                                 const TaskKey &Key,
-                                                const JobTask &Task);
+                                                const JobTask &Task,
+                                                const StepSpec &Spec);
 
 /// @brief Tells whether the backoff of a task is over, see `trialDueAt`.
 [[nodiscard]] bool isTrialDue(const DispatchState &Dispatch, const TaskKey &Key,
-                              const JobTask &Task, Instant Now);
+                              const JobTask &Task, const StepSpec &Spec,
+                              Instant Now);
 
 /// @brief Tells whether `isTrialDue` holds for all members of a gang.
 [[nodiscard]] bool isGangTrialDue(const DispatchState &Dispatch,
                                   const StepKey &Key, const JobStep &Step,
-                                  Instant Now);
+                                  const StepSpec &Spec, Instant Now);
 
 /// @brief Computes how many suspects of a step may be started now. They are
 /// tried a few at a time, and none while one of them may have crashed its
-/// worker.
+/// worker, unless the step is long-running.
 [[nodiscard]] std::size_t countTrials(const DispatchState &Dispatch,
                                       const StepKey &Key, const JobStep &Step,
-                                      Instant Now);
+                                      const StepSpec &Spec, Instant Now);
 
 /// @brief Workers of a rack, and those among them that may crash, or crashed,
 /// at about the same time as one that begins a trial now: they began a trial
--- a/src/mulberryramp/cell/wait_reasons.cpp
+++ b/src/mulberryramp/cell/wait_reasons.cpp
@@ -55,7 +55,8 @@
       Why.Reason = WaitReason::GangIncomplete;
       return Why;
     }
-    if (Spec.IsGang && !isGangTrialDue(Dispatch, Key, Step, Context.Now)) {
+    if (Spec.IsGang &&
+        !isGangTrialDue(Dispatch, Key, Step, Spec, Context.Now)) {
       return explainGangBackoff();
     }
     return std::nullopt;
@@ -76,7 +77,7 @@
   std::optional<WaitExplanation> explainBackoff(std::uint32_t Index) const {
     const TaskKey Task{Key.Job, Key.Run, Key.Step, Index};
     const std::optional<Instant> DueAt =
-        trialDueAt(Dispatch, Task, Step.Tasks[Index]);
+        trialDueAt(Dispatch, Task, Step.Tasks[Index], Spec);
     if (!DueAt || Context.Now >= *DueAt) {
       return std::nullopt;
     }
@@ -117,7 +118,7 @@
       return Why;
     }
     if (Risk == CrashRisk::Trial && !Spec.IsGang &&
-        countTrials(Dispatch, Key, Step, Context.Now) == 0) {
+        countTrials(Dispatch, Key, Step, Spec, Context.Now) == 0) {
       Why.Reason = WaitReason::TrialLimit;
       return Why;
     }
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -349,15 +349,27 @@
 TEST(CellCrash, TheBackoffOfASuspectDoublesFromItsSecondCrashOn) {
   JobTask Task;
   Task.Crashes = 1;
-  CHECK(Millis{0} == trialBackoff(Task));
+  CHECK(Millis{0} == trialBackoff(Task, StepSpec{}));
   std::vector<std::int64_t> Backoffs;
   for (Task.Crashes = 2; Task.Crashes < 9; ++Task.Crashes) {
-    Backoffs.push_back(trialBackoff(Task).count());
+    Backoffs.push_back(trialBackoff(Task, StepSpec{}).count());
   }
   CHECK((std::vector<std::int64_t>{1000, 2000, 4000, 8000, 16000, 30000,
                                    30000} == Backoffs));
 }
 
+/// Guards against a long-running task without a run for longer than 9 s, as its
+/// workers crashed again and again for other reasons.
+TEST(CellCrash, TheBackoffOfALongRunningTaskIsShort) {
+  JobTask Task;
+  Task.PossibleCrashes = 20;
+  StepSpec Spec;
+  Spec.IsLongRunning = true;
+  const Millis Longest = trialBackoff(Task, Spec) * 3 / 2;
+  CHECK(Longest > Millis{0});
+  CHECK(Longest <= Millis{6000});
+}
+
 /// Guards against a suspect being tried again within its backoff, also by a
 /// leader that did not see its crashes.
 TEST(CellCrash, ASuspectWaitsForItsBackoffUnderAnyLeader) {
--- a/test/cell/wait_reasons_test.cpp
+++ b/test/cell/wait_reasons_test.cpp
@@ -239,9 +239,9 @@
   WaitFixture Fixture;
   Fixture.submit();
   Fixture.task().Crashes = 3;
-  Fixture.Dispatch.LastCrashAt[Fixture.key()] = Fixture.Now;
+  Fixture.Dispatch.Entries.Crashes[Fixture.key()] = Fixture.Now;
   const auto DueAt =
-      trialDueAt(Fixture.Dispatch, Fixture.key(), Fixture.task());
+      trialDueAt(Fixture.Dispatch, Fixture.key(), Fixture.task(), StepSpec{});
   Fixture.pass(Millis{1000});
   STRCMP_EQUAL(("event=waits job=one run=0 step=0 tasks=0 "
                 "reason=crash-backoff since_ms=1000 allowed_ms=" +
