Mend what the review of the leases found

A reviewer who had not seen the work found by reading, and this commit changes:

- EndFormerLeases was proposed for a suspended worker whose recorded end was earlier, so that a late start could have been forgotten;
- an answer to a start does not tell which instance executed it, so only attempts that an instance has listed count as begun;
- under a recorded suspension the next instance gets one report interval to register before attempts of the former one are presumed lost;
- an attempt that its worker no longer lists was kept as a lost one, which may still run: the next leader counted a crash for it a second time;
- a worker is asked until its suspension is over.

--- a/bench/cell_replay.cpp
+++ b/bench/cell_replay.cpp
@@ -120,7 +120,7 @@
     Now = Start;
     Dispatch.Options.HasPreemption = Options.HasPreemption;
     Dispatch.Options.HasAdmissionControl = Options.HasAdmissionControl;
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
       const WorkerReport Report = reportOf(Index);
       TotalMilliCpus += static_cast<double>(Report.Capacity.MilliCpus);
--- a/src/mulberryramp/cell/cell_node.cpp
+++ b/src/mulberryramp/cell/cell_node.cpp
@@ -369,7 +369,7 @@
         "event=lead term=" + std::to_string(Member.Hard.CurrentTerm) +
         " jobs=" + std::to_string(State.Jobs.size()) +
         " workers=" + std::to_string(State.Workers.size()));
-    beginDispatch(Dispatch, State, Member.Hard.CurrentTerm, Now, WallNow);
+    beginDispatch(Dispatch, State, Member.Hard.CurrentTerm, Now);
     notifySubscribers(Now);
   }
   if (MayLead && Dispatch.IsActive) {
--- a/src/mulberryramp/cell/crash_attribution.cpp
+++ b/src/mulberryramp/cell/crash_attribution.cpp
@@ -186,7 +186,8 @@
   if (PreviousIt != Dispatch.Sessions.end()) {
     for (const TaskKey &Key : PreviousIt->second.Tasks) {
       const TaskLaunch &Launch = Dispatch.Launches.at(Key);
-      if (Launch.Phase == LaunchPhase::Confirmed) {
+      // The answer to a start does not tell which instance has executed it.
+      if (Launch.ListedAt != Instant{}) {
         Command.Begun.push_back(Launch.Assignment);
       }
     }
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -209,14 +209,12 @@
   for (const TaskKey &Key : Session.Tasks) {
     TaskLaunch &Launch = Dispatch.Launches.at(Key);
     Launch.Assignment.Worker = To;
-    // A start that was executed is not executed again.
-    Launch.IsTransferred =
-        Launch.IsTransferred || Launch.Phase != LaunchPhase::Confirmed;
     Launch.StopOrder = 0;
     Launch.StopSentAt = Instant{};
     Launch.StopAckedAt.reset();
     if (const JobTask *Task = findTask(State, Key)) {
       Launch.EndIfUnlisted = Task->EndIfUnlisted;
+      Launch.IsTransferred = Task->IsTransferred;
     }
     forgetProgress(Launch, Now);
   }
@@ -295,7 +293,7 @@
 } // namespace
 
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime /*WallNow*/) {
+                   Term FencingToken, Instant Now) {
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -388,9 +388,8 @@
 /// applied.
 /// @param FencingToken Term of the leader.
 /// @param Now Current monotonic time.
-/// @param WallNow Current wall clock time.
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime WallNow);
+                   Term FencingToken, Instant Now);
 
 /// @brief Resets the dispatch state after this node lost leadership. Options,
 /// counters, events and the last order id are kept.
--- a/src/mulberryramp/cell/leases.cpp
+++ b/src/mulberryramp/cell/leases.cpp
@@ -32,12 +32,17 @@
          leaseBound(Dispatch.Options, Dispatch.Options.MaxLease);
 }
 
-/// Tells whether the regular bound, on a lease that is granted from now on or
-/// that the next leader assumes at its election, covers former leases as well.
+/// Tells whether former leases end no later than any lease which this or a
+/// later leader assumes. A leader takes the end of a suspended lease from the
+/// log; otherwise it counts a regular one from its election.
 bool areFormerLeasesCovered(const DispatchState &Dispatch,
                             const WorkerSession &Session, Instant Now) {
-  return Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease) >=
-         Session.FormerLeaseEnd;
+  const bool IsResponsive =
+      !Session.IsLeaseSuspended && Session.ConsecutiveMisses == 0;
+  return Now >= Session.FormerLeaseEnd ||
+         (IsResponsive && Session.LeaseEnd >= Session.FormerLeaseEnd &&
+          Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease) >=
+              Session.FormerLeaseEnd);
 }
 
 void suspendLease(DispatchState &Dispatch, const CellState &State,
@@ -73,9 +78,13 @@
   const auto SuspensionIt = Dispatch.Entries.LeaseSuspensions.find(Id);
   if (Worker.IsLeaseSuspended &&
       SuspensionIt != Dispatch.Entries.LeaseSuspensions.end()) {
+    // The next instance of the worker may have begun an attempt and may not be
+    // registered yet; it reports within this time.
+    const Instant ReportedBy = Now + Options.ReportInterval;
     Session.LeaseEnd =
-        std::min(Session.LeaseEnd,
-                 SuspensionIt->second.AppliedAt + Worker.SuspendedLease);
+        std::min(Session.LeaseEnd, std::max(SuspensionIt->second.AppliedAt +
+                                                Worker.SuspendedLease,
+                                            ReportedBy));
   }
 }
 
--- a/src/mulberryramp/cell/orders.cpp
+++ b/src/mulberryramp/cell/orders.cpp
@@ -88,7 +88,8 @@
 
 bool needsRenewal(const WorkerInstance &Worker, const WorkerSession &Session) {
   return Worker.Tasks != 0 || !Session.IsReconciled ||
-         !Session.Orphans.empty() || Session.ConsecutiveMisses != 0 ||
+         Session.IsLeaseSuspended || !Session.Orphans.empty() ||
+         Session.ConsecutiveMisses != 0 ||
          Session.AckSent < Worker.LastAckedEnd;
 }
 
@@ -383,8 +384,8 @@
   Launch.IsEndProposed = true;
   RecordTaskEndsCommand Command;
   Command.Worker = Launch.Assignment.Worker;
-  Command.Ends.push_back(
-      {Launch.Assignment.Key, Launch.Assignment.Attempt, Kind, ""});
+  Command.Ends.push_back({Launch.Assignment.Key, Launch.Assignment.Attempt,
+                          Kind, "", Launch.IsPresumedLost});
   Command.At = WallNow;
   Dispatch.Commands.emplace_back(std::move(Command));
 }
--- a/src/mulberryramp/job/command.hpp
+++ b/src/mulberryramp/job/command.hpp
@@ -55,10 +55,13 @@
   std::uint32_t Attempt = 0;
   EndKind Kind = EndKind::Done;
   std::string Checkpoint; ///< Last checkpoint; empty if there is none.
+  /// It is presumed lost: the attempt may still run, or start later.
+  bool MayRun = false;
 
+  static constexpr std::size_t MandatoryFields = 4; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&TaskEnd::Key, &TaskEnd::Attempt, &TaskEnd::Kind,
-                           &TaskEnd::Checkpoint);
+                           &TaskEnd::Checkpoint, &TaskEnd::MayRun);
   }
 };
 
@@ -108,7 +111,7 @@
   bool IsUnannounced = false; ///< `WorkerInstance::IsUnannounced`.
   std::vector<InstanceCrash> Crashes{};
   WallTime At{}; ///< When it was proposed; zero if it names no crashes.
-  /// Attempts that the previous instance of this name has begun, so that their
+  /// Attempts that the previous instance of this name has listed, so that their
   /// start orders are not executed again.
   std::vector<TaskAssignment> Begun{};
 
@@ -254,7 +257,7 @@
 };
 
 /// @brief Records that no lease of an order for a previous instance of these
-/// workers outlasts one that is granted from now on.
+/// workers outlasts what a leader assumes about those of the present one.
 struct EndFormerLeasesCommand {
   std::vector<WorkerInstanceId> Workers;
 
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -215,7 +215,7 @@
     recordFailure(State, End.Key, *Task, At, Change);
   } else if (isCrash(End.Kind)) {
     recordCrash(State, End, *Task, At, Change);
-  } else if (End.Kind == EndKind::Lost) {
+  } else if (End.MayRun) {
     Task->LostAttempt = End.Attempt;
     Task->LostOn = Task->Worker;
   }
--- a/test/cell/capacity_test.cpp
+++ b/test/cell/capacity_test.cpp
@@ -30,8 +30,7 @@
   }
 
   void lead(Term FencingToken) {
-    beginDispatch(Dispatch, State, FencingToken, Now,
-                  WallTime{Now.time_since_epoch()});
+    beginDispatch(Dispatch, State, FencingToken, Now);
   }
 
   void change(const CellCommand &Command) {
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -22,7 +22,7 @@
       : Rack{std::move(Rack)} {
     applyCommand(State,
                  ConfigureCommand{makeTestConfiguration(1, MaxAttempts)});
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     for (int Index = 0; Index < Workers; ++Index) {
       registerWorker("w" + std::to_string(Index), "a" + std::to_string(Index));
     }
@@ -122,7 +122,7 @@
   /// Replaces the leader by one that knows the replicated state and the times
   /// at which it applied the entries.
   void changeLeader() {
-    beginDispatch(Dispatch, State, 2, Now, wallNow());
+    beginDispatch(Dispatch, State, 2, Now);
     Dispatch.Commands.clear();
   }
 
--- a/test/cell/election_series_test.cpp
+++ b/test/cell/election_series_test.cpp
@@ -52,7 +52,7 @@
   void elect() {
     Now += ElectionTime;
     CurrentTerm += 1;
-    beginDispatch(Dispatch, State, CurrentTerm, Now, wallNow());
+    beginDispatch(Dispatch, State, CurrentTerm, Now);
   }
 
   /// Lets the leader work for a time.
--- a/test/cell/new_instance_test.cpp
+++ b/test/cell/new_instance_test.cpp
@@ -22,7 +22,7 @@
 
   RestartedWorkerFixture() {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     registerInstance(StartTimeMs);
     JobSpec Spec;
     StepSpec &Step = Spec.Steps.emplace_back();
@@ -218,8 +218,7 @@
   Fixture.State.Workers[Worker].IsUnannounced = true;
   // A new leader knows only the replicated state.
   Fixture.State = *decodeCellState(encodeCellState(Fixture.State));
-  beginDispatch(Fixture.Dispatch, Fixture.State, 2, Fixture.Now,
-                Fixture.wallNow());
+  beginDispatch(Fixture.Dispatch, Fixture.State, 2, Fixture.Now);
   Fixture.reconcile();
   CHECK(!isSchedulable(Fixture.Dispatch, Fixture.State, Worker, Fixture.Now));
   CHECK(Fixture.isEndProposed());
--- a/test/cell/organisation_shares_test.cpp
+++ b/test/cell/organisation_shares_test.cpp
@@ -41,7 +41,7 @@
       Row.KeyDigests = {"key of " + Row.Name};
     }
     applyCommand(State, ConfigureCommand{Configuration});
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     for (int Index = 0; Index < WorkerCount; ++Index) {
       const WorkerReport Report =
           makeTestReport("w" + std::to_string(Index), WorkerCpus);
--- a/test/cell/planner_test.cpp
+++ b/test/cell/planner_test.cpp
@@ -18,7 +18,7 @@
 
   TwoWorkerFixture() {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     registerTestWorker(Dispatch, State, "a", 4000, Now);
     registerTestWorker(Dispatch, State, "b", 4000, Now);
   }
--- a/test/cell/preemption_test.cpp
+++ b/test/cell/preemption_test.cpp
@@ -27,7 +27,7 @@
     Configuration.Queues.push_back(Urgent);
     applyCommand(State, ConfigureCommand{Configuration});
     Dispatch.Options.HasPreemption = true;
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     registerTestWorker(Dispatch, State, "a", 4000, Now);
     registerTestWorker(Dispatch, State, "b", 4000, Now);
   }
--- a/test/cell/reservation_test.cpp
+++ b/test/cell/reservation_test.cpp
@@ -45,7 +45,7 @@
     Small.Priority = 2;
     Configuration.Queues = {Gangs, Small};
     applyCommand(State, ConfigureCommand{Configuration});
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     for (std::size_t Index = 0; Index < Workers; ++Index) {
       WorkerReport Report =
           makeTestReport("w" + std::to_string(Index), WorkerCpus);
--- a/test/cell/review_test.cpp
+++ b/test/cell/review_test.cpp
@@ -26,7 +26,7 @@
     const WorkerReport Report = makeTestReport("w", 4000);
     applyCommand(State, RegisterWorkerCommand{Report});
     const WorkerInstanceId Worker = findWorker(State, "w");
-    beginDispatch(Dispatch, State, 1, Now, WallTime{Millis{100000}});
+    beginDispatch(Dispatch, State, 1, Now);
     onWorkerReport(Dispatch, Worker, Report, Now);
     StepSpec Step;
     Step.Estimate = Millis{60000};
@@ -67,7 +67,7 @@
 
   /// The next leader finds both tasks running.
   void replaceLeader() {
-    beginDispatch(Dispatch, State, 2, Now, WallTime{Millis{100000}});
+    beginDispatch(Dispatch, State, 2, Now);
     for (auto &[Key, Launch] : Dispatch.Launches) {
       Launch.Phase = LaunchPhase::Confirmed;
       Launch.ProgressPercent = Key == LatencyTask ? 100 : 1;
--- a/test/cell/run_time_test.cpp
+++ b/test/cell/run_time_test.cpp
@@ -26,7 +26,7 @@
 public:
   SteadyPool() {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
-    beginDispatch(Dispatch, State, 1, Now, wallNow());
+    beginDispatch(Dispatch, State, 1, Now);
     for (std::uint32_t Index = 0; Index < Workers; ++Index) {
       const WorkerReport Report = makeTestReport("w" + std::to_string(Index),
                                                  TaskCpus * TasksPerWorker);
@@ -67,7 +67,7 @@
 
   /// Another node becomes the leader: it knows the replicated state only.
   void changeLeader() {
-    beginDispatch(Dispatch, State, Dispatch.FencingToken + 1, Now, wallNow());
+    beginDispatch(Dispatch, State, Dispatch.FencingToken + 1, Now);
   }
 
   /// Ends the tasks on a worker without a report.
--- a/test/cell/stall_test.cpp
+++ b/test/cell/stall_test.cpp
@@ -19,7 +19,7 @@
 
   ProgressFixture(std::uint32_t Count, bool IsGang) {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
-    beginDispatch(Dispatch, State, 1, Now, WallTime{Millis{100000}});
+    beginDispatch(Dispatch, State, 1, Now);
     for (const char *Name : {"w0", "w1"}) {
       const WorkerReport Report = makeTestReport(Name, 4000);
       onStateChange(Dispatch, State,
--- a/test/cell/wait_reasons_test.cpp
+++ b/test/cell/wait_reasons_test.cpp
@@ -29,7 +29,7 @@
 
   WaitFixture() {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
-    beginDispatch(Dispatch, State, LeaderTerm, Now, wallNow());
+    beginDispatch(Dispatch, State, LeaderTerm, Now);
     pass(Millis{10000}); // Later reasons did not begin under another leader.
     registerTestWorker(Dispatch, State, "a", WorkerCpus, Now);
     Step.Need.MilliCpus = WorkerCpus;
@@ -224,8 +224,7 @@
 TEST(CellWaitReasons, AWorkerThatANewLeaderHasNotReconciledIsInherited) {
   WaitFixture Fixture;
   Fixture.startAndConfirm();
-  beginDispatch(Fixture.Dispatch, Fixture.State, LeaderTerm + 1, Fixture.Now,
-                Fixture.wallNow());
+  beginDispatch(Fixture.Dispatch, Fixture.State, LeaderTerm + 1, Fixture.Now);
   Fixture.session().LeaseEnd = Fixture.Now + Millis{5708};
   Fixture.pass(Millis{1000});
   STRCMP_EQUAL("event=waits job=one run=0 step=0 tasks=0 "
--- a/test/job/state_test.cpp
+++ b/test/job/state_test.cpp
@@ -534,7 +534,9 @@
   const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
   const JobId Id = Fixture.submit("a", {step(1)});
   Fixture.start({Id, 0, 0, 0}, 1, Worker);
-  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Lost);
+  RecordTaskEndsCommand Presumed;
+  Presumed.Ends.push_back({{Id, 0, 0, 0}, 1, EndKind::Lost, "", true});
+  applyCommand(Fixture.State, Presumed);
   applyCommand(Fixture.State, CancelJobCommand{"a", TestTime});
   applyCommand(Fixture.State, StripJobsCommand{{Id}});
   CHECK_EQUAL(1U, Fixture.job(Id).Spec.Steps.size());
@@ -543,6 +545,17 @@
   CHECK(Fixture.job(Id).Spec.Steps.empty());
 }
 
+/// Guards against a crash that counts twice: a new leader took an attempt that
+/// its worker did not list any more for one that may still run there.
+TEST(JobState, AnAttemptThatIsKnownToBeOverIsNoLostAttempt) {
+  CellFixture Fixture;
+  const WorkerInstanceId Worker = Fixture.registerWorker("w", 1);
+  const JobId Id = Fixture.submit("a", {step(1)});
+  Fixture.start({Id, 0, 0, 0}, 1, Worker);
+  Fixture.end({Id, 0, 0, 0}, 1, EndKind::Lost);
+  CHECK_FALSE(findTask(Fixture.State, {Id, 0, 0, 0})->LostOn.isSet());
+}
+
 /// Commands on tasks of a stripped job can arrive late; they must not refer to
 /// its missing steps.
 TEST(JobState, LateCommandsForAStrippedJobHaveNoEffect) {
