--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/cell/advice.hpp"
 #include "mulberryramp/cell/crash_attribution.hpp"
+#include "mulberryramp/cell/leases.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/review.hpp"
 #include "mulberryramp/cell/start_planner.hpp"
@@ -27,8 +28,6 @@
 constexpr Millis PurgeInterval{1000};
 /// An idle worker without contact for this long is deregistered.
 constexpr Millis IdleWorkerTimeout{20000};
-/// Bound on the difference between the wall clocks of two machines.
-constexpr Millis MaxClockSkew{3000};
 
 /// Sets the fields of a session that are recorded of its instance.
 void setReportedFields(WorkerSession &Session, const WorkerReport &Recorded) {
@@ -45,7 +44,7 @@
   setReportedFields(Session, Instance.Report);
   Session.ReportedAt = Now;
   Session.NextRenewalAt = Now;
-  Session.LeaseEnd = Now + leaseBound(Dispatch.Options, Dispatch.Options.Lease);
+  openLease(Dispatch, Session, Worker, Instance, Now);
   return Session;
 }
 
@@ -57,6 +56,8 @@
   Launch.PhaseSince = Now;
   Launch.StartedAt = Now;
   Launch.IsRecovered = true;
+  Launch.IsTransferred = Task.IsTransferred;
+  Launch.EndIfUnlisted = Task.EndIfUnlisted;
   Launch.IsPaceKnown = !Dispatch.MayHavePacedTasks;
   Dispatch.Sessions[Task.Worker].Tasks.insert(Key);
 }
@@ -169,16 +170,6 @@
   }
 }
 
-/// Extends the lease of a new instance by what orders for the previous instance
-/// can add: such orders may have reached the new instance or may still be
-/// executed. As its clock restarts, their leases last up to the longest lease
-/// that the worker accepts.
-void extendLeaseForPreviousInstance(const DispatchState &Dispatch,
-                                    WorkerSession &Session, Instant Now) {
-  Session.LeaseEnd = Now + Dispatch.Options.MaxOrderDelay +
-                     leaseBound(Dispatch.Options, Dispatch.Options.MaxLease);
-}
-
 /// Forgets what the previous instance of a worker listed about an attempt. If
 /// the new instance runs it, it has started it again.
 void forgetProgress(TaskLaunch &Launch, Instant Now) {
@@ -196,15 +187,15 @@
 /// Moves the launches and orphans of a worker to its new instance. An order
 /// that was sent to the previous instance may still start there, so what was
 /// stopped is stopped again on the new one.
-void transferLaunches(DispatchState &Dispatch, WorkerInstanceId From,
-                      WorkerInstanceId To, bool IsUnannounced, Instant Now) {
+void transferLaunches(DispatchState &Dispatch, const CellState &State,
+                      WorkerInstanceId From, WorkerInstanceId To, Instant Now) {
   const auto PreviousSession = Dispatch.Sessions.find(From);
   if (PreviousSession == Dispatch.Sessions.end()) {
     return;
   }
   WorkerSession &Session = Dispatch.Sessions[To];
   Dispatch.TouchedWorkers.insert(To);
-  if (IsUnannounced) {
+  if (State.Workers[To].IsUnannounced) {
     Session.Rack = PreviousSession->second.Rack;
   }
   Session.Tasks = std::move(PreviousSession->second.Tasks);
@@ -215,13 +206,16 @@
     Orphan.StopSentAt = Instant{};
     Orphan.StopAckedAt.reset();
   }
-  extendLeaseForPreviousInstance(Dispatch, Session, Now);
   for (const TaskKey &Key : Session.Tasks) {
     TaskLaunch &Launch = Dispatch.Launches.at(Key);
     Launch.Assignment.Worker = To;
     Launch.StopOrder = 0;
     Launch.StopSentAt = Instant{};
     Launch.StopAckedAt.reset();
+    if (const JobTask *Task = findTask(State, Key)) {
+      Launch.EndIfUnlisted = Task->EndIfUnlisted;
+      Launch.IsTransferred = Task->IsTransferred;
+    }
     forgetProgress(Launch, Now);
   }
   Dispatch.Sessions.erase(From);
@@ -244,23 +238,6 @@
   });
 }
 
-/// Attributes the crashes of the instances that a registered worker follows. An
-/// instance that has announced its exit did not crash.
-void attributeCrashes(DispatchState &Dispatch, const CellState &State,
-                      const CellChange &Change, Instant Now) {
-  const WorkerReport &Next =
-      State
-          .Workers[Change.Worker.isSet() ? Change.Worker
-                                         : Change.AnnouncedWorker]
-          .Report;
-  for (const auto &[Id, Session] : Dispatch.Sessions) {
-    if (!State.Workers.contains(Id) && !Session.IsDraining) {
-      attributeCrash(Dispatch, State, Session, Next,
-                     Id == Change.ReplacedInstance, Now);
-    }
-  }
-}
-
 void purgeObsolete(DispatchState &Dispatch, const CellState &State, Instant Now,
                    WallTime WallNow) {
   PurgeJobsCommand Purge;
@@ -315,12 +292,8 @@
 
 } // namespace
 
-Millis leaseBound(const DispatchOptions &Options, Millis Lease) {
-  return Lease * (100 + Options.DriftPercent) / 100 + Options.LeaseSlack;
-}
-
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime WallNow) {
+                   Term FencingToken, Instant Now) {
   endDispatch(Dispatch);
   Dispatch.IsActive = true;
   Dispatch.FencingToken = FencingToken;
@@ -328,12 +301,7 @@
   Dispatch.Waits.NextLookAt = Now + WaitLookInterval;
   Dispatch.NeedsPlan = true;
   for (const WorkerInstanceId Id : State.Workers.ids()) {
-    const WorkerInstance &Worker = State.Workers[Id];
-    WorkerSession &Session = openSession(Dispatch, Id, Worker, Now);
-    const WallTime StartTime{Millis{Worker.Report.StartTimeMs}};
-    if (WallNow - StartTime < Dispatch.Options.MaxOrderDelay + MaxClockSkew) {
-      extendLeaseForPreviousInstance(Dispatch, Session, Now);
-    }
+    openSession(Dispatch, Id, State.Workers[Id], Now);
   }
   recoverLaunches(Dispatch, State, Now);
   Dispatch.Nodes[Dispatch.Self].LastContactAt = Now;
@@ -342,6 +310,7 @@
 void endDispatch(DispatchState &Dispatch) {
   DispatchState NewState;
   NewState.Options = Dispatch.Options;
+  NewState.Entries = std::move(Dispatch.Entries);
   NewState.Self = Dispatch.Self;
   NewState.NextId = Dispatch.NextId;
   NewState.Counters = Dispatch.Counters;
@@ -352,9 +321,7 @@
 void onStateChange(DispatchState &Dispatch, const CellState &State,
                    const CellChange &Change, Instant Now) {
   Dispatch.NeedsPlan = true;
-  if (Change.Worker.isSet() || Change.AnnouncedWorker.isSet()) {
-    attributeCrashes(Dispatch, State, Change, Now);
-  }
+  onWorkersCrashed(Dispatch, State, Change.Crashes, Now);
   for (const TaskEnd &End : Change.Ended) {
     Dispatch.Counters.Ends += 1;
     removeLaunch(Dispatch, State, End, Change);
@@ -367,12 +334,16 @@
     }
   }
   if (Change.Worker.isSet()) {
+    const WorkerInstance &Registered = State.Workers[Change.Worker];
     WorkerSession &Session =
-        openSession(Dispatch, Change.Worker, State.Workers[Change.Worker], Now);
-    Session.IsReconciled = !Change.ReplacedInstance.isSet();
+        openSession(Dispatch, Change.Worker, Registered, Now);
+    Session.IsReconciled = !Registered.MayHoldFormerLease;
+    if (!Session.IsReconciled) {
+      Dispatch.TouchedWorkers.insert(Change.Worker);
+    }
     if (Change.ReplacedInstance.isSet()) {
-      transferLaunches(Dispatch, Change.ReplacedInstance, Change.Worker,
-                       State.Workers[Change.Worker].IsUnannounced, Now);
+      transferLaunches(Dispatch, State, Change.ReplacedInstance, Change.Worker,
+                       Now);
     }
     Dispatch.Events.push_back(
         "event=worker-joined worker=" +
@@ -390,6 +361,7 @@
   if (Dispatch.Sessions.size() != State.Workers.size()) {
     removeStaleSessions(Dispatch, State);
   }
+  onLeasesResumed(Dispatch, Change.ResumedLeases, Now);
   for (const JobId Id : Change.FinishedJobs) {
     const Job &JobRow = State.Jobs[Id];
     Dispatch.Events.push_back("event=job-over job=" + JobRow.Name +
@@ -426,11 +398,11 @@
 
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
                   WallTime WallNow) {
-  proposeCrashEnds(Dispatch, WallNow);
   if (Now >= Dispatch.NextTimersAt) {
     Dispatch.NextTimersAt = Now + TimerInterval;
     expireQueries(Dispatch, Now);
     expireLeases(Dispatch, State, Now, WallNow);
+    proposeLeaseChanges(Dispatch, State, Now);
     stopOrphans(Dispatch, State, Now);
     probeOverdueStarts(Dispatch, Now);
     sendDueRenewals(Dispatch, State, Now);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryramp/cell/admission.hpp"
+#include "mulberryramp/cell/entry_times.hpp"
 #include "mulberryramp/cell/fwd.hpp"
 #include "mulberryramp/cell/order.hpp"
 #include "mulberryramp/cell/wait_log.hpp"
@@ -72,6 +73,8 @@
   /// Its start was found in the log at the beginning of the term, so that the
   /// time of the start is unknown.
   bool IsRecovered = false;
+  /// See `JobTask::IsTransferred`.
+  bool IsTransferred = false;
   Instant StopSentAt; ///< Zero if no stop was sent.
   std::optional<Instant> StopAckedAt;
   std::uint64_t StopOrder = 0; ///< Id of the open stop order, or 0.
@@ -98,7 +101,7 @@
   /// executed until then; zero if there is none.
   Instant PaceDoubtfulUntil;
   bool IsProbed = false; ///< A probe was requested because its end is overdue.
-  /// End to record if its worker, which has crashed, does not list it.
+  /// `JobTask::EndIfUnlisted`; `Lost` once its worker has listed it.
   EndKind EndIfUnlisted = EndKind::Lost;
 };
 
@@ -159,7 +162,17 @@
   Instant NextRenewalAt;
   Instant ReportedAt; ///< When its last report arrived.
   Instant AnsweredAt; ///< When it last answered an order.
-  Instant LeaseEnd;   ///< No task runs there after this time.
+  Instant LeaseEnd;   ///< No task runs there after this time, except as below.
+  /// No lease of an order for a previous instance lasts longer; zero if none
+  /// can be in force.
+  Instant FormerLeaseEnd;
+  /// The instance has answered an order with its own fencing token.
+  bool HasAcceptedFence = false;
+  bool IsFormerLeaseEndProposed = false; ///< See `EndFormerLeasesCommand`.
+  /// The log says that the worker is granted no leases, or will say so.
+  bool IsLeaseSuspended = false;
+  bool IsSuspensionRecorded = false; ///< This leader has proposed it.
+  bool IsResumeProposed = false;     ///< The end of the suspension is proposed.
   /// Consecutive orders without an answer.
   std::uint32_t ConsecutiveMisses = 0;
   Instant LastMissAt;  ///< When an order last went unanswered.
@@ -311,6 +324,8 @@
 /// advice. A new leader rebuilds it from the replicated state and the workers.
 struct DispatchState {
   DispatchOptions Options;
+  /// Kept while this node does not lead.
+  EntryTimes Entries;
   bool IsActive = false; ///< This node leads and dispatches.
   /// The node held its leader lease when it began to apply the current entry.
   /// Without it another node may lead, so no start is sent.
@@ -355,11 +370,7 @@
   std::set<WorkerInstanceId> TouchedWorkers;
   Instant LastMissAt; ///< When an order last went unanswered.
   std::vector<WorkerCrash> RecentCrashes; ///< Pruned when one is added.
-  /// Ends of attempts whose worker crashed, to be proposed in the next step.
-  std::vector<TaskEnd> CrashEnds;
-  Instant BeganAt; ///< When this node began to dispatch.
-  /// When the last worker crashed under a task, as far as this leader saw it.
-  std::map<TaskKey, Instant> LastCrashAt;
+  Instant BeganAt;                        ///< When this node began to dispatch.
   WaitLog Waits; ///< Tasks with nothing running, for the log.
   DispatchCounters Counters;
 
@@ -377,9 +388,8 @@
 /// applied.
 /// @param FencingToken Term of the leader.
 /// @param Now Current monotonic time.
-/// @param WallNow Current wall clock time.
 void beginDispatch(DispatchState &Dispatch, const CellState &State,
-                   Term FencingToken, Instant Now, WallTime WallNow);
+                   Term FencingToken, Instant Now);
 
 /// @brief Resets the dispatch state after this node lost leadership. Options,
 /// counters, events and the last order id are kept.
@@ -407,16 +417,12 @@
 void stepDispatch(DispatchState &Dispatch, const CellState &State, Instant Now,
                   WallTime WallNow);
 
-/// @brief Computes the longest time from sending an order to the end of its
-/// lease, with clock drift and margin.
-/// @param Lease Length of the lease on the worker clock.
-[[nodiscard]] Millis leaseBound(const DispatchOptions &Options, Millis Lease);
-
 /// @brief Why no start may be sent to a worker now.
 enum class WorkerExclusion : std::uint8_t {
-  None,         ///< Starts may be sent.
-  NoSession,    ///< The leader keeps no session for it.
-  Unresponsive, ///< Orders or reports of it are missing.
+  None,           ///< Starts may be sent.
+  NoSession,      ///< The leader keeps no session for it.
+  Unresponsive,   ///< Orders or reports of it are missing.
+  LeaseSuspended, ///< It responds, and the log does not yet say so.
   NotReconciled,
   OrphanedStarts, ///< Attempts that were recorded as lost may still run there.
   NoClock,        ///< It has not reported to this leader yet.
@@ -426,11 +432,12 @@
 };
 
 /// @brief Names of the exclusions, by value.
-constexpr std::array<std::string_view, 9>
+constexpr std::array<std::string_view, 10>
 nameTable(WorkerExclusion /*Exclusion*/) noexcept {
-  return {"none",           "no-session",      "unresponsive",
-          "not-reconciled", "orphaned-starts", "no-clock",
-          "unannounced",    "draining",        "backoff"};
+  return {
+      "none",           "no-session",      "unresponsive", "lease-suspended",
+      "not-reconciled", "orphaned-starts", "no-clock",     "unannounced",
+      "draining",       "backoff"};
 }
 
 /// @brief Finds the first reason for which no start may be sent to a worker.
--- a/src/mulberryramp/cell/wait_reasons.cpp
+++ b/src/mulberryramp/cell/wait_reasons.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/wait_reasons.hpp"
 
 #include "mulberryramp/cell/advice.hpp"
+#include "mulberryramp/cell/leases.hpp"
 
 #include <algorithm>
 #include <array>
@@ -13,12 +14,6 @@
 /// of voters commits sooner.
 constexpr Millis SlowCommitTime{500};
 
-/// Time until which a launch holds its task if its worker does not answer.
-Instant leaseEndOf(const WorkerSession &Session,
-                   const TaskLaunch & /*Launch*/) {
-  return Session.LeaseEnd;
-}
-
 /// Explains the waiting tasks of one step.
 class StepExplainer {
 public:
@@ -60,7 +55,8 @@
       Why.Reason = WaitReason::GangIncomplete;
       return Why;
     }
-    if (Spec.IsGang && !isGangTrialDue(Dispatch, Key, Step, Context.Now)) {
+    if (Spec.IsGang &&
+        !isGangTrialDue(Dispatch, Key, Step, Spec, Context.Now)) {
       return explainGangBackoff();
     }
     return std::nullopt;
@@ -81,7 +77,7 @@
   std::optional<WaitExplanation> explainBackoff(std::uint32_t Index) const {
     const TaskKey Task{Key.Job, Key.Run, Key.Step, Index};
     const std::optional<Instant> DueAt =
-        trialDueAt(Dispatch, Task, Step.Tasks[Index]);
+        trialDueAt(Dispatch, Task, Step.Tasks[Index], Spec);
     if (!DueAt || Context.Now >= *DueAt) {
       return std::nullopt;
     }
@@ -122,7 +118,7 @@
       return Why;
     }
     if (Risk == CrashRisk::Trial && !Spec.IsGang &&
-        countTrials(Dispatch, Key, Step, Context.Now) == 0) {
+        countTrials(Dispatch, Key, Step, Spec, Context.Now) == 0) {
       Why.Reason = WaitReason::TrialLimit;
       return Why;
     }
@@ -326,13 +322,13 @@
   } else if (Session.ConsecutiveMisses != 0) {
     Why.Reason = WaitReason::WorkerUnresponsive;
     Why.Since = Session.SilentSince;
-    Why.EndsAt = leaseEndOf(Session, Launch);
+    Why.EndsAt = runBound(Session, Launch);
   } else if (Launch.Phase == LaunchPhase::Sending) {
     Why.Reason = WaitReason::StartUnanswered;
     Why.Since = Launch.PhaseSince;
   } else if (!Session.IsReconciled) {
     Why.Reason = WaitReason::WorkerNotReconciled;
-    Why.EndsAt = leaseEndOf(Session, Launch);
+    Why.EndsAt = runBound(Session, Launch);
     if (Launch.Phase == LaunchPhase::Recovered) {
       Why.Since = Launch.PhaseSince;
     }
--- a/src/mulberryramp/job/job.hpp
+++ b/src/mulberryramp/job/job.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/core/names.hpp"
 #include "mulberryramp/job/configuration.hpp"
+#include "mulberryramp/job/end_kind.hpp"
 #include "mulberryramp/job/spec.hpp"
 
 #include <array>
@@ -58,6 +59,12 @@
   /// Number of workers that crashed shortly after they started it while no
   /// other attempt may have been the cause; they are among `Crashes`.
   std::uint32_t SoleCrashes = 0;
+  /// It was assigned to a previous instance of `Worker`, and its start order
+  /// may still be executed.
+  bool IsTransferred = false;
+  /// End to record if its worker does not list it: another kind than `Lost` if
+  /// the instance that it was assigned to has crashed.
+  EndKind EndIfUnlisted = EndKind::Lost;
 
   static constexpr std::size_t MandatoryFields = 5; ///< See `encode`.
   static constexpr auto fields() {
@@ -65,7 +72,8 @@
                            &JobTask::Failures, &JobTask::Worker,
                            &JobTask::Checkpoint, &JobTask::Crashes,
                            &JobTask::PossibleCrashes, &JobTask::LostAttempt,
-                           &JobTask::LostOn, &JobTask::SoleCrashes);
+                           &JobTask::LostOn, &JobTask::SoleCrashes,
+                           &JobTask::IsTransferred, &JobTask::EndIfUnlisted);
   }
 };
 
--- a/src/mulberryramp/job/state.hpp
+++ b/src/mulberryramp/job/state.hpp
@@ -35,11 +35,16 @@
   /// Buckets of the organisations that have submitted jobs, in the order of
   /// their names.
   std::vector<OrganisationRate> Rates;
+  std::uint64_t Registrations = 0; ///< Number of registered worker instances.
+  /// Names of the workers that were deregistered last, the latest at the end.
+  std::vector<std::string> FormerWorkers;
 
   static constexpr std::size_t MandatoryFields = 3; ///< See `encode`.
   static constexpr auto fields() {
     return std::make_tuple(&CellState::Configuration, &CellState::Workers,
-                           &CellState::Jobs, &CellState::Rates);
+                           &CellState::Jobs, &CellState::Rates,
+                           &CellState::Registrations,
+                           &CellState::FormerWorkers);
   }
 };
 
@@ -76,6 +81,9 @@
       WorkersToReconcile; ///< Workers that may run unassigned attempts.
   WorkerInstanceId
       ReplacedInstance; ///< Previous instance of the registered worker.
+  std::vector<InstanceCrash> Crashes;            ///< Crashes that took effect.
+  std::vector<WorkerInstanceId> SuspendedLeases; ///< Granted no leases now.
+  std::vector<WorkerInstanceId> ResumedLeases;   ///< May be granted leases.
 };
 
 /// @brief Applies a command deterministically.
@@ -100,6 +108,11 @@
 [[nodiscard]] WorkerInstanceId findWorker(const CellState &State,
                                           std::string_view Name);
 
+/// @brief Finds the registered instances that have ended if a worker reports:
+/// its previous instance, and earlier ones under other names at its address.
+[[nodiscard]] std::vector<WorkerInstanceId>
+findEndedInstances(const CellState &State, const WorkerReport &Report);
+
 /// @brief Finds the organisation that a key belongs to.
 /// @param KeyDigest SHA-256 digest of the key.
 /// @return The organisation, or null; valid while the configuration is
--- a/test/cell/wait_reasons_test.cpp
+++ b/test/cell/wait_reasons_test.cpp
@@ -29,7 +29,7 @@
 
   WaitFixture() {
     applyCommand(State, ConfigureCommand{makeTestConfiguration(1, 3)});
-    beginDispatch(Dispatch, State, LeaderTerm, Now, wallNow());
+    beginDispatch(Dispatch, State, LeaderTerm, Now);
     pass(Millis{10000}); // Later reasons did not begin under another leader.
     registerTestWorker(Dispatch, State, "a", WorkerCpus, Now);
     Step.Need.MilliCpus = WorkerCpus;
@@ -224,8 +224,7 @@
 TEST(CellWaitReasons, AWorkerThatANewLeaderHasNotReconciledIsInherited) {
   WaitFixture Fixture;
   Fixture.startAndConfirm();
-  beginDispatch(Fixture.Dispatch, Fixture.State, LeaderTerm + 1, Fixture.Now,
-                Fixture.wallNow());
+  beginDispatch(Fixture.Dispatch, Fixture.State, LeaderTerm + 1, Fixture.Now);
   Fixture.session().LeaseEnd = Fixture.Now + Millis{5708};
   Fixture.pass(Millis{1000});
   STRCMP_EQUAL("event=waits job=one run=0 step=0 tasks=0 "
@@ -239,9 +238,9 @@
   WaitFixture Fixture;
   Fixture.submit();
   Fixture.task().Crashes = 3;
-  Fixture.Dispatch.LastCrashAt[Fixture.key()] = Fixture.Now;
+  Fixture.Dispatch.Entries.Crashes[Fixture.key()] = Fixture.Now;
   const auto DueAt =
-      trialDueAt(Fixture.Dispatch, Fixture.key(), Fixture.task());
+      trialDueAt(Fixture.Dispatch, Fixture.key(), Fixture.task(), StepSpec{});
   Fixture.pass(Millis{1000});
   STRCMP_EQUAL(("event=waits job=one run=0 step=0 tasks=0 "
                 "reason=crash-backoff since_ms=1000 allowed_ms=" +
