--- a/src/mulberryramp/cell/answers.cpp
+++ b/src/mulberryramp/cell/answers.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// After this many consecutive misses a worker counts as unresponsive, and its
-/// speculative tasks are started elsewhere.
-constexpr std::uint32_t UnresponsiveAfterMisses = 2;
 /// Bound in ms on the reordering of answers. If the worker clock falls back by
 /// more, another instance answered.
 constexpr std::int64_t MaxAnswerReordering = 1000;
--- a/src/mulberryramp/cell/dispatcher.cpp
+++ b/src/mulberryramp/cell/dispatcher.cpp
@@ -337,6 +337,7 @@
     const WorkerInstance &Registered = State.Workers[Change.Worker];
     WorkerSession &Session =
         openSession(Dispatch, Change.Worker, Registered, Now);
+    // No start is sent before the instance refuses orders for previous ones.
     Session.IsReconciled = !Registered.MayHoldFormerLease;
     if (!Session.IsReconciled) {
       Dispatch.TouchedWorkers.insert(Change.Worker);
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -330,7 +330,7 @@
   /// The node held its leader lease when it began to apply the current entry.
   /// Without it another node may lead, so no start is sent.
   bool HoldsLease = true;
-  Term FencingToken = 0; ///< Term of the leader.
+  Term FencingToken = 0; ///< Term of the leader; see `fencingTokenOf`.
   NodeId Self = 0;
   std::map<WorkerInstanceId, WorkerSession> Sessions;
   std::map<TaskKey, TaskLaunch> Launches;
--- a/src/mulberryramp/cell/leases.cpp
+++ b/src/mulberryramp/cell/leases.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// A worker counts as unresponsive after this many consecutive misses, so that
-/// a single lost order writes nothing to the log.
-constexpr std::uint32_t SuspendAfterMisses = 2;
 /// The lower bits of a fencing token hold the registration of the worker. Terms
 /// up to 2^21 fit beside it into the integers that JSON numbers keep exactly.
 constexpr int RegistrationBits = 32;
@@ -158,8 +155,9 @@
         Session.ConsecutiveMisses == 0 && Session.IsInstanceVerified;
     // A voter that restarts counts a suspension from its restart. So that it
     // finds the time that is left now, each leader records it again.
-    const bool IsSuspended = Session.ConsecutiveMisses >= SuspendAfterMisses ||
-                             Session.IsLeaseSuspended;
+    const bool IsSuspended =
+        Session.ConsecutiveMisses >= UnresponsiveAfterMisses ||
+        Session.IsLeaseSuspended;
     if (IsSuspended && !Session.IsSuspensionRecorded &&
         !Session.Tasks.empty() && Now < Session.LeaseEnd) {
       suspendLease(Dispatch, State, Id, Session, Suspend, Now);
--- a/src/mulberryramp/cell/leases.hpp
+++ b/src/mulberryramp/cell/leases.hpp
@@ -13,6 +13,10 @@
 
 namespace mulberryramp {
 
+/// @brief A worker counts as unresponsive after this many consecutive misses: a
+/// single order may get lost.
+inline constexpr std::uint32_t UnresponsiveAfterMisses = 2;
+
 /// @brief Computes the longest time from sending an order to the end of its
 /// lease, with clock drift and margin.
 /// @param Lease Length of the lease on the worker clock.
