--- a/src/mulberryramp/cell/leases.hpp
+++ b/src/mulberryramp/cell/leases.hpp
@@ -34,8 +34,8 @@
 std::int64_t extendLease(const DispatchState &Dispatch, WorkerSession &Session,
                          Instant Now);
 
-/// @brief Tells whether a lease may be granted to a worker now, provided that
-/// its clock is known.
+/// @brief Tells whether a lease may be granted to a worker: its clock is known
+/// and its leases are not suspended.
 [[nodiscard]] bool mayGrantLease(const WorkerSession &Session) noexcept;
 
 /// @brief Handles an answer of the instance to an order that carried its own
