Find tasks for changes and begin long-running tests in one place

The commands about workers cast the constness of a task away a second time, beside taskAt in state.cpp, which both use now. Three tests of leases shared their first four steps; a function holds them, with the check that the task runs. No behaviour and no check is changed.

--- a/src/mulberryramp/job/internal.hpp
+++ b/src/mulberryramp/job/internal.hpp
@@ -8,6 +8,8 @@
 namespace mulberryramp::internal {
 
 // state.cpp
+/// Finds a task for changes, like `findTask`.
+[[nodiscard]] JobTask *taskAt(CellState &State, const TaskKey &Key);
 [[nodiscard]] JobStep &stepAt(CellState &State, const TaskKey &Key);
 [[nodiscard]] const StepSpec &specAt(const CellState &State,
                                      const TaskKey &Key);
--- a/src/mulberryramp/job/state.cpp
+++ b/src/mulberryramp/job/state.cpp
@@ -8,6 +8,10 @@
 
 namespace internal {
 
+JobTask *taskAt(CellState &State, const TaskKey &Key) {
+  return const_cast<JobTask *>(findTask(State, Key)); // NOLINT: non-const.
+}
+
 JobStep &stepAt(CellState &State, const TaskKey &Key) {
   return findRun(State.Jobs[Key.Job], Key.Run)->Steps[Key.Step];
 }
@@ -46,16 +50,13 @@
 using internal::recordTaskEnd;
 using internal::specAt;
 using internal::stepAt;
+using internal::taskAt;
 using internal::unassignTask;
 
 /// A task is given up after at least this many crashes as the only suspect. A
 /// worker may crash for its own reasons just after a start.
 constexpr std::uint32_t MinSoleCrashesToFail = 2;
 
-JobTask *taskAt(CellState &State, const TaskKey &Key) {
-  return const_cast<JobTask *>(findTask(State, Key)); // NOLINT: non-const.
-}
-
 void createRun(Job &JobRow) {
   JobRun Run;
   Run.Number = JobRow.NextRun;
--- a/src/mulberryramp/job/worker_commands.cpp
+++ b/src/mulberryramp/job/worker_commands.cpp
@@ -41,8 +41,7 @@
 /// Finds the task of an attempt that is assigned to a worker instance.
 /// @return The task, or null if the attempt is not assigned to it.
 JobTask *findAssigned(CellState &State, const TaskAssignment &Assigned) {
-  auto *Task = const_cast<JobTask *>( // NOLINT: non-const.
-      findTask(State, Assigned.Key));
+  JobTask *Task = taskAt(State, Assigned.Key);
   return Task != nullptr && Task->State == JobTaskState::Assigned &&
                  Task->Attempt == Assigned.Attempt &&
                  Task->Worker == Assigned.Worker
--- a/test/cell/lease_test.cpp
+++ b/test/cell/lease_test.cpp
@@ -259,6 +259,14 @@
   std::uint64_t NextCall = 1;
 };
 
+/// Adds the worker w0 and starts a long-running task there.
+void runOnFirstWorker(LeaseCell &Cell, const std::string &Job) {
+  Cell.addWorker("w0");
+  Cell.stepFor(Millis{500});
+  Cell.submitLongRunning(Job);
+  CHECK(Cell.stepUntilRunning(Job, Millis{1000}) < Millis{1000});
+}
+
 } // namespace
 
 TEST_GROUP(Leases){};
@@ -268,10 +276,7 @@
 /// for one of 18 s.
 TEST(Leases, ATaskOfALostNewWorkerRunsAgainAfterAnElection) {
   LeaseCell Cell;
-  Cell.addWorker("w0");
-  Cell.stepFor(Millis{500});
-  Cell.submitLongRunning("j");
-  CHECK(Cell.stepUntilRunning("j", Millis{1000}) < Millis{1000});
+  runOnFirstWorker(Cell, "j");
   Cell.addWorker("w1");
   Cell.stepFor(Millis{1000});
   Cell.suspendLeader(Millis{2000});
@@ -284,10 +289,7 @@
 /// instance held for a task that was assigned afterwards.
 TEST(Leases, ATaskOfALostRestartedWorkerRunsAgain) {
   LeaseCell Cell;
-  Cell.addWorker("w0");
-  Cell.stepFor(Millis{500});
-  Cell.submitLongRunning("j0");
-  CHECK(Cell.stepUntilRunning("j0", Millis{1000}) < Millis{1000});
+  runOnFirstWorker(Cell, "j0");
   Cell.restartWorker("w0");
   CHECK(Cell.stepUntilRunning("j0", Millis{3000}) < Millis{3000});
   Cell.addWorker("w1");
@@ -301,10 +303,7 @@
 TEST(Leases, AnyNumberOfElectionsExtendsNoLeaseOfALostWorker) {
   const Millis TimeBetweenElections{4000};
   LeaseCell Cell;
-  Cell.addWorker("w0");
-  Cell.stepFor(Millis{500});
-  Cell.submitLongRunning("j");
-  CHECK(Cell.stepUntilRunning("j", Millis{1000}) < Millis{1000});
+  runOnFirstWorker(Cell, "j");
   Cell.stepFor(Millis{30000}); // No bound of a new worker applies any more.
   Cell.addWorker("w1");
   Cell.stepFor(Millis{1000});
@@ -345,10 +344,7 @@
 Millis timeWithoutRun(Millis Interval, bool HasRestarted) {
   const Millis RestartTime{500};
   LeaseCell Cell;
-  Cell.addWorker("w0");
-  Cell.stepFor(Millis{500});
-  Cell.submitLongRunning("j");
-  CHECK(Cell.stepUntilRunning("j", Millis{1000}) < Millis{1000});
+  runOnFirstWorker(Cell, "j");
   Cell.stepFor(Millis{30000}); // No bound of a new worker applies any more.
   Cell.addWorker("w1");
   Cell.stepFor(Millis{1000});
