Bound the memory of a parsed JSON body

Callers saw: after bodies of legal size that consist of empty lists, of numbers in place of phases or of very many keys, ordinary submissions got 504 or no answer within 30 s, and the memory of the process rose by a multiple of the bodies.

Cause: the parser builds a tree that takes a multiple of a dense text; each phase that is no object was decoded and described in three findings; and the response and the log line contained all findings.

A validation keeps 1,000 findings and counts the others.

--- a/src/mulberryramp/admin/api.cpp
+++ b/src/mulberryramp/admin/api.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/admin/api.hpp"
 
 #include "mulberryramp/admin/json_reader.hpp"
+#include "mulberryramp/core/json_shape.hpp"
 #include "mulberryramp/core/names.hpp"
 
 #include <charconv>
@@ -296,6 +297,10 @@
     return ApiAction{CallRequest{
         CancelCall{queryText(Request, "home"), Segments[2], Segments[3]}}};
   }
+  if (const JsonShape Shape = checkJsonShape(Request.Body);
+      Shape != JsonShape::Accepted) {
+    return tl::make_unexpected(makeError(BadRequest, "body", describe(Shape)));
+  }
   const json Body = json::parse(Request.Body, nullptr, false);
   if (Body.is_discarded()) {
     return tl::make_unexpected(makeError(BadRequest, "body", "is not JSON"));
--- a/src/mulberryramp/core/finding.cpp
+++ b/src/mulberryramp/core/finding.cpp
@@ -1,7 +1,17 @@
 #include "mulberryramp/core/finding.hpp"
 
+#include <utility>
+
 namespace mulberryramp {
 
+void Findings::add(Finding Error) {
+  if (isFull()) {
+    OmittedCount += 1;
+  } else {
+    Items.push_back(std::move(Error));
+  }
+}
+
 std::string Findings::render() const {
   std::string Report;
   for (const Finding &Error : Items) {
@@ -14,6 +24,9 @@
     }
     Report += ": " + Error.Text + '\n';
   }
+  if (OmittedCount != 0) {
+    Report += std::to_string(OmittedCount) + " further errors\n";
+  }
   return Report;
 }
 
--- a/src/mulberryramp/core/finding.hpp
+++ b/src/mulberryramp/core/finding.hpp
@@ -14,10 +14,19 @@
   std::string Text;       ///< Description of the error.
 };
 
-/// @brief Errors of one validation, collected and reported together.
+/// @brief Maximum number of errors that one validation keeps.
+inline constexpr std::size_t MaxFindings = 1000;
+
+/// @brief Errors of one validation, collected and reported together. Errors
+/// beyond `MaxFindings` are only counted.
 class Findings {
 public:
-  void add(Finding Error) { Items.push_back(std::move(Error)); }
+  void add(Finding Error);
+
+  /// @brief Tells whether further errors are only counted.
+  [[nodiscard]] bool isFull() const noexcept {
+    return Items.size() >= MaxFindings;
+  }
 
   /// @brief Tells whether the validation found no error.
   [[nodiscard]] bool empty() const noexcept { return Items.empty(); }
@@ -29,11 +38,13 @@
 
   /// @brief Renders the findings as text.
   /// @return One line `source:line:column: text` per finding; a line or column
-  /// of 0 is omitted.
+  /// of 0 is omitted. If errors were only counted, a last line has their
+  /// number.
   [[nodiscard]] std::string render() const;
 
 private:
   std::vector<Finding> Items;
+  std::size_t OmittedCount = 0;
 };
 
 } // namespace mulberryramp
