Bound the responses of workers and of the advisor

Seen: a worker or an advisor can answer an order or a query with a body without end; AsyncHttpClient appended it until the time-out of the order.

Cause: the write callback had no limit.

Change: a response of more than 4 MiB ends the transfer. It counts as none, so an order may have been executed and is not counted as unsent.

The responses of all workers together have no bound of their own; workers are not clients that we don't control.

--- a/src/mulberryramp/http/async_client.cpp
+++ b/src/mulberryramp/http/async_client.cpp
@@ -35,9 +35,15 @@
 /// Maximum number of socket events that are handled per call of the handler.
 constexpr int MaxEvents = 64;
 
+/// Appends a part of a response. A response that is too large ends the
+/// transfer, as if none had arrived.
 std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
                        void *Output) {
-  static_cast<std::string *>(Output)->append(Data, Size * Count);
+  auto &Body = *static_cast<std::string *>(Output);
+  if (Body.size() + Size * Count > MaxInboundResponseBytes) {
+    return 0;
+  }
+  Body.append(Data, Size * Count);
   return Size * Count;
 }
 
--- a/src/mulberryramp/http/async_client.hpp
+++ b/src/mulberryramp/http/async_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryramp/core/fwd.hpp"
+#include "mulberryramp/http/fwd.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -25,7 +26,9 @@
 
 /// @brief Result of a request.
 struct OutboundResponse {
-  int Status = 0; ///< HTTP status, or 0 without a complete response.
+  /// HTTP status, or 0 without a complete response of at most
+  /// `MaxInboundResponseBytes`.
+  int Status = 0;
   /// No part of the request was sent, so the server cannot have acted on it.
   bool IsUnsent = false;
   std::string Body;
--- a/src/mulberryramp/http/fwd.hpp
+++ b/src/mulberryramp/http/fwd.hpp
@@ -16,6 +16,9 @@
 inline constexpr unsigned MaxHttpConnections = 2000;
 /// @brief Time after which a server closes an idle connection.
 inline constexpr unsigned HttpIdleTimeoutSeconds = 60;
+/// @brief Maximum size of a response that `AsyncHttpClient` receives. A worker
+/// with 10,000 tasks lists them in less than 1 MiB.
+inline constexpr std::size_t MaxInboundResponseBytes = 4 * MaxBodyBytes;
 
 class HttpServer;
 class HttpClient;
