Bound the incomplete frames on the peer port

Seen: 40 connections to the peer port, each a frame announced at 8 MiB of which the last 100 bytes are held back, raised a voter of 128 MB to 337 MB.

Cause: each link keeps what has arrived of a frame, up to 8 MiB, for any time; the number of links and their bytes had no bound. A link also kept the buffer of its largest frame.

Change: incomplete frames take at most 16 MiB on all links. Beyond it the link without a complete frame for the longest time is closed, and links that have delivered no valid payload before others, so that other nodes keep theirs. A frame that is incomplete for 60 s ends its link. There are at most 512 links. An empty buffer of more than 64 KiB is freed. The acceptor takes all waiting links at a time and the kernel queues 128 of them, as a full queue drops the opening packets of other nodes for seconds.

--- a/src/mulberryramp/net/fwd.hpp
+++ b/src/mulberryramp/net/fwd.hpp
@@ -21,6 +21,9 @@
 /// @brief Time since the last message of this daemon after which a link is
 /// closed.
 inline constexpr Millis LinkIdleTimeout{30000};
+/// @brief Time from the first byte of a frame to its last one, after which its
+/// link is closed. A frame of maximum size needs 34 s at 2 Mbit/s.
+inline constexpr Millis FrameTimeout{60000};
 
 class PeerLinks;
 
--- a/src/mulberryramp/net/peer_links.cpp
+++ b/src/mulberryramp/net/peer_links.cpp
@@ -10,8 +10,10 @@
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <functional>
 #include <list>
 #include <map>
 #include <netinet/tcp.h>
@@ -23,25 +25,47 @@
 
 /// Maximum bytes that are read from a link at a time.
 constexpr std::size_t ReadChunkBytes = 65536;
+/// Links that are accepted at a time, and that the kernel queues until then.
+/// The opening packet of a further one would be dropped.
+constexpr int MaxAccepts = 128;
 
 bool wouldBlock() { return errno == EWOULDBLOCK || errno == EAGAIN; }
 
 /// Receives frames on a connection that a peer dialled.
 class InboundLink final : public ACE_Event_Handler {
 public:
+  /// Called when the memory of the links has grown.
+  using GrowthHandler = std::function<void()>;
+
   InboundLink(ACE_Reactor &Loop, PeerLinks::PayloadHandler &OnPayload,
-              LinkCounters &Counters)
-      : ACE_Event_Handler{&Loop}, OnPayload{OnPayload}, Counters{Counters} {}
+              GrowthHandler OnGrowth, LinkCounters &Counters, Instant Now)
+      : ACE_Event_Handler{&Loop}, OnPayload{OnPayload},
+        OnGrowth{std::move(OnGrowth)}, Counters{Counters}, LastFrameAt{Now} {}
+
+  ~InboundLink() override { close(); }
 
-  ~InboundLink() override {
-    if (IsOpen) {
+  /// Closes the link and frees its buffer.
+  void close() {
+    if (IsHandlingInput) {
+      MustClose = true; // The reactor closes it after the call.
+    } else if (IsOpen) {
       reactor()->remove_handler(this, READ_MASK | DONT_CALL);
-      Stream.close();
+      handle_close(get_handle(), READ_MASK);
     }
   }
 
+  [[nodiscard]] std::size_t heldBytes() const { return Reader.heldBytes(); }
+  /// Tells whether a frame has been incomplete for longer than `FrameTimeout`.
+  [[nodiscard]] bool isFrameLate(Instant Now) const {
+    return Reader.hasPartialFrame() && Now - PartialSince > FrameTimeout;
+  }
+  /// Tells whether a valid payload has arrived.
+  [[nodiscard]] bool isTrusted() const noexcept { return IsTrusted; }
+  /// Time of the last complete frame, at first of the connection.
+  [[nodiscard]] Instant lastFrameAt() const noexcept { return LastFrameAt; }
+
   ACE_SOCK_Stream &stream() noexcept { return Stream; }
-  [[nodiscard]] bool isOpen() const noexcept { return IsOpen; }
+  [[nodiscard]] bool isOpen() const noexcept { return IsOpen && !MustClose; }
 
   bool start() {
     Stream.enable(ACE_NONBLOCK);
@@ -61,12 +85,29 @@
       return -1;
     }
     Counters.BytesIn += static_cast<std::uint64_t>(BytesRead);
+    const std::size_t HeldBefore = Reader.heldBytes();
+    const bool HadPartialFrame = Reader.hasPartialFrame();
+    const Instant LastFrameBefore = LastFrameAt;
     Reader.feed({Chunk.data(), static_cast<std::size_t>(BytesRead)});
-    return processFrames() ? 0 : -1;
+    const bool IsValid = processFrames();
+    Counters.InboundBytes += Reader.heldBytes() - HeldBefore;
+    if (Reader.hasPartialFrame() &&
+        (!HadPartialFrame || LastFrameAt != LastFrameBefore)) {
+      PartialSince = SuspendAwareClock::now();
+    }
+    if (Reader.heldBytes() > HeldBefore) {
+      IsHandlingInput = true;
+      OnGrowth();
+      IsHandlingInput = false;
+    }
+    return IsValid && !MustClose ? 0 : -1;
   }
 
   int handle_close(ACE_HANDLE /*Handle*/, ACE_Reactor_Mask /*Mask*/) override {
     Stream.close();
+    Counters.InboundBytes -= Reader.heldBytes();
+    Reader = FrameReader{};
+    Counters.InboundBytes += Reader.heldBytes();
     IsOpen = false;
     return 0;
   }
@@ -86,14 +127,22 @@
         Counters.MalformedFrames += 1;
         return false;
       }
+      IsTrusted = true;
+      LastFrameAt = SuspendAwareClock::now();
     }
   }
 
   PeerLinks::PayloadHandler &OnPayload;
+  GrowthHandler OnGrowth;
   LinkCounters &Counters;
   ACE_SOCK_Stream Stream;
   FrameReader Reader;
+  Instant LastFrameAt;
+  Instant PartialSince; ///< Begin of the partial frame, if there is one.
+  bool IsTrusted = false;
   bool IsOpen = false;
+  bool IsHandlingInput = false;
+  bool MustClose = false;
 };
 
 /// Sends frames to one peer on a connection that this daemon dials. Nothing is
@@ -262,8 +311,9 @@
 } // namespace internal
 
 struct PeerLinks::Impl final : public ACE_Event_Handler {
-  Impl(ACE_Reactor &Loop, PayloadHandler OnPayload)
-      : ACE_Event_Handler{&Loop}, OnPayload{std::move(OnPayload)} {}
+  Impl(ACE_Reactor &Loop, PayloadHandler OnPayload, const LinkLimits &Limits)
+      : ACE_Event_Handler{&Loop}, OnPayload{std::move(OnPayload)},
+        Limits{Limits} {}
 
   ~Impl() override {
     if (IsListening) {
@@ -275,17 +325,69 @@
   ACE_HANDLE get_handle() const override { return Acceptor.get_handle(); }
 
   int handle_input(ACE_HANDLE /*Handle*/) override {
-    auto Link = std::make_unique<internal::InboundLink>(*reactor(), OnPayload,
-                                                        Counters);
-    if (Acceptor.accept(Link->stream()) == 0 && Link->start()) {
-      Inbound.push_back(std::move(Link));
+    for (int Accepted = 0; Accepted < internal::MaxAccepts; ++Accepted) {
+      auto Link = std::make_unique<internal::InboundLink>(
+          *reactor(), OnPayload, [this] { closeHoldingLinks(); }, Counters,
+          SuspendAwareClock::now());
+      if (Acceptor.accept(Link->stream()) != 0) {
+        break;
+      }
+      if (Link->start()) {
+        Inbound.push_back(std::move(Link));
+        closeExcessLinks();
+      }
     }
     return 0;
   }
 
+  /// Finds the link without a complete frame for the longest time; those
+  /// without any valid payload come first.
+  template <typename Predicate>
+  internal::InboundLink *findLeastActive(const Predicate &IsCandidate) {
+    internal::InboundLink *Found = nullptr;
+    for (const auto &Link : Inbound) {
+      if (Link->isOpen() && IsCandidate(*Link) &&
+          (Found == nullptr ||
+           std::pair{Link->isTrusted(), Link->lastFrameAt()} <
+               std::pair{Found->isTrusted(), Found->lastFrameAt()})) {
+        Found = Link.get();
+      }
+    }
+    return Found;
+  }
+
+  void closeForLimit(internal::InboundLink &Link) {
+    Counters.LimitHits += 1;
+    Link.close();
+  }
+
+  void closeExcessLinks() {
+    const auto OpenLinks = static_cast<std::size_t>(
+        std::count_if(Inbound.begin(), Inbound.end(),
+                      [](const auto &Link) { return Link->isOpen(); }));
+    if (OpenLinks > Limits.MaxInbound) {
+      closeForLimit(
+          *findLeastActive([](const internal::InboundLink &) { return true; }));
+    }
+  }
+
+  void closeHoldingLinks() {
+    std::uint64_t Held = Counters.InboundBytes;
+    while (Held > Limits.MaxInboundBytes) {
+      auto *Link = findLeastActive([](const internal::InboundLink &Candidate) {
+        return Candidate.heldBytes() > internal::ReadChunkBytes;
+      });
+      if (Link == nullptr) {
+        return;
+      }
+      Held -= Link->heldBytes();
+      closeForLimit(*Link);
+    }
+  }
+
   bool listen(const Endpoint &Address) {
     const ACE_INET_Addr SocketAddress{Address.Port, Address.Host.c_str()};
-    if (Acceptor.open(SocketAddress, 1) != 0) {
+    if (Acceptor.open(SocketAddress, 1, PF_INET, internal::MaxAccepts) != 0) {
       return false;
     }
     Acceptor.enable(ACE_NONBLOCK);
@@ -294,6 +396,7 @@
   }
 
   PayloadHandler OnPayload;
+  LinkLimits Limits;
   LinkCounters Counters;
   ACE_SOCK_Acceptor Acceptor;
   bool IsListening = false;
@@ -306,8 +409,8 @@
 
 tl::expected<std::unique_ptr<PeerLinks>, std::string>
 PeerLinks::open(const Endpoint &Address, ACE_Reactor &Loop,
-                PayloadHandler OnPayload) {
-  auto Pimpl = std::make_unique<Impl>(Loop, std::move(OnPayload));
+                PayloadHandler OnPayload, const LinkLimits &Limits) {
+  auto Pimpl = std::make_unique<Impl>(Loop, std::move(OnPayload), Limits);
   if (!Pimpl->listen(Address)) {
     return tl::make_unexpected("cannot listen for daemons on " +
                                render(Address));
@@ -339,6 +442,11 @@
 }
 
 void PeerLinks::tick(Instant Now) {
+  for (const auto &Link : Pimpl->Inbound) {
+    if (Link->isOpen() && Link->isFrameLate(Now)) {
+      Pimpl->closeForLimit(*Link);
+    }
+  }
   Pimpl->Inbound.remove_if([](const auto &Link) { return !Link->isOpen(); });
   for (auto &[Node, Link] : Pimpl->Outbound) {
     Link->tick(Now);
--- a/src/mulberryramp/net/peer_links.hpp
+++ b/src/mulberryramp/net/peer_links.hpp
@@ -15,6 +15,16 @@
 
 namespace mulberryramp {
 
+/// @brief What the links that other daemons dialled may hold. Beyond it, links
+/// without a valid payload so far are closed before others.
+struct LinkLimits {
+  /// Open links; the one without a frame for the longest time is closed.
+  std::size_t MaxInbound = 512;
+  /// Bytes of incomplete frames; the link whose frame has been incomplete for
+  /// the longest time is closed.
+  std::size_t MaxInboundBytes = 2 * MaxQueuedBytes;
+};
+
 /// @brief Counters of all links since the start of the daemon.
 struct LinkCounters {
   std::uint64_t BytesOut = 0;
@@ -26,6 +36,9 @@
   /// Invalid frames; each of them closed its link.
   std::uint64_t MalformedFrames = 0;
   std::uint64_t DialAttempts = 0;
+  /// Links that `LinkLimits` or `FrameTimeout` closed.
+  std::uint64_t LimitHits = 0;
+  std::uint64_t InboundBytes = 0; ///< Memory for incomplete frames.
 };
 
 /// @brief TCP links to other daemons. A payload may be lost, but is never
@@ -43,9 +56,11 @@
   /// @param Address Address and port to listen on.
   /// @param Loop The event loop; must outlive the links.
   /// @param OnPayload Called with each received payload.
+  /// @param Limits What the links of other daemons may hold.
   /// @return The links, or the reason that the port cannot be used.
   [[nodiscard]] static tl::expected<std::unique_ptr<PeerLinks>, std::string>
-  open(const Endpoint &Address, ACE_Reactor &Loop, PayloadHandler OnPayload);
+  open(const Endpoint &Address, ACE_Reactor &Loop, PayloadHandler OnPayload,
+       const LinkLimits &Limits = {});
 
   PeerLinks(const PeerLinks &) = delete;
   PeerLinks &operator=(const PeerLinks &) = delete;
@@ -67,7 +82,8 @@
   /// `MaxQueuedBytes` would be queued.
   void send(NodeId Peer, std::string_view Payload);
 
-  /// @brief Closes stalled and idle links; call it regularly.
+  /// @brief Closes stalled and idle links, and those with a frame that does not
+  /// become complete; call it regularly.
   /// @param Now Current monotonic time.
   void tick(Instant Now);
 
--- a/src/mulberryramp/wire/frame.cpp
+++ b/src/mulberryramp/wire/frame.cpp
@@ -6,6 +6,8 @@
 
 /// First two bytes of each frame: "MR".
 constexpr std::uint16_t FrameMagic = 0x4D52;
+/// Capacity above which an empty buffer is freed.
+constexpr std::size_t MaxIdleBufferBytes = std::size_t{64} * 1024;
 
 void putBigEndian(std::string &Out, std::uint32_t Value, int Bytes) {
   for (int Shift = (Bytes - 1) * 8; Shift >= 0; Shift -= 8) {
@@ -53,6 +55,9 @@
   }
   std::string Payload = Buffer.substr(FrameHeaderBytes, Length);
   Buffer.erase(0, FrameHeaderBytes + Length);
+  if (Buffer.empty() && Buffer.capacity() > internal::MaxIdleBufferBytes) {
+    Buffer = std::string{};
+  }
   return Payload;
 }
 
--- a/src/mulberryramp/wire/frame.hpp
+++ b/src/mulberryramp/wire/frame.hpp
@@ -27,6 +27,16 @@
   /// @brief Appends the next bytes of the stream.
   void feed(std::string_view Bytes) { Buffer.append(Bytes); }
 
+  /// @brief Returns the memory that the buffer takes, in bytes.
+  [[nodiscard]] std::size_t heldBytes() const noexcept {
+    return Buffer.capacity();
+  }
+
+  /// @brief Tells whether the buffer holds a part of a frame.
+  [[nodiscard]] bool hasPartialFrame() const noexcept {
+    return !Buffer.empty();
+  }
+
   /// @brief Removes the next complete frame from the buffer.
   /// @return The payload, nothing if more bytes are needed, or an error after
   /// which the stream must be closed.
