--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -1,8 +1,10 @@
 #include "celld/cell_daemon.hpp"
 
 #include "celld/cell_metrics.hpp"
+#include "celld/client_calls.hpp"
 #include "celld/event_log.hpp"
 #include "celld/group_writer.hpp"
+#include "celld/http_listeners.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/core/random.hpp"
 #include "mulberryramp/core/time.hpp"
@@ -18,7 +20,6 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
-#include <map>
 #include <thread>
 #include <unistd.h>
 
@@ -54,24 +55,6 @@
 void onStopSignal(int /*Signal*/) { StopRequested = 1; }
 void onReloadSignal(int /*Signal*/) { ReloadRequested = 1; }
 
-/// An HTTP server and the event handler that runs it.
-struct HttpEndpointServer {
-  std::unique_ptr<HttpServer> Http;
-  std::unique_ptr<ReadableHandler> HttpEvents;
-};
-
-/// An HTTP request that waits for the reply of the cell.
-struct OpenRequest {
-  HttpServer *Http = nullptr;
-  std::uint64_t ExchangeId = 0; ///< Id of the request in `Http`.
-  CallType Type;
-  std::string Path;        ///< For log lines.
-  bool IsOfCaller = false; ///< The call is a `JobCall`.
-  Instant ReceivedAt;
-  /// Error of a request that is invalid itself; sent if its check is passed.
-  std::optional<HttpResponse> Rejection;
-};
-
 std::vector<NodeId> seedNodes(const CellSettings &Settings) {
   std::vector<NodeId> Nodes;
   for (const std::string &Host : Settings.Seeds) {
@@ -126,10 +109,9 @@
   std::unique_ptr<ReadableHandler> WriterEvents;
   std::unique_ptr<CellNode> Node;
   std::unique_ptr<PeerLinks> Links;
-  std::vector<HttpEndpointServer> HttpServers;
+  HttpListeners Listeners{Loop};
   CellMetrics Telemetry;
-  std::map<std::uint64_t, OpenRequest> OpenRequests;
-  std::uint64_t NextCall = 1;
+  std::unique_ptr<ClientCalls> Calls;
   Instant NextReloadAt;
   bool IsShuttingDown = false;
   Instant ShutdownStartedAt;
@@ -138,23 +120,14 @@
   [[nodiscard]] tl::expected<StoredGroup, std::string>
   openStore(std::uint64_t &Incarnation);
   [[nodiscard]] tl::expected<void, std::string> openLinks();
-  using RequestHandler =
-      std::function<void(HttpServer &, std::uint64_t, HttpRequest)>;
-  [[nodiscard]] tl::expected<void, std::string>
-  listen(const std::optional<Endpoint> &Address,
-         const RequestHandler &OnRequest);
   [[nodiscard]] tl::expected<void, std::string> openHttpServers();
 
-  void onCall(Listener Source, HttpServer &Http, std::uint64_t ExchangeId,
-              const HttpRequest &Request);
   void event(std::string_view Line) {
     Log.add(wallNow().time_since_epoch().count(), Line);
   }
   void sendPeer(const CellMessage &Message);
   void sendOrder(const WorkerOrder &Order, Instant DecidedAt);
   void sendAdviceQuery(const AdviceQuery &Query);
-  void answerCall(const LocalReply &Done);
-  [[nodiscard]] std::string controlAddress() const;
   void processPendingEvents();
   void step();
   void reload();
@@ -237,6 +210,9 @@
         " voter=" + (Settings.IsVoter ? "yes" : "no") +
         " may_lose_voters=" + std::to_string(maxLostVoters(Settings)) +
         " lease_ms=" + std::to_string(Settings.Lease.count()));
+  Calls = std::make_unique<ClientCalls>(
+      *Protocol, *Node, Telemetry,
+      [this](std::string_view Line) { event(Line); }, Settings.ControlPort);
   return {};
 }
 
@@ -257,36 +233,12 @@
   return {};
 }
 
-tl::expected<void, std::string>
-CellDaemon::Impl::listen(const std::optional<Endpoint> &Address,
-                         const RequestHandler &OnRequest) {
-  if (!Address) {
-    return {};
-  }
-  const std::size_t Index = HttpServers.size();
-  auto Http = HttpServer::listen(
-      *Address,
-      [this, Index, OnRequest](std::uint64_t Id, HttpRequest Request) {
-        OnRequest(*HttpServers[Index].Http, Id, std::move(Request));
-      },
-      [](std::uint64_t) {});
-  if (!Http) {
-    return tl::make_unexpected(Http.error());
-  }
-  HttpEndpointServer NewServer;
-  NewServer.Http = std::move(*Http);
-  HttpServer &Server = *NewServer.Http;
-  NewServer.HttpEvents = std::make_unique<ReadableHandler>(
-      Loop, Server.descriptor(), [&Server] { Server.run(); });
-  HttpServers.push_back(std::move(NewServer));
-  return {};
-}
-
 tl::expected<void, std::string> CellDaemon::Impl::openHttpServers() {
+  using RequestHandler = HttpListeners::RequestHandler;
   const auto CallsFrom = [this](Listener Source) -> RequestHandler {
     return [this, Source](HttpServer &Http, std::uint64_t Id,
                           const HttpRequest &Request) {
-      onCall(Source, Http, Id, Request);
+      Calls->onRequest(Source, Http, Id, Request);
     };
   };
   const RequestHandler Readiness = [this](HttpServer &Http, std::uint64_t Id,
@@ -301,12 +253,18 @@
                       Telemetry.render(Node->status(), Links->counters(),
                                        Writer ? Writer->failures() : 0)});
   };
-  return listen(Settings.Callers, CallsFrom(Listener::Callers))
+  const auto Listen =
+      [this](const std::optional<Endpoint> &Address,
+             RequestHandler OnRequest) -> tl::expected<void, std::string> {
+    return Address ? Listeners.listen(*Address, std::move(OnRequest))
+                   : tl::expected<void, std::string>{};
+  };
+  return Listen(Settings.Callers, CallsFrom(Listener::Callers))
       .and_then([&] {
-        return listen(Settings.Control, CallsFrom(Listener::Control));
+        return Listen(Settings.Control, CallsFrom(Listener::Control));
       })
-      .and_then([&] { return listen(Settings.Readiness, Readiness); })
-      .and_then([&] { return listen(Settings.Metrics, Metrics); });
+      .and_then([&] { return Listen(Settings.Readiness, Readiness); })
+      .and_then([&] { return Listen(Settings.Metrics, Metrics); });
 }
 
 tl::expected<std::unique_ptr<CellDaemon>, std::string>
@@ -315,9 +273,6 @@
   auto Pimpl =
       std::make_unique<Impl>(SettingsFile, Settings, std::move(Protocol));
   Pimpl->SettingsText = readFile(SettingsFile);
-  // There are at most four listeners. A reallocation would move the servers
-  // that the handlers refer to.
-  Pimpl->HttpServers.reserve(4);
   auto Opened = Pimpl->openNode()
                     .and_then([&] { return Pimpl->openLinks(); })
                     .and_then([&] { return Pimpl->openHttpServers(); });
@@ -327,72 +282,6 @@
   return std::unique_ptr<CellDaemon>{new CellDaemon{std::move(Pimpl)}};
 }
 
-void CellDaemon::Impl::onCall(Listener Source, HttpServer &Http,
-                              std::uint64_t ExchangeId,
-                              const HttpRequest &Request) {
-  OpenRequest Pending;
-  auto Call = Protocol->decodeCall(Source, Request);
-  if (!Call) {
-    event("event=rejected method=" + Request.Method + " path=" + Request.Path +
-          " status=" + std::to_string(Call.error().Status) +
-          " reason=" + Call.error().Body);
-    auto Check = Protocol->decodeCheck(Source, Request);
-    if (!Check) {
-      Http.respond(ExchangeId, std::move(Call.error()));
-      return;
-    }
-    Pending.Rejection = std::move(Call.error());
-    Call = std::move(*Check);
-  }
-  Pending.Http = &Http;
-  Pending.ExchangeId = ExchangeId;
-  Pending.Type.VariantIndex = Call->index();
-  Pending.Path = Request.Path;
-  Pending.ReceivedAt = SuspendAwareClock::now();
-  if (const auto *JobRequest = std::get_if<JobCall>(&*Call)) {
-    Pending.Type.Verb = JobRequest->Verb;
-    Pending.IsOfCaller = true;
-  }
-  const std::uint64_t Id = NextCall;
-  NextCall += 1;
-  OpenRequests[Id] = Pending;
-  Node->call(Id, std::move(*Call), Pending.ReceivedAt);
-}
-
-std::string CellDaemon::Impl::controlAddress() const {
-  const NodeId Leader = Node->leader();
-  return Leader == 0 ? std::string{}
-                     : render(Endpoint{hostOf(Leader), Settings.ControlPort});
-}
-
-void CellDaemon::Impl::answerCall(const LocalReply &Done) {
-  const auto It = OpenRequests.find(Done.CallId);
-  if (It == OpenRequests.end()) {
-    return;
-  }
-  const OpenRequest Pending = It->second;
-  OpenRequests.erase(It);
-  const auto Duration = SuspendAwareClock::now() - Pending.ReceivedAt;
-  Telemetry.observeCall(std::chrono::duration<double>(Duration).count());
-  if (Pending.IsOfCaller) {
-    Telemetry.countCall(Done.Reply.Verdict);
-  }
-  if (Done.Reply.Verdict == CellVerdict::Refused ||
-      Done.Reply.Verdict == CellVerdict::Overloaded ||
-      Done.Reply.Verdict == CellVerdict::Unknown) {
-    event("event=not-served path=" + Pending.Path +
-          " verdict=" + std::string{nameOf(Done.Reply.Verdict)} + " after_ms=" +
-          std::to_string(Duration.count()) + " reason=" + Done.Reply.Text);
-  }
-  const bool IsRejected =
-      Pending.Rejection && Done.Reply.Verdict == CellVerdict::Done;
-  Pending.Http->respond(
-      Pending.ExchangeId,
-      IsRejected
-          ? *Pending.Rejection
-          : Protocol->encodeReply(Pending.Type, Done.Reply, controlAddress()));
-}
-
 void CellDaemon::Impl::sendPeer(const CellMessage &Message) {
   if (!Links->hasPeer(Message.To)) {
     Links->setPeerAddress(Message.To, {hostOf(Message.To), Settings.PeerPort},
@@ -449,14 +338,12 @@
     sendAdviceQuery(Query);
   }
   for (const LocalReply &Done : Output.Replies) {
-    answerCall(Done);
+    Calls->answer(Done);
   }
   for (const std::string &Line : Output.Events) {
     event(Line);
   }
-  for (const HttpEndpointServer &Server : HttpServers) {
-    Server.Http->run();
-  }
+  Listeners.run();
   Client.run();
   Links->tick(Now);
   if (ReloadRequested != 0 || Now >= NextReloadAt) {
@@ -489,7 +376,7 @@
 void CellDaemon::Impl::beginShutdown() {
   IsShuttingDown = true;
   ShutdownStartedAt = SuspendAwareClock::now();
-  event("event=leave open=" + std::to_string(OpenRequests.size()));
+  event("event=leave open=" + std::to_string(Calls->openCount()));
   Node->beginShutdown(ShutdownStartedAt);
 }
 
@@ -504,12 +391,7 @@
   const bool IsDrained =
       !Settings.Callers || Now - ShutdownStartedAt >= ReadinessGracePeriod;
   // A server also counts the requests whose response is still being sent.
-  const bool HasOpenRequests =
-      std::any_of(HttpServers.begin(), HttpServers.end(),
-                  [](const HttpEndpointServer &Server) {
-                    return Server.Http->openRequests() != 0;
-                  });
-  return IsDrained && !HasOpenRequests && !Node->isLeading(Now);
+  return IsDrained && !Listeners.hasOpenRequests() && !Node->isLeading(Now);
 }
 
 void CellDaemon::Impl::processPendingEvents() {
--- /dev/null
+++ b/src/celld/client_calls.cpp
@@ -0,0 +1,83 @@
+#include "celld/client_calls.hpp"
+
+#include "mulberryramp/config/cell_settings.hpp"
+#include "mulberryramp/core/time.hpp"
+
+#include <utility>
+
+namespace mulberryramp {
+
+void ClientCalls::onRequest(Listener Source, HttpServer &Http,
+                            std::uint64_t ExchangeId,
+                            const HttpRequest &Request) {
+  OpenRequest Pending;
+  auto Call = Protocol.decodeCall(Source, Request);
+  if (!Call) {
+    OnEvent("event=rejected method=" + Request.Method + " path=" +
+            Request.Path + " status=" + std::to_string(Call.error().Status) +
+            " reason=" + Call.error().Body);
+    auto Check = Protocol.decodeCheck(Source, Request);
+    if (!Check) {
+      Http.respond(ExchangeId, std::move(Call.error()));
+      return;
+    }
+    Pending.Rejection = std::move(Call.error());
+    Call = std::move(*Check);
+  }
+  Pending.Http = &Http;
+  Pending.ExchangeId = ExchangeId;
+  Pending.Path = Request.Path;
+  start(std::move(Pending), std::move(*Call));
+}
+
+void ClientCalls::start(OpenRequest Pending, CellCall Call) {
+  Pending.Type.VariantIndex = Call.index();
+  Pending.ReceivedAt = SuspendAwareClock::now();
+  if (const auto *JobRequest = std::get_if<JobCall>(&Call)) {
+    Pending.Type.Verb = JobRequest->Verb;
+    Pending.IsOfCaller = true;
+  }
+  const std::uint64_t Id = NextCall;
+  NextCall += 1;
+  const Instant ReceivedAt = Pending.ReceivedAt;
+  OpenRequests[Id] = std::move(Pending);
+  Node.call(Id, std::move(Call), ReceivedAt);
+}
+
+std::string ClientCalls::controlAddress() const {
+  const NodeId Leader = Node.leader();
+  return Leader == 0 ? std::string{}
+                     : render(Endpoint{hostOf(Leader), ControlPort});
+}
+
+void ClientCalls::answer(const LocalReply &Done) {
+  const auto It = OpenRequests.find(Done.CallId);
+  if (It == OpenRequests.end()) {
+    return;
+  }
+  const OpenRequest Pending = It->second;
+  OpenRequests.erase(It);
+  const auto Duration = SuspendAwareClock::now() - Pending.ReceivedAt;
+  Telemetry.observeCall(std::chrono::duration<double>(Duration).count());
+  if (Pending.IsOfCaller) {
+    Telemetry.countCall(Done.Reply.Verdict);
+  }
+  if (Done.Reply.Verdict == CellVerdict::Refused ||
+      Done.Reply.Verdict == CellVerdict::Overloaded ||
+      Done.Reply.Verdict == CellVerdict::Unknown) {
+    OnEvent("event=not-served path=" + Pending.Path +
+            " verdict=" + std::string{nameOf(Done.Reply.Verdict)} +
+            " after_ms=" + std::to_string(Duration.count()) +
+            " reason=" + Done.Reply.Text);
+  }
+  Pending.Http->respond(Pending.ExchangeId, makeResponse(Pending, Done.Reply));
+}
+
+HttpResponse ClientCalls::makeResponse(const OpenRequest &Pending,
+                                       const CellReply &Reply) const {
+  return Pending.Rejection && Reply.Verdict == CellVerdict::Done
+             ? *Pending.Rejection
+             : Protocol.encodeReply(Pending.Type, Reply, controlAddress());
+}
+
+} // namespace mulberryramp
