Add the decisions on what clients may hold

The memory for bodies is taken from what maxStateBytes left for jobs: at 256 MB 22.4 instead of 28.8 MiB, at 384 MB 44.8 instead of 54.4 MiB. A voter of less than 224 MB had no room for jobs at all below 112 MB, as the reserve was larger than its memory; it now reserves half.

--- a/src/mulberryramp/config/cell_settings.cpp
+++ b/src/mulberryramp/config/cell_settings.cpp
@@ -21,9 +21,16 @@
 /// Upper limit of all durations: one day.
 constexpr std::int64_t MaxMillis = std::int64_t{24} * 3600 * 1000;
 
+constexpr std::uint64_t BytesPerMb = std::uint64_t{1} << 20U;
 /// Memory of a voter without jobs: peaks of 42 to 98 MB were measured with 350
-/// workers (docs/CAPACITY.md).
+/// workers (docs/CAPACITY.md). A process with less than twice as much has fewer
+/// workers, and half of its memory is reserved.
 constexpr std::uint64_t ReservedMemoryMb = 112;
+/// Memory on which the limits for clients are based if there is no limit.
+constexpr std::uint32_t DefaultMemoryMb = 512;
+constexpr std::uint64_t ClientMemoryShare = 8;
+/// Room for a body of the maximum size on each listener.
+constexpr std::uint64_t MinClientBytes = 8 * BytesPerMb;
 /// The jobs themselves, the last snapshot, a snapshot in the making, and log
 /// entries as long as the last snapshot (docs/CAPACITY.md).
 constexpr std::uint64_t CopiesInMemory = 5;
@@ -300,20 +307,33 @@
   return CellSettingsReader{Source}.read(Text);
 }
 
+std::uint32_t memoryMbForClients(const CellSettings &Settings) noexcept {
+  return Settings.MemoryMb == 0 ? DefaultMemoryMb : Settings.MemoryMb;
+}
+
+std::uint64_t clientBytes(const CellSettings &Settings) noexcept {
+  return std::max(memoryMbForClients(Settings) * BytesPerMb / ClientMemoryShare,
+                  MinClientBytes);
+}
+
 std::uint64_t maxStateBytes(const CellSettings &Settings) noexcept {
-  constexpr std::uint64_t MiB = std::uint64_t{1} << 20U;
   const auto Share = [](std::uint64_t Total, std::uint64_t Reserved,
                         std::uint64_t Copies) {
-    return std::max<std::uint64_t>(
-        (Total * MiB - std::min(Total, Reserved) * MiB) / Copies, 1);
+    return std::max<std::uint64_t>((Total - std::min(Total, Reserved)) / Copies,
+                                   1);
   };
   std::uint64_t Limit = 0;
   if (Settings.MemoryMb != 0) {
-    Limit = Share(Settings.MemoryMb, ReservedMemoryMb, CopiesInMemory);
+    const std::uint64_t Memory = Settings.MemoryMb * BytesPerMb;
+    const std::uint64_t Reserved =
+        std::min(ReservedMemoryMb * BytesPerMb, Memory / 2) +
+        clientBytes(Settings);
+    Limit = Share(Memory, Reserved, CopiesInMemory);
   }
   if (Settings.DiskMb != 0) {
     const std::uint64_t OnDisk =
-        Share(Settings.DiskMb, ReservedDiskMb, CopiesOnDisk);
+        Share(Settings.DiskMb * BytesPerMb, ReservedDiskMb * BytesPerMb,
+              CopiesOnDisk);
     Limit = Limit == 0 ? OnDisk : std::min(Limit, OnDisk);
   }
   return Limit;
--- a/src/mulberryramp/config/cell_settings.hpp
+++ b/src/mulberryramp/config/cell_settings.hpp
@@ -71,6 +71,15 @@
 [[nodiscard]] std::uint64_t
 maxStateBytes(const CellSettings &Settings) noexcept;
 
+/// @brief Returns the memory on which the limits for clients are based, in MB:
+/// `MemoryMb`, or a default if there is no limit.
+[[nodiscard]] std::uint32_t
+memoryMbForClients(const CellSettings &Settings) noexcept;
+
+/// @brief Returns how many bytes of requests and responses the clients of all
+/// listeners together may hold: an eighth of the memory, at least 8 MiB.
+[[nodiscard]] std::uint64_t clientBytes(const CellSettings &Settings) noexcept;
+
 /// @brief Parses and validates the settings of a node.
 /// @param Source Name of the file, reported in findings.
 /// @param Text Content of the INI file.
