Bound the bytes that clients hold in request bodies

Seen: 160 clients with bodies of 1 MiB of which the last 100 bytes are held back raise a process of 128 MB to 184 to 200 MB, on each of the four listeners of a voter, on an entry node and on mulberryrampd; the same with one large chunk, chunks of one byte, a byte every 2 s, and with complete bodies. On a machine of that size the process ends.

Cause: a server kept up to 1 MiB for each of 2,000 connections and knew no memory of the process.

Change: a server reserves the capacity of a body before the body grows. The listeners of a node share an eighth of its memory (planClientLimits). If a body does not fit, bodies and responses above 16 KiB that have been incomplete for over 1 s give way, the longest first; without one the new body is discarded and the request is refused when it is complete. The last quarter is kept for bodies up to 16 KiB, so that ordinary submissions have room. The receive buffer of a connection in the kernel is 32 KiB, since what arrives while a connection is not read counts as memory, too.

A refusal for want of memory is 504 for a submission or a cancel: 503 says that the job never runs, while an earlier request under the same ID may have been accepted. On the control listener, and for reads, it is 503. Both have Retry-After.

Ruled out: a limit for each connection (1,500 connections at any useful size exceed the memory), and to stop reading (what has arrived counts).

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "celld/cell_metrics.hpp"
 #include "celld/client_calls.hpp"
+#include "celld/client_limits.hpp"
 #include "celld/event_log.hpp"
 #include "celld/group_writer.hpp"
 #include "celld/http_listeners.hpp"
@@ -253,18 +254,23 @@
                       Telemetry.render(Node->status(), Links->counters(),
                                        Writer ? Writer->failures() : 0)});
   };
+  const ClientLimits Limits = planClientLimits(Settings);
   const auto Listen =
-      [this](const std::optional<Endpoint> &Address,
+      [this](const std::optional<Endpoint> &Address, const HttpLimits &Limit,
              RequestHandler OnRequest) -> tl::expected<void, std::string> {
-    return Address ? Listeners.listen(*Address, std::move(OnRequest))
+    return Address ? Listeners.listen(*Address, Limit, std::move(OnRequest))
                    : tl::expected<void, std::string>{};
   };
-  return Listen(Settings.Callers, CallsFrom(Listener::Callers))
+  return Listen(Settings.Callers, Limits.Callers, CallsFrom(Listener::Callers))
       .and_then([&] {
-        return Listen(Settings.Control, CallsFrom(Listener::Control));
+        return Listen(Settings.Control, Limits.Control,
+                      CallsFrom(Listener::Control));
       })
-      .and_then([&] { return Listen(Settings.Readiness, Readiness); })
-      .and_then([&] { return Listen(Settings.Metrics, Metrics); });
+      .and_then([&] {
+        return Listen(Settings.Readiness, Limits.Readiness, Readiness);
+      })
+      .and_then(
+          [&] { return Listen(Settings.Metrics, Limits.Metrics, Metrics); });
 }
 
 tl::expected<std::unique_ptr<CellDaemon>, std::string>
@@ -343,6 +349,7 @@
   for (const std::string &Line : Output.Events) {
     event(Line);
   }
+  Listeners.tick(Now);
   Listeners.run();
   Client.run();
   Links->tick(Now);
--- a/src/celld/client_calls.cpp
+++ b/src/celld/client_calls.cpp
@@ -10,6 +10,10 @@
 void ClientCalls::onRequest(Listener Source, HttpServer &Http,
                             std::uint64_t ExchangeId,
                             const HttpRequest &Request) {
+  if (Request.RefusedBy) {
+    onRefusedBody(Source, Http, ExchangeId, Request);
+    return;
+  }
   OpenRequest Pending;
   auto Call = Protocol.decodeCall(Source, Request);
   if (!Call) {
@@ -30,6 +34,13 @@
   start(std::move(Pending), std::move(*Call));
 }
 
+/// Answers a request whose body was discarded.
+void ClientCalls::onRefusedBody(Listener Source, HttpServer &Http,
+                                std::uint64_t ExchangeId,
+                                const HttpRequest &Request) {
+  Http.respond(ExchangeId, Protocol.answerRefusedBody(Source, Request));
+}
+
 void ClientCalls::start(OpenRequest Pending, CellCall Call) {
   Pending.Type.VariantIndex = Call.index();
   Pending.ReceivedAt = SuspendAwareClock::now();
--- a/src/celld/client_calls.hpp
+++ b/src/celld/client_calls.hpp
@@ -52,6 +52,8 @@
     std::optional<HttpResponse> Rejection;
   };
 
+  void onRefusedBody(Listener Source, HttpServer &Http,
+                     std::uint64_t ExchangeId, const HttpRequest &Request);
   void start(OpenRequest Pending, CellCall Call);
   [[nodiscard]] HttpResponse makeResponse(const OpenRequest &Pending,
                                           const CellReply &Reply) const;
--- a/src/celld/gateway.hpp
+++ b/src/celld/gateway.hpp
@@ -43,6 +43,14 @@
   [[nodiscard]] virtual std::optional<CellCall>
   decodeCheck(Listener Source, const HttpRequest &Request) const = 0;
 
+  /// @brief Decides how a request with a refused body is answered. It
+  /// must not say that a submission under the
+  /// same name was not accepted.
+  /// @param Source Listener that received the request.
+  /// @param Request The request; `RefusedBy` is set and the body is empty.
+  [[nodiscard]] virtual HttpResponse
+  answerRefusedBody(Listener Source, const HttpRequest &Request) const = 0;
+
   /// @brief Encodes the answer to a call.
   /// @param Call Properties of the call.
   /// @param Reply Answer of the cell.
--- a/src/celld/http_listeners.cpp
+++ b/src/celld/http_listeners.cpp
@@ -6,7 +6,8 @@
 namespace mulberryramp {
 
 tl::expected<void, std::string>
-HttpListeners::listen(const Endpoint &Address, RequestHandler OnRequest) {
+HttpListeners::listen(const Endpoint &Address, const HttpLimits &Limits,
+                      RequestHandler OnRequest) {
   auto Listener = std::make_unique<Entry>();
   auto Http = HttpServer::listen(
       Address,
@@ -14,7 +15,7 @@
           std::uint64_t Id, HttpRequest Request) {
         OnRequest(*Entry.Http, Id, std::move(Request));
       },
-      [](std::uint64_t) {});
+      [](std::uint64_t) {}, Limits);
   if (!Http) {
     return tl::make_unexpected(Http.error());
   }
@@ -26,6 +27,12 @@
   return {};
 }
 
+void HttpListeners::tick(Instant Now) {
+  for (const auto &Listener : Entries) {
+    Listener->Http->tick(Now);
+  }
+}
+
 void HttpListeners::run() {
   for (const auto &Listener : Entries) {
     Listener->Http->run();
--- a/src/celld/http_listeners.hpp
+++ b/src/celld/http_listeners.hpp
@@ -23,7 +23,11 @@
   /// @brief Starts to listen.
   /// @return Nothing, or the reason that it cannot listen.
   [[nodiscard]] tl::expected<void, std::string>
-  listen(const Endpoint &Address, RequestHandler OnRequest);
+  listen(const Endpoint &Address, const HttpLimits &Limits,
+         RequestHandler OnRequest);
+
+  /// @brief Runs the timers of all servers; call it once per step.
+  void tick(Instant Now);
 
   /// @brief Handles the pending events of all servers.
   void run();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -25,6 +25,9 @@
 /// Longest wait for an event before the node runs its timers.
 constexpr long TickMicroseconds = 10000;
 constexpr Millis ShutdownTimeout{10000};
+/// The settings name neither memory nor descriptors. The smallest VMs have
+/// 160 MB, and 1,024 descriptors are the usual limit of a process.
+constexpr HttpLimits ClientLimits{512, std::uint64_t{20} << 20U};
 /// Batches of events that are handled before the next step of the node.
 constexpr int MaxBatchesPerStep = 64;
 /// Exit status after a failure of the storage.
@@ -108,7 +111,8 @@
       [&Self](std::uint64_t Id, const HttpRequest &Request) {
         Self.onRequest(Id, Request);
       },
-      [&Self](std::uint64_t Id) { Self.Core->cancelPoll(Id); });
+      [&Self](std::uint64_t Id) { Self.Core->cancelPoll(Id); },
+      internal::ClientLimits);
   if (!Http) {
     return tl::make_unexpected(Http.error());
   }
@@ -121,6 +125,18 @@
 }
 
 void Daemon::Impl::onRequest(std::uint64_t Id, const HttpRequest &Request) {
+  if (Request.RefusedBy) {
+    // 503 would say that the request was not accepted, while an earlier one
+    // with the same key may have been.
+    const bool IsTooLarge = Request.RefusedBy == HttpLimit::BodySize;
+    Http->respond(
+        Id,
+        {IsTooLarge ? 413 : 504, "application/json",
+         IsTooLarge ? R"({"status":"invalid","reason":"the body is too large"})"
+                    : R"({"status":"unknown","reason":"no memory"})",
+         IsTooLarge ? 0U : 1U});
+    return;
+  }
   const Instant Now = SuspendAwareClock::now();
   const WallTime WallNow = wallNow();
   auto Action = parseApiRequest(Request, WallNow);
@@ -176,6 +192,7 @@
   for (const LocalResult &Local : Output->Results) {
     answerCall(Local);
   }
+  Http->tick(Begin);
   Http->run();
   const Instant End = SuspendAwareClock::now();
   Telemetry.observeStep(std::chrono::duration<double>(End - Begin).count());
--- a/src/mulberryramp/http/request.hpp
+++ b/src/mulberryramp/http/request.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "mulberryramp/http/limits.hpp"
+
 #include <map>
+#include <optional>
 #include <string>
 
 namespace mulberryramp {
@@ -13,6 +16,8 @@
   std::string Body;
   std::string Host{};          ///< Host header as received; may contain a port.
   std::string Authorization{}; ///< Authorization header as received.
+  /// Limit because of which the body was discarded: `BodySize` or `Memory`.
+  std::optional<HttpLimit> RefusedBy{};
 };
 
 } // namespace mulberryramp
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -1,30 +1,47 @@
 #include "mulberryramp/http/server.hpp"
 
+#include "mulberryramp/http/client_table.hpp"
+
+#include <algorithm>
 #include <arpa/inet.h>
+#include <cstdlib>
 #include <map>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <optional>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace mulberryramp {
 
 namespace internal {
 
-constexpr int PayloadTooLarge = 413;
+/// First size of the buffer for a body whose length is not announced.
+constexpr std::size_t FirstBodyBytes = 4096;
+/// Receive buffer of a connection in the kernel. It bounds what arrives while
+/// the server does not read, and is enough for 1 MB/s at 16 ms.
+constexpr int ReceiveBufferBytes = 32 * 1024;
 
 /// A request and its response; exists from the request line until libmicrohttpd
 /// has completed the request.
 struct HttpExchange {
   std::uint64_t Id = 0;
+  ClientId Client = 0;
   HttpRequest Request;
   MHD_Connection *Connection = nullptr;
   std::optional<HttpResponse> Response;
-  bool IsTooLarge = false;   ///< The body exceeds `MaxBodyBytes`.
-  bool IsDispatched = false; ///< The request handler has been called.
-  bool IsSuspended = false;  ///< The connection waits for the response.
+  std::size_t AnnouncedBytes = 0; ///< Content-Length; 0 if there is none.
+  bool IsDispatched = false;      ///< The request handler has been called.
+  bool IsSuspended = false;       ///< The connection waits for the response.
+};
+
+/// A connection; exists as long as that of libmicrohttpd.
+struct ClientSlot {
+  ClientId Id = 0;
+  int Socket = -1;
 };
 
 MHD_Result sendResponse(MHD_Connection *Connection,
@@ -44,6 +61,14 @@
   return Queued;
 }
 
+/// Returns the announced length of a body, or 0 if there is none.
+std::size_t announcedBytes(MHD_Connection *Connection) {
+  const char *Text = MHD_lookup_connection_value(
+      Connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  // libmicrohttpd has rejected what is no number.
+  return Text == nullptr ? 0 : std::strtoull(Text, nullptr, 10);
+}
+
 MHD_Result addQueryParameter(void *Output, MHD_ValueKind /*Kind*/,
                              const char *Key, const char *Value) {
   auto &Query = *static_cast<std::map<std::string, std::string> *>(Output);
@@ -72,14 +97,44 @@
   int Descriptor = -1;
   std::uint64_t NextId = 1;
   std::uint64_t Bytes = 0;
+  ClientTable Clients;
+  ClientId NextClient = 1;
+  std::map<ClientId, internal::ClientSlot> Slots;
   std::map<std::uint64_t, internal::HttpExchange *> OpenExchanges;
+  Instant CurrentTime;
+
+  /// Ends connections. libmicrohttpd notices it in its next run.
+  void close(const std::vector<ClientId> &Victims) {
+    for (const ClientId Id : Victims) {
+      const auto It = Slots.find(Id);
+      if (It != Slots.end()) {
+        ::shutdown(It->second.Socket, SHUT_RDWR);
+      }
+    }
+  }
+
+  [[nodiscard]] bool isClosing(ClientId Id) const {
+    const auto It = Clients.Rows.find(Id);
+    return It == Clients.Rows.end() || It->second.IsClosing;
+  }
+
+  static ClientId clientOf(MHD_Connection *Connection) {
+    const MHD_ConnectionInfo *Info =
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return static_cast<internal::ClientSlot *>(Info->socket_context)->Id;
+  }
 
   MHD_Result beginExchange(MHD_Connection *Connection, const char *Url,
                            const char *Method, void **Slot) {
+    const ClientId Client = clientOf(Connection);
+    if (isClosing(Client)) {
+      return MHD_NO;
+    }
     auto *Exchange =
         new internal::HttpExchange; // NOLINT: freed in endExchange.
     Exchange->Id = NextId;
     NextId += 1;
+    Exchange->Client = Client;
     Exchange->Connection = Connection;
     Exchange->Request.Method = Method;
     Exchange->Request.Path = Url;
@@ -94,36 +149,70 @@
                               &Exchange->Request.Query);
     OpenExchanges[Exchange->Id] = Exchange;
     *Slot = Exchange;
+    setPhase(Clients, Client, ClientPhase::Receiving, CurrentTime);
+    Exchange->AnnouncedBytes = internal::announcedBytes(Connection);
     return MHD_YES;
   }
 
+  void refuseBody(internal::HttpExchange &Exchange, HttpLimit Limit) {
+    Exchange.Request.RefusedBy = Limit;
+    Exchange.Request.Body = std::string{};
+    releaseBytes(Clients, Exchange.Client, 0);
+    countHit(Clients, Limit);
+  }
+
+  /// Reserves room for a body of at least the given size.
+  bool growBody(internal::HttpExchange &Exchange, std::size_t Size) {
+    std::string &Body = Exchange.Request.Body;
+    if (Size <= Body.capacity()) {
+      return true;
+    }
+    const std::size_t First =
+        Exchange.AnnouncedBytes == 0
+            ? internal::FirstBodyBytes
+            : std::min(Exchange.AnnouncedBytes, internal::FirstBodyBytes);
+    const std::size_t Wanted =
+        std::max({Size, First, std::min(2 * Body.capacity(), MaxBodyBytes)});
+    const Reservation Room =
+        reserveBytes(Clients, Exchange.Client, Wanted, CurrentTime);
+    close(Room.ToClose);
+    if (Room.IsGranted) {
+      Body.reserve(Wanted);
+    }
+    return Room.IsGranted;
+  }
+
   /// Handles the next part of the body. libmicrohttpd calls it with a size of 0
-  /// when the body is complete, and again when the connection is resumed. A
-  /// body that is too large is read to its end but not stored.
+  /// when the body is complete, and again when the connection is resumed.
   MHD_Result onBodyData(internal::HttpExchange &Exchange, const char *Data,
                         std::size_t *Size) {
-    if (*Size != 0) {
-      Exchange.IsTooLarge = Exchange.IsTooLarge ||
-                            Exchange.Request.Body.size() + *Size > MaxBodyBytes;
-      Bytes += *Size;
-      if (!Exchange.IsTooLarge) {
-        Exchange.Request.Body.append(Data, *Size);
-      }
-      *Size = 0;
-      return MHD_YES;
+    if (isClosing(Exchange.Client)) {
+      return MHD_NO;
     }
-    if (Exchange.IsTooLarge) {
-      return internal::sendResponse(
-          Exchange.Connection,
-          {internal::PayloadTooLarge, "application/json",
-           R"({"status":"invalid","reason":"the body is too large"})"});
+    if (*Size == 0) {
+      return onBodyEnd(Exchange);
     }
-    if (Exchange.Response) {
-      return internal::sendResponse(Exchange.Connection, *Exchange.Response);
+    Bytes += *Size;
+    std::string &Body = Exchange.Request.Body;
+    if (!Exchange.Request.RefusedBy) {
+      if (Body.size() + *Size > MaxBodyBytes) {
+        refuseBody(Exchange, HttpLimit::BodySize);
+      } else if (!growBody(Exchange, Body.size() + *Size)) {
+        refuseBody(Exchange, HttpLimit::Memory);
+      } else {
+        Body.append(Data, *Size);
+      }
     }
+    *Size = 0;
+    return MHD_YES;
+  }
+
+  MHD_Result onBodyEnd(internal::HttpExchange &Exchange) {
     if (!Exchange.IsDispatched) {
-      Exchange.IsDispatched = true;
-      OnRequest(Exchange.Id, std::move(Exchange.Request));
+      dispatch(Exchange);
+    }
+    if (isClosing(Exchange.Client)) {
+      return MHD_NO;
     }
     if (Exchange.Response) {
       return internal::sendResponse(Exchange.Connection, *Exchange.Response);
@@ -133,8 +222,23 @@
     return MHD_YES;
   }
 
+  void dispatch(internal::HttpExchange &Exchange) {
+    setPhase(Clients, Exchange.Client, ClientPhase::Waiting, CurrentTime);
+    Exchange.IsDispatched = true;
+    OnRequest(Exchange.Id, std::move(Exchange.Request));
+  }
+
+  void setResponse(internal::HttpExchange &Exchange, HttpResponse Response) {
+    Bytes += Response.Body.size() + Exchange.Request.Path.size();
+    releaseBytes(Clients, Exchange.Client, 0);
+    setPhase(Clients, Exchange.Client, ClientPhase::Responding, CurrentTime);
+    Exchange.Response = std::move(Response);
+  }
+
   void endExchange(internal::HttpExchange *Exchange) {
     OpenExchanges.erase(Exchange->Id);
+    releaseBytes(Clients, Exchange->Client, 0);
+    setPhase(Clients, Exchange->Client, ClientPhase::Idle, CurrentTime);
     if (Exchange->IsDispatched && !Exchange->Response) {
       OnClosed(Exchange->Id);
     }
@@ -161,6 +265,26 @@
       *Slot = nullptr;
     }
   }
+
+  static void onConnection(void *Self, MHD_Connection *Connection,
+                           void **Context,
+                           MHD_ConnectionNotificationCode Code) {
+    auto &Server = *static_cast<Impl *>(Self);
+    if (Code == MHD_CONNECTION_NOTIFY_STARTED) {
+      const MHD_ConnectionInfo *Info = MHD_get_connection_info(
+          Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      const ClientId Id = Server.NextClient;
+      Server.NextClient += 1;
+      internal::ClientSlot &Slot = Server.Slots[Id];
+      Slot = {Id, Info->connect_fd};
+      *Context = &Slot;
+      addClient(Server.Clients, Id, Server.CurrentTime);
+      return;
+    }
+    const ClientId Id = static_cast<internal::ClientSlot *>(*Context)->Id;
+    removeClient(Server.Clients, Id);
+    Server.Slots.erase(Id);
+  }
 };
 
 HttpServer::HttpServer(std::unique_ptr<Impl> Pimpl) : Pimpl{std::move(Pimpl)} {}
@@ -177,8 +301,9 @@
 
 tl::expected<std::unique_ptr<HttpServer>, std::string>
 HttpServer::listen(const Endpoint &Address, RequestHandler OnRequest,
-                   ClosedHandler OnClosed) {
+                   ClosedHandler OnClosed, const HttpLimits &Limits) {
   auto Pimpl = std::make_unique<Impl>();
+  Pimpl->Clients.Limits = Limits;
   Pimpl->OnRequest = std::move(OnRequest);
   Pimpl->OnClosed = std::move(OnClosed);
   sockaddr_in SocketAddress{};
@@ -189,15 +314,22 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Address.Port, nullptr, nullptr,
       &Impl::onAccess, Pimpl.get(), MHD_OPTION_SOCK_ADDR, &SocketAddress,
       MHD_OPTION_CONNECTION_LIMIT, MaxHttpConnections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionBufferBytes,
       MHD_OPTION_CONNECTION_TIMEOUT, HttpIdleTimeoutSeconds,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-      &Impl::onCompleted, Pimpl.get(), MHD_OPTION_END);
+      &Impl::onCompleted, Pimpl.get(), MHD_OPTION_NOTIFY_CONNECTION,
+      &Impl::onConnection, Pimpl.get(), MHD_OPTION_END);
   if (Pimpl->Daemon == nullptr) {
     return tl::make_unexpected("cannot listen for HTTP on " + render(Address));
   }
   const MHD_DaemonInfo *Info =
       MHD_get_daemon_info(Pimpl->Daemon, MHD_DAEMON_INFO_EPOLL_FD);
   Pimpl->Descriptor = Info->epoll_fd;
+  // Accepted connections inherit the size.
+  Info = MHD_get_daemon_info(Pimpl->Daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  ::setsockopt(Info->listen_fd, SOL_SOCKET, SO_RCVBUF,
+               &internal::ReceiveBufferBytes,
+               sizeof(internal::ReceiveBufferBytes));
   return std::unique_ptr<HttpServer>{new HttpServer{std::move(Pimpl)}};
 }
 
@@ -205,14 +337,15 @@
 
 void HttpServer::run() { MHD_run(Pimpl->Daemon); }
 
+void HttpServer::tick(Instant Now) { Pimpl->CurrentTime = Now; }
+
 void HttpServer::respond(std::uint64_t Id, HttpResponse Response) {
   const auto It = Pimpl->OpenExchanges.find(Id);
   if (It == Pimpl->OpenExchanges.end() || It->second->Response) {
     return;
   }
   internal::HttpExchange &Exchange = *It->second;
-  Pimpl->Bytes += Response.Body.size() + Exchange.Request.Path.size();
-  Exchange.Response = std::move(Response);
+  Pimpl->setResponse(Exchange, std::move(Response));
   if (Exchange.IsSuspended) {
     Exchange.IsSuspended = false;
     MHD_resume_connection(Exchange.Connection);
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -2,6 +2,7 @@
 
 #include "mulberryramp/config/settings.hpp"
 #include "mulberryramp/http/fwd.hpp"
+#include "mulberryramp/http/limits.hpp"
 #include "mulberryramp/http/request.hpp"
 
 #include <tl/expected.hpp>
@@ -35,10 +36,11 @@
   /// @param Address IPv4 address and port to listen on.
   /// @param OnRequest Called with each complete request, from `run`.
   /// @param OnClosed Called if a connection is closed before the answer.
+  /// @param Limits What the clients may hold at the same time.
   /// @return The server, or the reason that it cannot listen.
   [[nodiscard]] static tl::expected<std::unique_ptr<HttpServer>, std::string>
   listen(const Endpoint &Address, RequestHandler OnRequest,
-         ClosedHandler OnClosed);
+         ClosedHandler OnClosed, const HttpLimits &Limits = {});
 
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -50,6 +52,10 @@
   /// @brief Handles all pending events without blocking.
   void run();
 
+  /// @brief Sets the time of the following events; call it regularly.
+  /// @param Now Current monotonic time.
+  void tick(Instant Now);
+
   /// @brief Answers a request. Does nothing if the request was already answered
   /// or its connection was closed.
   /// @param Id Id of the request.
