End requests with bodies far over the limit

Seen: a client that announces 1 TiB, or sends chunks without end, was read for as long as it sent: 160 of 160 clients had sent 16 MiB each and were neither answered nor closed.

Cause: a body over 1 MiB was read to its end before the 413, so that the client receives the response.

Change: a server discards at most 4 MiB of a refused body. A client within that has finished sending when the 413 arrives; beyond it the connection is closed, which promises nothing. If the announced length already exceeds it, the 413 is sent before the body is read, where the answer needs no check.

Evidence: hostile_ChunksWithoutEnd and hostile_ABodyOf1TiBAnnouncedAndSent failed (160 clients) and pass.

--- a/src/mulberryramp/http/fwd.hpp
+++ b/src/mulberryramp/http/fwd.hpp
@@ -16,6 +16,10 @@
 inline constexpr unsigned MaxHttpConnections = 2000;
 /// @brief Time after which a server closes an idle connection.
 inline constexpr unsigned HttpIdleTimeoutSeconds = 60;
+/// @brief Bytes that a server reads and discards of a body that it refuses, so
+/// that the client has finished sending when the response arrives. Beyond
+/// them the connection is closed.
+inline constexpr std::size_t MaxDiscardedBytes = 4 * MaxBodyBytes;
 /// @brief Maximum size of a response that `AsyncHttpClient` receives. A worker
 /// with 10,000 tasks lists them in less than 1 MiB.
 inline constexpr std::size_t MaxInboundResponseBytes = 4 * MaxBodyBytes;
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -34,8 +34,9 @@
   MHD_Connection *Connection = nullptr;
   std::optional<HttpResponse> Response;
   std::size_t AnnouncedBytes = 0; ///< Content-Length; 0 if there is none.
-  bool IsDispatched = false;      ///< The request handler has been called.
-  bool IsSuspended = false;       ///< The connection waits for the response.
+  std::size_t DiscardedBytes = 0;
+  bool IsDispatched = false; ///< The request handler has been called.
+  bool IsSuspended = false;  ///< The connection waits for the response.
 };
 
 /// A connection; exists as long as that of libmicrohttpd.
@@ -151,7 +152,21 @@
     *Slot = Exchange;
     setPhase(Clients, Client, ClientPhase::Receiving, CurrentTime);
     Exchange->AnnouncedBytes = internal::announcedBytes(Connection);
-    return MHD_YES;
+    return Exchange->AnnouncedBytes > MaxBodyBytes ? refuseAnnounced(*Exchange)
+                                                   : MHD_YES;
+  }
+
+  /// Refuses a body that is announced to be too large. If it is also too large
+  /// to be discarded, a response is only possible before the body is read.
+  MHD_Result refuseAnnounced(internal::HttpExchange &Exchange) {
+    refuseBody(Exchange, HttpLimit::BodySize);
+    if (Exchange.AnnouncedBytes <= MaxDiscardedBytes) {
+      return MHD_YES;
+    }
+    dispatch(Exchange);
+    return Exchange.Response
+               ? internal::sendResponse(Exchange.Connection, *Exchange.Response)
+               : MHD_NO;
   }
 
   void refuseBody(internal::HttpExchange &Exchange, HttpLimit Limit) {
@@ -203,8 +218,9 @@
         Body.append(Data, *Size);
       }
     }
+    Exchange.DiscardedBytes += Exchange.Request.RefusedBy ? *Size : 0;
     *Size = 0;
-    return MHD_YES;
+    return Exchange.DiscardedBytes > MaxDiscardedBytes ? MHD_NO : MHD_YES;
   }
 
   MHD_Result onBodyEnd(internal::HttpExchange &Exchange) {
