Read the job of a submission before its body is refused as too large

Seen: an ID that was accepted, sent again with a body of 2 MiB, got 413 while a read showed the job as queued.

Cause: the HTTP server sent the 413 itself and asked nobody.

Change: a submission whose body is too large reads its job first. If the job exists, the submission is answered as accepted, as any other resend; if not, with 413; if the read gets no answer or is refused, with 504, which leaves it open. 401 and 404 are passed on. PROTOCOL.md names no 413 for submissions; 429 and 503 would say more than is known.

--- a/src/celld/client_calls.cpp
+++ b/src/celld/client_calls.cpp
@@ -38,14 +38,26 @@
 void ClientCalls::onRefusedBody(Listener Source, HttpServer &Http,
                                 std::uint64_t ExchangeId,
                                 const HttpRequest &Request) {
-  Http.respond(ExchangeId, Protocol.answerRefusedBody(Source, Request));
+  RefusedBodyAnswer Answer = Protocol.answerRefusedBody(Source, Request);
+  if (!Answer.Check) {
+    Http.respond(ExchangeId, std::move(Answer.Response));
+    return;
+  }
+  OpenRequest Pending;
+  Pending.Http = &Http;
+  Pending.ExchangeId = ExchangeId;
+  Pending.Path = Request.Path;
+  Pending.Rejection = std::move(Answer.Response);
+  Pending.IsSubmissionCheck = true;
+  start(std::move(Pending), std::move(*Answer.Check));
 }
 
 void ClientCalls::start(OpenRequest Pending, CellCall Call) {
   Pending.Type.VariantIndex = Call.index();
   Pending.ReceivedAt = SuspendAwareClock::now();
   if (const auto *JobRequest = std::get_if<JobCall>(&Call)) {
-    Pending.Type.Verb = JobRequest->Verb;
+    Pending.Type.Verb =
+        Pending.IsSubmissionCheck ? JobVerb::Submit : JobRequest->Verb;
     Pending.IsOfCaller = true;
   }
   const std::uint64_t Id = NextCall;
@@ -86,9 +98,23 @@
 
 HttpResponse ClientCalls::makeResponse(const OpenRequest &Pending,
                                        const CellReply &Reply) const {
-  return Pending.Rejection && Reply.Verdict == CellVerdict::Done
-             ? *Pending.Rejection
-             : Protocol.encodeReply(Pending.Type, Reply, controlAddress());
+  const bool IsServed = Reply.Verdict == CellVerdict::Done;
+  if (!Pending.IsSubmissionCheck) {
+    return Pending.Rejection && IsServed
+               ? *Pending.Rejection
+               : Protocol.encodeReply(Pending.Type, Reply, controlAddress());
+  }
+  // A read of a queue has no job.
+  if (Reply.Verdict == CellVerdict::Gone || (IsServed && Reply.IsQueue)) {
+    return *Pending.Rejection;
+  }
+  CellReply Answer = Reply;
+  if (Answer.Verdict == CellVerdict::Refused ||
+      Answer.Verdict == CellVerdict::Overloaded) {
+    // The check was refused, which says nothing about an earlier submission.
+    Answer.Verdict = CellVerdict::Unknown;
+  }
+  return Protocol.encodeReply(Pending.Type, Answer, controlAddress());
 }
 
 } // namespace mulberryramp
--- a/src/celld/client_calls.hpp
+++ b/src/celld/client_calls.hpp
@@ -50,6 +50,9 @@
     Instant ReceivedAt;
     /// Error of a request that is invalid itself; sent if its check is passed.
     std::optional<HttpResponse> Rejection;
+    /// The check reads the job of a submission whose body was refused. The
+    /// response is `Rejection` only if the job does not exist.
+    bool IsSubmissionCheck = false;
   };
 
   void onRefusedBody(Listener Source, HttpServer &Http,
--- a/src/celld/gateway.hpp
+++ b/src/celld/gateway.hpp
@@ -22,6 +22,15 @@
   JobVerb Verb = JobVerb::Read; ///< Only used for a `JobCall`.
 };
 
+/// @brief Answer to a request whose body a limit refused.
+struct RefusedBodyAnswer {
+  HttpResponse Response;
+  /// Read of the job of a submission. If the job exists, it was accepted
+  /// before and the submission is answered as accepted; otherwise `Response`
+  /// is sent.
+  std::optional<CellCall> Check;
+};
+
 /// @brief Translates between HTTP messages and the calls, orders and advice
 /// queries of a cell. Each deployment implements it for its own protocol; the
 /// daemon depends on this interface only.
@@ -43,12 +52,12 @@
   [[nodiscard]] virtual std::optional<CellCall>
   decodeCheck(Listener Source, const HttpRequest &Request) const = 0;
 
-  /// @brief Decides how a request with a refused body is answered. It
-  /// must not say that a submission under the
+  /// @brief Decides how a request with a refused body is answered. A response
+  /// that is sent without a check must not say that a submission under the
   /// same name was not accepted.
   /// @param Source Listener that received the request.
   /// @param Request The request; `RefusedBy` is set and the body is empty.
-  [[nodiscard]] virtual HttpResponse
+  [[nodiscard]] virtual RefusedBodyAnswer
   answerRefusedBody(Listener Source, const HttpRequest &Request) const = 0;
 
   /// @brief Encodes the answer to a call.
