Bound the connections of each listener by the descriptors of the node

Seen: 600 idle connections to one listener of a process with 512 descriptors take all of them: callers, readiness, control and metrics answer nobody until the connections close, and the same with 300 on each listener or 600 on the peer port. After six crowds of 160 connections an ordinary submission got no answer within 30 s.

Cause: a server accepted 2,000 connections and knew no descriptors of the process; the links of other nodes were bounded at 512.

Change: each listener has its own part of the descriptors (planClientLimits); readiness and metrics have a sixteenth each. While a listener is full and further connections wait to be accepted, it closes the connection that has been idle for the longest time, then that which has been receiving a request for the longest time, then one that has not read its response for over 1 s. Without one of these, the new ones wait in the queue of the kernel until a request ends. Links of other nodes may take an eighth of the descriptors.

Ruled out: to close the new connection. An ordinary client would lose against those that came before it and send nothing.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -226,7 +226,8 @@
           Node->receive(*Message, SuspendAwareClock::now(), wallNow());
         }
         return Message.has_value();
-      });
+      },
+      {planClientLimits(Settings).MaxInboundLinks});
   if (!Opened) {
     return tl::make_unexpected(Opened.error());
   }
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <optional>
+#include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +20,8 @@
 
 namespace internal {
 
+/// Connections that are closed per tick for others that wait to be accepted.
+constexpr std::size_t MaxClosedPerTick = 16;
 /// First size of the buffer for a body whose length is not announced.
 constexpr std::size_t FirstBodyBytes = 4096;
 /// Receive buffer of a connection in the kernel. It bounds what arrives while
@@ -96,6 +99,7 @@
   ClosedHandler OnClosed;
   MHD_Daemon *Daemon = nullptr;
   int Descriptor = -1;
+  int ListeningSocket = -1;
   std::uint64_t NextId = 1;
   std::uint64_t Bytes = 0;
   ClientTable Clients;
@@ -114,6 +118,20 @@
     }
   }
 
+  /// libmicrohttpd accepts no connection beyond the limit; further ones wait in
+  /// the queue of the listening socket.
+  void closeForWaitingConnections() {
+    if (Clients.OpenCount < Clients.Limits.MaxConnections ||
+        ListeningSocket < 0) {
+      return;
+    }
+    pollfd Polled{ListeningSocket, POLLIN, 0};
+    if (::poll(&Polled, 1, 0) > 0) {
+      close(closeForWaitingClients(Clients, internal::MaxClosedPerTick,
+                                   CurrentTime));
+    }
+  }
+
   [[nodiscard]] bool isClosing(ClientId Id) const {
     const auto It = Clients.Rows.find(Id);
     return It == Clients.Rows.end() || It->second.IsClosing;
@@ -329,7 +347,7 @@
   Pimpl->Daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Address.Port, nullptr, nullptr,
       &Impl::onAccess, Pimpl.get(), MHD_OPTION_SOCK_ADDR, &SocketAddress,
-      MHD_OPTION_CONNECTION_LIMIT, MaxHttpConnections,
+      MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(Limits.MaxConnections),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionBufferBytes,
       MHD_OPTION_CONNECTION_TIMEOUT, HttpIdleTimeoutSeconds,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
@@ -343,6 +361,7 @@
   Pimpl->Descriptor = Info->epoll_fd;
   // Accepted connections inherit the size.
   Info = MHD_get_daemon_info(Pimpl->Daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  Pimpl->ListeningSocket = Info->listen_fd;
   ::setsockopt(Info->listen_fd, SOL_SOCKET, SO_RCVBUF,
                &internal::ReceiveBufferBytes,
                sizeof(internal::ReceiveBufferBytes));
@@ -353,7 +372,10 @@
 
 void HttpServer::run() { MHD_run(Pimpl->Daemon); }
 
-void HttpServer::tick(Instant Now) { Pimpl->CurrentTime = Now; }
+void HttpServer::tick(Instant Now) {
+  Pimpl->CurrentTime = Now;
+  Pimpl->closeForWaitingConnections();
+}
 
 void HttpServer::respond(std::uint64_t Id, HttpResponse Response) {
   const auto It = Pimpl->OpenExchanges.find(Id);
@@ -376,6 +398,7 @@
 
 void HttpServer::stopListening() {
   const MHD_socket Listener = MHD_quiesce_daemon(Pimpl->Daemon);
+  Pimpl->ListeningSocket = -1;
   if (Listener != MHD_INVALID_SOCKET) {
     ::close(Listener);
   }
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -52,8 +52,8 @@
   /// @brief Handles all pending events without blocking.
   void run();
 
-  /// @brief Sets the time of the following events; call it regularly.
-  /// @param Now Current monotonic time.
+  /// @brief Makes room for connections that wait; call it regularly.
+  /// @param Now Current monotonic time; also used for the events of `run`.
   void tick(Instant Now);
 
   /// @brief Answers a request. Does nothing if the request was already answered
