Bound the time of requests and responses on a connection

Seen: a client that sends a byte every 2 s keeps its connection and its room for bodies for as long as it likes; the same holds for one that reads a byte of its response now and then.

Cause: the idle time-out of 60 s starts anew with each byte.

Change: a connection is closed 30 s after the headers of a request if its body is not complete, 60 s after the begin of a response that is not read, and after 60 s without a request, which includes headers that are not complete. A request that waits for the cell is not bounded here. The largest body needs 4 s at 2 Mbit/s.

Evidence: HttpClients, APhaseThatTakesTooLongEnds (the decision, without a clock). No test waits for 30 s with a real process, so the closing of the socket itself is shown only by the tests of the other limits, which share it.

--- a/src/mulberryramp/http/fwd.hpp
+++ b/src/mulberryramp/http/fwd.hpp
@@ -12,8 +12,6 @@
 
 /// @brief Maximum size of a request body; larger ones are answered with 413.
 inline constexpr std::size_t MaxBodyBytes = std::size_t{1024} * 1024;
-/// @brief Time after which a server closes an idle connection.
-inline constexpr unsigned HttpIdleTimeoutSeconds = 60;
 /// @brief Bytes that a server reads and discards of a body that it refuses, so
 /// that the client has finished sending when the response arrives. Beyond
 /// them the connection is closed.
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -27,6 +27,7 @@
 /// Receive buffer of a connection in the kernel. It bounds what arrives while
 /// the server does not read, and is enough for 1 MB/s at 16 ms.
 constexpr int ReceiveBufferBytes = 32 * 1024;
+constexpr Millis SweepInterval{1000};
 
 /// A request and its response; exists from the request line until libmicrohttpd
 /// has completed the request.
@@ -107,6 +108,7 @@
   std::map<ClientId, internal::ClientSlot> Slots;
   std::map<std::uint64_t, internal::HttpExchange *> OpenExchanges;
   Instant CurrentTime;
+  Instant NextSweepAt;
 
   /// Ends connections. libmicrohttpd notices it in its next run.
   void close(const std::vector<ClientId> &Victims) {
@@ -349,7 +351,6 @@
       &Impl::onAccess, Pimpl.get(), MHD_OPTION_SOCK_ADDR, &SocketAddress,
       MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(Limits.MaxConnections),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionBufferBytes,
-      MHD_OPTION_CONNECTION_TIMEOUT, HttpIdleTimeoutSeconds,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
       &Impl::onCompleted, Pimpl.get(), MHD_OPTION_NOTIFY_CONNECTION,
       &Impl::onConnection, Pimpl.get(), MHD_OPTION_END);
@@ -374,6 +375,10 @@
 
 void HttpServer::tick(Instant Now) {
   Pimpl->CurrentTime = Now;
+  if (Now >= Pimpl->NextSweepAt) {
+    Pimpl->NextSweepAt = Now + internal::SweepInterval;
+    Pimpl->close(expireClients(Pimpl->Clients, Now));
+  }
   Pimpl->closeForWaitingConnections();
 }
 
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -52,7 +52,7 @@
   /// @brief Handles all pending events without blocking.
   void run();
 
-  /// @brief Makes room for connections that wait; call it regularly.
+  /// @brief Closes connections that take too long; call it regularly.
   /// @param Now Current monotonic time; also used for the events of `run`.
   void tick(Instant Now);
 
