Pass large requests on one by one

Seen: 160 bodies of 1 MiB that arrive together were decoded one after another before anything else ran; on ordinary submissions beside them got 504 or no answer within 30 s.

Cause: the server called its handler for each complete request in the same run, and decoding 1 MiB takes tens of milliseconds. A decoded request takes a multiple of its body until it is answered, and their number had no bound.

Change: a complete body above 64 KiB waits; a step of the node passes one of them on, and at most four are in the cell at the same time. Smaller requests are passed on at once, so that they come before large ones.

Evidence: the hostile_WholeBodies tests and hostile_WholeConfigurationsOnControl pass before and after; since the bound of bodies they see fewer large requests at once. That the order of requests alone mends the 504 was not measured.

--- a/src/mulberryramp/http/fwd.hpp
+++ b/src/mulberryramp/http/fwd.hpp
@@ -16,6 +16,12 @@
 /// that the client has finished sending when the response arrives. Beyond
 /// them the connection is closed.
 inline constexpr std::size_t MaxDiscardedBytes = 4 * MaxBodyBytes;
+/// @brief Size from which complete bodies wait until `HttpServer::tick` passes
+/// them on one by one, since it takes long to decode them.
+inline constexpr std::size_t LargeBodyBytes = std::size_t{64} * 1024;
+/// @brief Requests with large bodies that may wait for their response at the
+/// same time. A decoded request takes a multiple of its body.
+inline constexpr std::size_t MaxLargeRequests = 4;
 /// @brief Maximum size of a response that `AsyncHttpClient` receives. A worker
 /// with 10,000 tasks lists them in less than 1 MiB.
 inline constexpr std::size_t MaxInboundResponseBytes = 4 * MaxBodyBytes;
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
+#include <deque>
 #include <map>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -39,6 +40,8 @@
   std::optional<HttpResponse> Response;
   std::size_t AnnouncedBytes = 0; ///< Content-Length; 0 if there is none.
   std::size_t DiscardedBytes = 0;
+  bool IsLarge = false;      ///< The body exceeds `LargeBodyBytes`.
+  bool IsQueued = false;     ///< The request is or was in `LargeRequests`.
   bool IsDispatched = false; ///< The request handler has been called.
   bool IsSuspended = false;  ///< The connection waits for the response.
 };
@@ -107,6 +110,9 @@
   ClientId NextClient = 1;
   std::map<ClientId, internal::ClientSlot> Slots;
   std::map<std::uint64_t, internal::HttpExchange *> OpenExchanges;
+  /// Complete requests with large bodies that wait for their dispatch.
+  std::deque<std::uint64_t> LargeRequests;
+  std::size_t OpenLargeRequests = 0; ///< Dispatched and not answered.
   Instant CurrentTime;
   Instant NextSweepAt;
 
@@ -244,8 +250,14 @@
   }
 
   MHD_Result onBodyEnd(internal::HttpExchange &Exchange) {
-    if (!Exchange.IsDispatched) {
-      dispatch(Exchange);
+    if (!Exchange.IsDispatched && !Exchange.IsQueued) {
+      if (Exchange.Request.Body.size() > LargeBodyBytes) {
+        setPhase(Clients, Exchange.Client, ClientPhase::Waiting, CurrentTime);
+        Exchange.IsQueued = true;
+        LargeRequests.push_back(Exchange.Id);
+      } else {
+        dispatch(Exchange);
+      }
     }
     if (isClosing(Exchange.Client)) {
       return MHD_NO;
@@ -261,10 +273,26 @@
   void dispatch(internal::HttpExchange &Exchange) {
     setPhase(Clients, Exchange.Client, ClientPhase::Waiting, CurrentTime);
     Exchange.IsDispatched = true;
+    Exchange.IsLarge = Exchange.Request.Body.size() > LargeBodyBytes;
+    OpenLargeRequests += Exchange.IsLarge ? 1 : 0;
     OnRequest(Exchange.Id, std::move(Exchange.Request));
   }
 
+  /// Passes the large request on that has waited for the longest time.
+  void dispatchLargeRequest() {
+    while (!LargeRequests.empty() && OpenLargeRequests < MaxLargeRequests) {
+      const auto It = OpenExchanges.find(LargeRequests.front());
+      LargeRequests.pop_front();
+      if (It != OpenExchanges.end()) {
+        dispatch(*It->second);
+        return;
+      }
+    }
+  }
+
   void setResponse(internal::HttpExchange &Exchange, HttpResponse Response) {
+    OpenLargeRequests -= Exchange.IsLarge ? 1 : 0;
+    Exchange.IsLarge = false;
     Bytes += Response.Body.size() + Exchange.Request.Path.size();
     releaseBytes(Clients, Exchange.Client, 0);
     setPhase(Clients, Exchange.Client, ClientPhase::Responding, CurrentTime);
@@ -273,6 +301,7 @@
 
   void endExchange(internal::HttpExchange *Exchange) {
     OpenExchanges.erase(Exchange->Id);
+    OpenLargeRequests -= Exchange->IsLarge ? 1 : 0;
     releaseBytes(Clients, Exchange->Client, 0);
     setPhase(Clients, Exchange->Client, ClientPhase::Idle, CurrentTime);
     if (Exchange->IsDispatched && !Exchange->Response) {
@@ -380,6 +409,7 @@
     Pimpl->close(expireClients(Pimpl->Clients, Now));
   }
   Pimpl->closeForWaitingConnections();
+  Pimpl->dispatchLargeRequest();
 }
 
 void HttpServer::respond(std::uint64_t Id, HttpResponse Response) {
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -52,7 +52,8 @@
   /// @brief Handles all pending events without blocking.
   void run();
 
-  /// @brief Closes connections that take too long; call it regularly.
+  /// @brief Closes connections that take too long and passes the next large
+  /// request on; call it regularly.
   /// @param Now Current monotonic time; also used for the events of `run`.
   void tick(Instant Now);
 
