Bound the bytes of responses that clients have not read

Seen: 160 clients that ask for a configuration of 900 KB and never read it raise a voter of 128 MB to 437 MB.

Cause: the cell answered all reads of one run together, each with a copy of the document in the reply, the response and libmicrohttpd; they stayed until the client read them.

Change: a response reserves its bytes like a body; libmicrohttpd uses the string instead of a copy. At most four reads of the configuration are in the cell at the same time, and only as many as there is room for; the others wait. If there is no room all the same, the connection is closed: nothing else is told truthfully.

Not mended: such a crowd delays ordinary reads of the configuration until its responses give way, since all reads wait in one queue.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -350,6 +350,7 @@
   for (const std::string &Line : Output.Events) {
     event(Line);
   }
+  Calls->startWaitingReads();
   Listeners.tick(Now);
   Listeners.run();
   Client.run();
--- a/src/celld/client_calls.cpp
+++ b/src/celld/client_calls.cpp
@@ -7,6 +7,14 @@
 
 namespace mulberryramp {
 
+namespace {
+
+/// Reads of the configuration that are answered at the same time. A response
+/// exists in several copies until it is handed to its server.
+constexpr std::size_t MaxOpenReads = 4;
+
+} // namespace
+
 void ClientCalls::onRequest(Listener Source, HttpServer &Http,
                             std::uint64_t ExchangeId,
                             const HttpRequest &Request) {
@@ -28,6 +36,11 @@
     Pending.Rejection = std::move(Call.error());
     Call = std::move(*Check);
   }
+  if (std::holds_alternative<ReadConfigurationCall>(*Call)) {
+    WaitingReads.push_back({&Http, ExchangeId, Request.Path});
+    startWaitingReads();
+    return;
+  }
   Pending.Http = &Http;
   Pending.ExchangeId = ExchangeId;
   Pending.Path = Request.Path;
@@ -67,6 +80,22 @@
   Node.call(Id, std::move(Call), ReceivedAt);
 }
 
+/// Starts reads of the configuration as far as there is room for the responses.
+void ClientCalls::startWaitingReads() {
+  while (!WaitingReads.empty() && OpenReads < MaxOpenReads &&
+         WaitingReads.front().Http->makeRoomForResponse((OpenReads + 1) *
+                                                        MaxBodyBytes)) {
+    WaitingRead &Read = WaitingReads.front();
+    OpenRequest Pending;
+    Pending.Http = Read.Http;
+    Pending.ExchangeId = Read.ExchangeId;
+    Pending.Path = std::move(Read.Path);
+    WaitingReads.pop_front();
+    OpenReads += 1;
+    start(std::move(Pending), ReadConfigurationCall{});
+  }
+}
+
 std::string ClientCalls::controlAddress() const {
   const NodeId Leader = Node.leader();
   return Leader == 0 ? std::string{}
@@ -93,6 +122,10 @@
             " after_ms=" + std::to_string(Duration.count()) +
             " reason=" + Done.Reply.Text);
   }
+  OpenReads -=
+      Pending.Type.VariantIndex == CellCall{ReadConfigurationCall{}}.index()
+          ? 1
+          : 0;
   Pending.Http->respond(Pending.ExchangeId, makeResponse(Pending, Done.Reply));
 }
 
--- a/src/celld/client_calls.hpp
+++ b/src/celld/client_calls.hpp
@@ -5,6 +5,7 @@
 #include "mulberryramp/cell/cell_node.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,6 +35,10 @@
   /// @brief Answers the request that a reply of the cell is for.
   void answer(const LocalReply &Done);
 
+  /// @brief Starts reads of the configuration that had to wait, as far as there
+  /// is room for their responses; call it once per step.
+  void startWaitingReads();
+
   /// @brief Returns the number of requests that wait for a reply of the cell.
   [[nodiscard]] std::size_t openCount() const noexcept {
     return OpenRequests.size();
@@ -55,6 +60,14 @@
     bool IsSubmissionCheck = false;
   };
 
+  /// A request for the configuration that waits until earlier ones are
+  /// answered.
+  struct WaitingRead {
+    HttpServer *Http = nullptr;
+    std::uint64_t ExchangeId = 0;
+    std::string Path;
+  };
+
   void onRefusedBody(Listener Source, HttpServer &Http,
                      std::uint64_t ExchangeId, const HttpRequest &Request);
   void start(OpenRequest Pending, CellCall Call);
@@ -69,6 +82,9 @@
   std::uint16_t ControlPort;
   std::map<std::uint64_t, OpenRequest> OpenRequests;
   std::uint64_t NextCall = 1;
+  /// Reads of the configuration that are in `OpenRequests`, and further ones.
+  std::size_t OpenReads = 0;
+  std::deque<WaitingRead> WaitingReads;
 };
 
 } // namespace mulberryramp
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -52,11 +52,14 @@
   int Socket = -1;
 };
 
-MHD_Result sendResponse(MHD_Connection *Connection,
-                        const HttpResponse &Answer) {
-  MHD_Response *Response = MHD_create_response_from_buffer(
-      Answer.Body.size(), const_cast<char *>(Answer.Body.data()), // NOLINT
-      MHD_RESPMEM_MUST_COPY);
+void freeBody(void *Body) { delete static_cast<std::string *>(Body); }
+
+/// Sends a response; its body is moved out.
+MHD_Result sendResponse(MHD_Connection *Connection, HttpResponse &Answer) {
+  auto *Body = new std::string{std::move(Answer.Body)}; // NOLINT: freeBody.
+  MHD_Response *Response =
+      MHD_create_response_from_buffer_with_free_callback_cls(
+          Body->size(), Body->data(), &freeBody, Body);
   MHD_add_response_header(Response, MHD_HTTP_HEADER_CONTENT_TYPE,
                           Answer.ContentType.c_str());
   if (Answer.RetryAfterSeconds != 0) {
@@ -290,13 +293,21 @@
     }
   }
 
+  /// Takes over a response, or closes the connection if there is no room.
   void setResponse(internal::HttpExchange &Exchange, HttpResponse Response) {
     OpenLargeRequests -= Exchange.IsLarge ? 1 : 0;
     Exchange.IsLarge = false;
     Bytes += Response.Body.size() + Exchange.Request.Path.size();
     releaseBytes(Clients, Exchange.Client, 0);
-    setPhase(Clients, Exchange.Client, ClientPhase::Responding, CurrentTime);
-    Exchange.Response = std::move(Response);
+    const Reservation Room = reserveBytes(
+        Clients, Exchange.Client, Response.Body.capacity(), CurrentTime);
+    close(Room.ToClose);
+    if (Room.IsGranted) {
+      setPhase(Clients, Exchange.Client, ClientPhase::Responding, CurrentTime);
+      Exchange.Response = std::move(Response);
+      return;
+    }
+    close(closeClient(Clients, Exchange.Client, HttpLimit::Memory));
   }
 
   void endExchange(internal::HttpExchange *Exchange) {
@@ -412,6 +423,13 @@
   Pimpl->dispatchLargeRequest();
 }
 
+bool HttpServer::makeRoomForResponse(std::uint64_t Bytes) {
+  const Reservation Room =
+      makeRoom(Pimpl->Clients, 0, Bytes, Pimpl->CurrentTime);
+  Pimpl->close(Room.ToClose);
+  return Room.IsGranted;
+}
+
 void HttpServer::respond(std::uint64_t Id, HttpResponse Response) {
   const auto It = Pimpl->OpenExchanges.find(Id);
   if (It == Pimpl->OpenExchanges.end() || It->second->Response) {
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -57,8 +57,14 @@
   /// @param Now Current monotonic time; also used for the events of `run`.
   void tick(Instant Now);
 
+  /// @brief Makes room for a response, if necessary by closing connections
+  /// that do not read theirs.
+  /// @return Whether there is room.
+  bool makeRoomForResponse(std::uint64_t Bytes);
+
   /// @brief Answers a request. Does nothing if the request was already answered
-  /// or its connection was closed.
+  /// or its connection was closed. If there is no room for the response, the
+  /// connection is closed instead.
   /// @param Id Id of the request.
   /// @param Response The response.
   void respond(std::uint64_t Id, HttpResponse Response);
