Show which limit ended whose requests

Metrics by listener: open connections, held bytes, and how often each limit took effect; the same for the links of other nodes.

CelldMetrics, LimitsOfClientsAreShownByListener passes.

--- a/src/celld/cell_daemon.cpp
+++ b/src/celld/cell_daemon.cpp
@@ -253,25 +253,31 @@
                                         const HttpRequest & /*Request*/) {
     Http.respond(Id, {200, "text/plain; version=0.0.4",
                       Telemetry.render(Node->status(), Links->counters(),
-                                       Writer ? Writer->failures() : 0)});
+                                       Writer ? Writer->failures() : 0,
+                                       Listeners.usage())});
   };
   const ClientLimits Limits = planClientLimits(Settings);
   const auto Listen =
-      [this](const std::optional<Endpoint> &Address, const HttpLimits &Limit,
+      [this](const char *Name, const std::optional<Endpoint> &Address,
+             const HttpLimits &Limit,
              RequestHandler OnRequest) -> tl::expected<void, std::string> {
-    return Address ? Listeners.listen(*Address, Limit, std::move(OnRequest))
-                   : tl::expected<void, std::string>{};
+    return Address
+               ? Listeners.listen(Name, *Address, Limit, std::move(OnRequest))
+               : tl::expected<void, std::string>{};
   };
-  return Listen(Settings.Callers, Limits.Callers, CallsFrom(Listener::Callers))
+  return Listen("callers", Settings.Callers, Limits.Callers,
+                CallsFrom(Listener::Callers))
       .and_then([&] {
-        return Listen(Settings.Control, Limits.Control,
+        return Listen("control", Settings.Control, Limits.Control,
                       CallsFrom(Listener::Control));
       })
       .and_then([&] {
-        return Listen(Settings.Readiness, Limits.Readiness, Readiness);
+        return Listen("readiness", Settings.Readiness, Limits.Readiness,
+                      Readiness);
       })
-      .and_then(
-          [&] { return Listen(Settings.Metrics, Limits.Metrics, Metrics); });
+      .and_then([&] {
+        return Listen("metrics", Settings.Metrics, Limits.Metrics, Metrics);
+      });
 }
 
 tl::expected<std::unique_ptr<CellDaemon>, std::string>
@@ -359,6 +365,9 @@
     ReloadRequested = 0;
     NextReloadAt = Now + SettingsPollInterval;
     reload();
+    for (const std::string &Line : Listeners.describeNewHits()) {
+      event(Line);
+    }
   }
   Log.flush();
 }
--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -14,8 +14,38 @@
   prometheus::Counter *Served = nullptr;
   prometheus::Counter *Unauthenticated = nullptr;
   prometheus::Counter *Refused = nullptr;
+
+  void setClients(const std::vector<HttpListeners::ListenerUsage> &Clients);
 };
 
+/// Sets the gauges of what the clients of each listener hold.
+void CellMetrics::Impl::setClients(
+    const std::vector<HttpListeners::ListenerUsage> &Clients) {
+  auto &Connections = prometheus::BuildGauge()
+                          .Name("mulberryramp_client_connections")
+                          .Help("Open connections of clients")
+                          .Register(Registry);
+  auto &HeldBytes = prometheus::BuildGauge()
+                        .Name("mulberryramp_client_held_bytes")
+                        .Help("Bytes held for requests and their responses")
+                        .Register(Registry);
+  auto &Hits = prometheus::BuildGauge()
+                   .Name("mulberryramp_client_limit_total")
+                   .Help("Requests and connections that a limit ended")
+                   .Register(Registry);
+  for (const auto &[Name, Usage] : Clients) {
+    Connections.Add({{"listener", Name}})
+        .Set(static_cast<double>(Usage.Connections));
+    HeldBytes.Add({{"listener", Name}})
+        .Set(static_cast<double>(Usage.HeldBytes));
+    for (std::size_t Limit = 0; Limit < HttpLimitCount; ++Limit) {
+      Hits.Add({{"listener", Name},
+                {"limit", nameOf(static_cast<HttpLimit>(Limit))}})
+          .Set(static_cast<double>(Usage.LimitHits[Limit]));
+    }
+  }
+}
+
 CellMetrics::CellMetrics() : Pimpl{std::make_unique<Impl>()} {
   const prometheus::Histogram::BucketBoundaries BucketBounds{
       0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
@@ -57,9 +87,10 @@
   }
 }
 
-std::string CellMetrics::render(const CellNodeStatus &Node,
-                                const LinkCounters &Links,
-                                std::uint64_t StorageFailures) {
+std::string
+CellMetrics::render(const CellNodeStatus &Node, const LinkCounters &Links,
+                    std::uint64_t StorageFailures,
+                    const std::vector<HttpListeners::ListenerUsage> &Clients) {
   Impl &Out = *Pimpl;
   Out.set("mulberryramp_cell_term", "Current Raft term", Node.CurrentTerm);
   Out.set("mulberryramp_cell_commit_index",
@@ -114,8 +145,14 @@
           Links.BytesOut);
   Out.set("mulberryramp_link_messages_dropped_total",
           "Messages to other nodes that were dropped", Links.DroppedMessages);
+  Out.set("mulberryramp_link_inbound_bytes",
+          "Bytes held for incomplete frames of other nodes",
+          Links.InboundBytes);
+  Out.set("mulberryramp_link_limit_total",
+          "Links of other nodes that a limit ended", Links.LimitHits);
   Out.set("mulberryramp_storage_failures_total", "Failed storage writes",
           StorageFailures);
+  Out.setClients(Clients);
   Out.Organisations.update(Out.Registry, Node.Organisations);
   return Out.Gauges::render();
 }
--- a/src/celld/cell_metrics.hpp
+++ b/src/celld/cell_metrics.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "celld/http_listeners.hpp"
 #include "mulberryramp/cell/cell_node.hpp"
 #include "mulberryramp/net/peer_links.hpp"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mulberryramp {
 
@@ -28,10 +30,12 @@
   /// @param Node Current state of the node.
   /// @param Links Counters of the links to other nodes.
   /// @param StorageFailures Failed writes since the start.
+  /// @param Clients What the clients of each listener hold.
   /// @return The text.
-  [[nodiscard]] std::string render(const CellNodeStatus &Node,
-                                   const LinkCounters &Links,
-                                   std::uint64_t StorageFailures);
+  [[nodiscard]] std::string
+  render(const CellNodeStatus &Node, const LinkCounters &Links,
+         std::uint64_t StorageFailures,
+         const std::vector<HttpListeners::ListenerUsage> &Clients = {});
 
 private:
   struct Impl;
--- a/src/celld/http_listeners.cpp
+++ b/src/celld/http_listeners.cpp
@@ -6,9 +6,10 @@
 namespace mulberryramp {
 
 tl::expected<void, std::string>
-HttpListeners::listen(const Endpoint &Address, const HttpLimits &Limits,
-                      RequestHandler OnRequest) {
+HttpListeners::listen(const char *Name, const Endpoint &Address,
+                      const HttpLimits &Limits, RequestHandler OnRequest) {
   auto Listener = std::make_unique<Entry>();
+  Listener->Name = Name;
   auto Http = HttpServer::listen(
       Address,
       [&Entry = *Listener, OnRequest = std::move(OnRequest)](
@@ -45,4 +46,34 @@
   });
 }
 
+std::vector<HttpListeners::ListenerUsage> HttpListeners::usage() const {
+  std::vector<ListenerUsage> Usages;
+  Usages.reserve(Entries.size());
+  for (const auto &Listener : Entries) {
+    Usages.push_back({Listener->Name, Listener->Http->usage()});
+  }
+  return Usages;
+}
+
+std::vector<std::string> HttpListeners::describeNewHits() {
+  std::vector<std::string> Lines;
+  for (const auto &Listener : Entries) {
+    const HttpUsage Usage = Listener->Http->usage();
+    for (std::size_t Limit = 0; Limit < HttpLimitCount; ++Limit) {
+      const std::uint64_t New =
+          Usage.LimitHits[Limit] - Listener->LoggedHits[Limit];
+      if (New != 0) {
+        Lines.push_back(std::string{"event=client-limit listener="} +
+                        Listener->Name +
+                        " limit=" + nameOf(static_cast<HttpLimit>(Limit)) +
+                        " count=" + std::to_string(New) +
+                        " connections=" + std::to_string(Usage.Connections) +
+                        " held_bytes=" + std::to_string(Usage.HeldBytes));
+      }
+    }
+    Listener->LoggedHits = Usage.LimitHits;
+  }
+  return Lines;
+}
+
 } // namespace mulberryramp
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -449,6 +449,11 @@
 
 std::uint64_t HttpServer::bytes() const noexcept { return Pimpl->Bytes; }
 
+HttpUsage HttpServer::usage() const noexcept {
+  return {Pimpl->Clients.OpenCount, Pimpl->Clients.HeldBytes,
+          Pimpl->Clients.LimitHits};
+}
+
 void HttpServer::stopListening() {
   const MHD_socket Listener = MHD_quiesce_daemon(Pimpl->Daemon);
   Pimpl->ListeningSocket = -1;
--- a/src/mulberryramp/http/server.hpp
+++ b/src/mulberryramp/http/server.hpp
@@ -77,6 +77,9 @@
   /// and of the paths of requests.
   [[nodiscard]] std::uint64_t bytes() const noexcept;
 
+  /// @brief Returns what the clients hold and how often a limit took effect.
+  [[nodiscard]] HttpUsage usage() const noexcept;
+
   /// @brief Stops accepting new connections; open ones continue.
   void stopListening();
 
--- a/test/celld/cell_metrics_test.cpp
+++ b/test/celld/cell_metrics_test.cpp
@@ -30,3 +30,19 @@
     CHECK_TEXT(Text.find(Line) != std::string::npos, Line);
   }
 }
+
+/// Shows an operator which limit refused whose clients.
+TEST(CelldMetrics, LimitsOfClientsAreShownByListener) {
+  CellMetrics Metrics;
+  HttpUsage Usage;
+  Usage.Connections = 56;
+  Usage.HeldBytes = 4096;
+  Usage.LimitHits[static_cast<std::size_t>(HttpLimit::BodySize)] = 3;
+  const std::string Text = Metrics.render({}, {}, 0, {{"callers", Usage}});
+  for (const char *Line :
+       {"mulberryramp_client_connections{listener=\"callers\"} 56\n",
+        "mulberryramp_client_held_bytes{listener=\"callers\"} 4096\n",
+        "limit=\"body-size\"", "mulberryramp_link_limit_total 0\n"}) {
+    CHECK_TEXT(Text.find(Line) != std::string::npos, Line);
+  }
+}
