--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -40,7 +40,7 @@
         .Set(static_cast<double>(Usage.HeldBytes));
     for (std::size_t Limit = 0; Limit < HttpLimitCount; ++Limit) {
       Hits.Add({{"listener", Name},
-                {"limit", nameOf(static_cast<HttpLimit>(Limit))}})
+                {"limit", std::string{nameOf(static_cast<HttpLimit>(Limit))}}})
           .Set(static_cast<double>(Usage.LimitHits[Limit]));
     }
   }
--- a/src/celld/http_listeners.cpp
+++ b/src/celld/http_listeners.cpp
@@ -63,12 +63,12 @@
       const std::uint64_t New =
           Usage.LimitHits[Limit] - Listener->LoggedHits[Limit];
       if (New != 0) {
-        Lines.push_back(std::string{"event=client-limit listener="} +
-                        Listener->Name +
-                        " limit=" + nameOf(static_cast<HttpLimit>(Limit)) +
-                        " count=" + std::to_string(New) +
-                        " connections=" + std::to_string(Usage.Connections) +
-                        " held_bytes=" + std::to_string(Usage.HeldBytes));
+        Lines.push_back(
+            std::string{"event=client-limit listener="} + Listener->Name +
+            " limit=" + std::string{nameOf(static_cast<HttpLimit>(Limit))} +
+            " count=" + std::to_string(New) +
+            " connections=" + std::to_string(Usage.Connections) +
+            " held_bytes=" + std::to_string(Usage.HeldBytes));
       }
     }
     Listener->LoggedHits = Usage.LimitHits;
--- a/src/mulberryramp/core/json_shape.cpp
+++ b/src/mulberryramp/core/json_shape.cpp
@@ -31,16 +31,16 @@
   return JsonShape::Accepted;
 }
 
-const char *describe(JsonShape Shape) noexcept {
+std::string describe(JsonShape Shape) {
   switch (Shape) {
   case JsonShape::TooDeep:
     return "is nested too deeply";
   case JsonShape::TooManyValues:
-    return "has more than 100000 values";
+    return "has more than " + std::to_string(MaxJsonValues) + " values";
   case JsonShape::Accepted:
     break;
   }
-  return "";
+  return {};
 }
 
 } // namespace mulberryramp
--- a/src/mulberryramp/core/json_shape.hpp
+++ b/src/mulberryramp/core/json_shape.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace mulberryramp {
@@ -24,6 +25,6 @@
 [[nodiscard]] JsonShape checkJsonShape(std::string_view Text) noexcept;
 
 /// @brief Describes why a text is not parsed, for a finding.
-[[nodiscard]] const char *describe(JsonShape Shape) noexcept;
+[[nodiscard]] std::string describe(JsonShape Shape);
 
 } // namespace mulberryramp
--- a/src/mulberryramp/http/limits.hpp
+++ b/src/mulberryramp/http/limits.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace mulberryramp {
 
@@ -47,11 +48,10 @@
 /// @brief Number of kinds of `HttpLimit`.
 inline constexpr std::size_t HttpLimitCount = 4;
 
-/// @brief Names of the limits in metrics and log lines.
-[[nodiscard]] constexpr const char *nameOf(HttpLimit Limit) noexcept {
-  constexpr std::array<const char *, HttpLimitCount> Names = {
-      "connections", "memory", "body-size", "time"};
-  return Names[static_cast<std::size_t>(Limit)];
+/// @brief Returns the names of the limits in metrics and log lines.
+[[nodiscard]] constexpr std::array<std::string_view, HttpLimitCount>
+nameTable(HttpLimit /*Limit*/) noexcept {
+  return {"connections", "memory", "body-size", "time"};
 }
 
 /// @brief What the clients of a server hold, and how often a limit ended or
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -1,5 +1,6 @@
 #include "mulberryramp/http/server.hpp"
 
+#include "mulberryramp/core/time.hpp"
 #include "mulberryramp/http/client_table.hpp"
 
 #include <algorithm>
@@ -21,8 +22,9 @@
 
 namespace internal {
 
-/// Connections that are closed per tick for others that wait to be accepted.
-constexpr std::size_t MaxClosedPerTick = 16;
+/// Connections that are closed per tick for others that wait to be accepted. It
+/// is not known how many wait, and ordinary clients keep idle ones for reuse.
+constexpr std::size_t MaxClosedPerTick = 4;
 /// First size of the buffer for a body whose length is not announced.
 constexpr std::size_t FirstBodyBytes = 4096;
 /// Receive buffer of a connection in the kernel. It bounds what arrives while
@@ -380,6 +382,7 @@
                    ClosedHandler OnClosed, const HttpLimits &Limits) {
   auto Pimpl = std::make_unique<Impl>();
   Pimpl->Clients.Limits = Limits;
+  Pimpl->CurrentTime = SuspendAwareClock::now();
   Pimpl->OnRequest = std::move(OnRequest);
   Pimpl->OnClosed = std::move(OnClosed);
   sockaddr_in SocketAddress{};
--- a/test/celld/shutdown_test.cpp
+++ b/test/celld/shutdown_test.cpp
@@ -1,5 +1,6 @@
 #include "celld/cell_daemon.hpp"
 #include "platform/gateway.hpp"
+#include "support/sockets.hpp"
 
 #include <arpa/inet.h>
 #include <chrono>
@@ -15,6 +16,8 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace mulberryramp;
+using mulberryramp::test::receiveAll;
+using mulberryramp::test::sendAll;
 
 namespace {
 
@@ -92,27 +95,6 @@
   return Socket;
 }
 
-void sendAll(int Socket, const std::string &Text) {
-  for (std::size_t Sent = 0; Sent < Text.size();) {
-    const ssize_t Count =
-        ::send(Socket, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
-    if (Count <= 0) {
-      return;
-    }
-    Sent += static_cast<std::size_t>(Count);
-  }
-}
-
-std::string receiveAll(int Socket) {
-  std::string Text;
-  char Buffer[4096];
-  for (ssize_t Count = 0;
-       (Count = ::recv(Socket, Buffer, sizeof(Buffer), 0)) > 0;) {
-    Text.append(Buffer, static_cast<std::size_t>(Count));
-  }
-  return Text;
-}
-
 /// Sends the document until it is accepted, and tells whether it was.
 bool configure() {
   const std::string Document = makeDocument();
--- a/test/hostile/cell_process.cpp
+++ b/test/hostile/cell_process.cpp
@@ -1,5 +1,7 @@
 #include "hostile/cell_process.hpp"
 
+#include "support/sockets.hpp"
+
 #include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
@@ -81,27 +83,6 @@
   return 0;
 }
 
-void sendAll(int Socket, const std::string &Text) {
-  for (std::size_t Sent = 0; Sent < Text.size();) {
-    const ssize_t Count =
-        ::send(Socket, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
-    if (Count <= 0) {
-      return;
-    }
-    Sent += static_cast<std::size_t>(Count);
-  }
-}
-
-std::string receiveAll(int Socket) {
-  std::string Text;
-  char Buffer[16384];
-  for (ssize_t Count = 0;
-       (Count = ::recv(Socket, Buffer, sizeof(Buffer), 0)) > 0;) {
-    Text.append(Buffer, static_cast<std::size_t>(Count));
-  }
-  return Text;
-}
-
 std::string cellSettings(const std::string &Host, std::uint16_t FirstPort,
                          const std::string &Listeners,
                          const std::string &Role) {
@@ -230,11 +211,13 @@
 void LimitedProcess::start(const std::vector<std::string> &Argv,
                            const std::vector<std::string> &Variables) {
   std::vector<char *> RawArgv;
+  RawArgv.reserve(Argv.size() + 1);
   for (const std::string &Argument : Argv) {
     RawArgv.push_back(const_cast<char *>(Argument.c_str()));
   }
   RawArgv.push_back(nullptr);
   std::vector<char *> RawVariables;
+  RawVariables.reserve(Variables.size() + 1);
   for (const std::string &Variable : Variables) {
     RawVariables.push_back(const_cast<char *>(Variable.c_str()));
   }
--- a/test/hostile/crowd.cpp
+++ b/test/hostile/crowd.cpp
@@ -42,8 +42,8 @@
                    &Script.ReceiveBufferBytes,
                    sizeof(Script.ReceiveBufferBytes));
     }
-    ::connect(Member.Socket, reinterpret_cast<sockaddr *>(&Target),
-              sizeof(Target));
+    (void)::connect(Member.Socket, reinterpret_cast<sockaddr *>(&Target),
+                    sizeof(Target));
     // One after the other, as some listeners queue only a few connections.
     pollfd Polled{Member.Socket, POLLOUT, 0};
     if (::poll(&Polled, 1, StallTimeoutMs) <= 0) {
--- a/test/hostile/hostile_test.cpp
+++ b/test/hostile/hostile_test.cpp
@@ -330,9 +330,12 @@
   std::string Tenants;
   for (int Tenant = 0; Tenant < 2000; ++Tenant) {
     const std::string Name = "tenant-" + std::to_string(Tenant);
-    Tenants += std::string{Tenant == 0 ? "" : ","} + R"({"name":")" + Name +
-               R"(","keys":["key-of-)" + Name +
-               R"("],"weight":1,"cap":{"cpu":100000,"mem_mb":100000,"gpu":0}})";
+    Tenants += Tenant == 0 ? "" : ",";
+    Tenants += R"({"name":")";
+    Tenants += Name;
+    Tenants += R"(","keys":["key-of-)";
+    Tenants += Name;
+    Tenants += R"("],"weight":1,"cap":{"cpu":100000,"mem_mb":100000,"gpu":0}})";
   }
   std::string Routes;
   for (int Route = 0; Route < 1400; ++Route) {
