Leave the descriptors that a node opens for itself out of the share of clients

Seen, in a trial of the hostile tests with 64 MB and 256 descriptors instead of 128 and 512: an entry node under a crowd of held bodies answered an ordinary submission not within 30 s, and a voter had fewer than a quarter of its descriptors left.

Cause: the shares were parts of all descriptors, but the HTTP client of a node opens two for each of its 64 connection pools; a node at rest has about 140. 128 for clients and these exceeded 256, so that accept failed.

Change: the shares are parts of what is left after 192.

--- a/src/celld/client_limits.cpp
+++ b/src/celld/client_limits.cpp
@@ -6,8 +6,13 @@
 
 namespace {
 
-/// Part of the descriptors that clients may take. A voter needs half of them
-/// for connections to workers (`maxKeptConnections`).
+/// Descriptors that a node opens for itself: two for each of the 64 connection
+/// pools of its HTTP client, and those of listeners, files and the event loop.
+constexpr std::size_t OwnDescriptors = 192;
+/// Connections of clients if there are hardly more descriptors than that.
+constexpr std::size_t MinConnections = 16;
+/// Part of the other descriptors that clients may take. A voter needs half of
+/// them for connections to workers (`maxKeptConnections`).
 constexpr std::size_t ClientDescriptorShare = 2;
 constexpr std::size_t VoterClientDescriptorShare = 4;
 /// Part of the descriptors that links of other nodes may take.
@@ -28,9 +33,13 @@
 } // namespace
 
 ClientLimits planClientLimits(const CellSettings &Settings) {
+  const std::size_t Available =
+      Settings.Descriptors -
+      std::min<std::size_t>(Settings.Descriptors, OwnDescriptors);
   const std::size_t OfDescriptors =
-      Settings.Descriptors /
-      (Settings.IsVoter ? VoterClientDescriptorShare : ClientDescriptorShare);
+      std::max(Available / (Settings.IsVoter ? VoterClientDescriptorShare
+                                             : ClientDescriptorShare),
+               MinConnections);
   const std::uint64_t OfMemory =
       (std::uint64_t{memoryMbForClients(Settings)} << 20U) /
       ConnectionMemoryShare / ConnectionBufferBytes;
--- a/test/celld/client_limits_test.cpp
+++ b/test/celld/client_limits_test.cpp
@@ -47,6 +47,23 @@
   }
 }
 
+/// Guards against connections that are accepted until the process has no
+/// descriptors left: it opens about 150 for itself.
+TEST(CelldClientLimits, ClientsLeaveTheDescriptorsOfTheProcessItself) {
+  constexpr std::size_t OpenedByProcess = 160;
+  for (const bool IsVoter : {false, true}) {
+    for (const std::uint32_t Descriptors : {256U, 300U, 512U, 1024U}) {
+      CellSettings Settings = makeSettings(256, Descriptors, IsVoter);
+      Settings.Readiness = Endpoint{"127.0.0.1", 2};
+      const ClientLimits Limits = planClientLimits(Settings);
+      CHECK(allConnections(Limits, false) + Limits.MaxInboundLinks +
+                (IsVoter ? Limits.Control.MaxConnections : 0) +
+                OpenedByProcess <=
+            Descriptors);
+    }
+  }
+}
+
 /// An ordinary deployment does not reach the limits: each worker and each
 /// entry node keeps a connection to the leader.
 TEST(CelldClientLimits, AVoterOf540WorkersKeepsAConnectionForEach) {
