Simplify open requests and the release of bytes

From reading the whole change again: a read of the configuration that waits had a struct of its own with three fields of an open request; the bytes of a connection were only ever released as a whole, and were released before a reservation that counts them as free anyway; the comment of RequestTimeout said that it begins with the first byte of a request, but it begins with the headers. No behaviour, bound or check is changed.

--- a/src/celld/client_calls.cpp
+++ b/src/celld/client_calls.cpp
@@ -23,6 +23,9 @@
     return;
   }
   OpenRequest Pending;
+  Pending.Http = &Http;
+  Pending.ExchangeId = ExchangeId;
+  Pending.Path = Request.Path;
   auto Call = Protocol.decodeCall(Source, Request);
   if (!Call) {
     OnEvent("event=rejected method=" + Request.Method + " path=" +
@@ -37,13 +40,10 @@
     Call = std::move(*Check);
   }
   if (std::holds_alternative<ReadConfigurationCall>(*Call)) {
-    WaitingReads.push_back({&Http, ExchangeId, Request.Path});
+    WaitingReads.push_back(std::move(Pending));
     startWaitingReads();
     return;
   }
-  Pending.Http = &Http;
-  Pending.ExchangeId = ExchangeId;
-  Pending.Path = Request.Path;
   start(std::move(Pending), std::move(*Call));
 }
 
@@ -85,11 +85,7 @@
   while (!WaitingReads.empty() && OpenReads < MaxOpenReads &&
          WaitingReads.front().Http->makeRoomForResponse((OpenReads + 1) *
                                                         MaxBodyBytes)) {
-    WaitingRead &Read = WaitingReads.front();
-    OpenRequest Pending;
-    Pending.Http = Read.Http;
-    Pending.ExchangeId = Read.ExchangeId;
-    Pending.Path = std::move(Read.Path);
+    OpenRequest Pending = std::move(WaitingReads.front());
     WaitingReads.pop_front();
     OpenReads += 1;
     start(std::move(Pending), ReadConfigurationCall{});
--- a/src/celld/client_calls.hpp
+++ b/src/celld/client_calls.hpp
@@ -60,14 +60,6 @@
     bool IsSubmissionCheck = false;
   };
 
-  /// A request for the configuration that waits until earlier ones are
-  /// answered.
-  struct WaitingRead {
-    HttpServer *Http = nullptr;
-    std::uint64_t ExchangeId = 0;
-    std::string Path;
-  };
-
   void onRefusedBody(Listener Source, HttpServer &Http,
                      std::uint64_t ExchangeId, const HttpRequest &Request);
   void start(OpenRequest Pending, CellCall Call);
@@ -84,7 +76,7 @@
   std::uint64_t NextCall = 1;
   /// Reads of the configuration that are in `OpenRequests`, and further ones.
   std::size_t OpenReads = 0;
-  std::deque<WaitingRead> WaitingReads;
+  std::deque<OpenRequest> WaitingReads;
 };
 
 } // namespace mulberryramp
--- a/src/celld/http_listeners.hpp
+++ b/src/celld/http_listeners.hpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace mulberryramp {
--- a/src/mulberryramp/http/client_table.cpp
+++ b/src/mulberryramp/http/client_table.cpp
@@ -144,11 +144,11 @@
   return Result;
 }
 
-void releaseBytes(ClientTable &Table, ClientId Id, std::uint64_t Bytes) {
+void releaseBytes(ClientTable &Table, ClientId Id) {
   const auto It = Table.Rows.find(Id);
-  if (It != Table.Rows.end() && It->second.HeldBytes > Bytes) {
-    Table.HeldBytes -= It->second.HeldBytes - Bytes;
-    It->second.HeldBytes = Bytes;
+  if (It != Table.Rows.end()) {
+    Table.HeldBytes -= It->second.HeldBytes;
+    It->second.HeldBytes = 0;
   }
 }
 
--- a/src/mulberryramp/http/client_table.hpp
+++ b/src/mulberryramp/http/client_table.hpp
@@ -80,8 +80,8 @@
 [[nodiscard]] Reservation reserveBytes(ClientTable &Table, ClientId Id,
                                        std::uint64_t Bytes, Instant Now);
 
-/// @brief Lowers the bytes that a connection holds.
-void releaseBytes(ClientTable &Table, ClientId Id, std::uint64_t Bytes);
+/// @brief Releases all bytes that a connection holds.
+void releaseBytes(ClientTable &Table, ClientId Id);
 
 /// @brief Returns the connections whose phase has taken too long, to be closed.
 [[nodiscard]] std::vector<ClientId> expireClients(ClientTable &Table,
--- a/src/mulberryramp/http/limits.hpp
+++ b/src/mulberryramp/http/limits.hpp
@@ -25,8 +25,8 @@
 /// @brief Body up to which a request or response counts as small. The last
 /// quarter of `HttpLimits::MaxHeldBytes` is kept for small ones.
 inline constexpr std::size_t SmallBodyBytes = std::size_t{16} * 1024;
-/// @brief Time from the first byte of a request to its last one, after which
-/// its connection is closed. A body of `MaxBodyBytes` needs 4 s at 2 Mbit/s.
+/// @brief Time from the headers of a request to its last byte, after which its
+/// connection is closed. A body of `MaxBodyBytes` needs 4 s at 2 Mbit/s.
 inline constexpr Millis RequestTimeout{30000};
 /// @brief Time from a response to its last byte, after which its connection is
 /// closed.
--- a/src/mulberryramp/http/server.cpp
+++ b/src/mulberryramp/http/server.cpp
@@ -203,7 +203,7 @@
   void refuseBody(internal::HttpExchange &Exchange, HttpLimit Limit) {
     Exchange.Request.RefusedBy = Limit;
     Exchange.Request.Body = std::string{};
-    releaseBytes(Clients, Exchange.Client, 0);
+    releaseBytes(Clients, Exchange.Client);
     countHit(Clients, Limit);
   }
 
@@ -300,7 +300,6 @@
     OpenLargeRequests -= Exchange.IsLarge ? 1 : 0;
     Exchange.IsLarge = false;
     Bytes += Response.Body.size() + Exchange.Request.Path.size();
-    releaseBytes(Clients, Exchange.Client, 0);
     const Reservation Room = reserveBytes(
         Clients, Exchange.Client, Response.Body.capacity(), CurrentTime);
     close(Room.ToClose);
@@ -315,7 +314,7 @@
   void endExchange(internal::HttpExchange *Exchange) {
     OpenExchanges.erase(Exchange->Id);
     OpenLargeRequests -= Exchange->IsLarge ? 1 : 0;
-    releaseBytes(Clients, Exchange->Client, 0);
+    releaseBytes(Clients, Exchange->Client);
     setPhase(Clients, Exchange->Client, ClientPhase::Idle, CurrentTime);
     if (Exchange->IsDispatched && !Exchange->Response) {
       OnClosed(Exchange->Id);
--- a/test/http/client_table_test.cpp
+++ b/test/http/client_table_test.cpp
@@ -121,7 +121,7 @@
   setPhase(Table, 1, ClientPhase::Waiting, at(0));
   add(Table, 2, ClientPhase::Receiving, at(5000));
   CHECK(!reserve(Table, 2, 100 * KiB, at(5000)));
-  releaseBytes(Table, 1, 0);
+  releaseBytes(Table, 1);
   CHECK(reserve(Table, 2, 100 * KiB, at(5000)));
 }
 
