--- a/review/standins-2/cell.h
+++ b/review/standins-2/cell.h
@@ -4,6 +4,7 @@
 // separate processes, with settings like those that the platform renders.
 
 #include "fleet.h"
+#include "tunnel.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -41,6 +42,9 @@
   long HeartbeatMs = 1500;
   long HoldMaxMs = 6000;
   std::string Advisor;
+  // The channels between the nodes pass a `Tunnel` each. A node dials all others
+  // at its own peer port, so each node gets one of its own.
+  bool HasTunnels = false;
 };
 
 class Cell {
@@ -65,7 +69,11 @@
     }
     Hosts = Voters;
     Hosts.insert(Hosts.end(), Relays.begin(), Relays.end());
-    PeerPort = freePort(Hosts);
+    for (const std::string &Host : Hosts) {
+      PeerPorts[Host] = Options.HasTunnels || PeerPorts.empty()
+                            ? freePort(Hosts)
+                            : PeerPorts.begin()->second;
+    }
     ControlPort = freePort(Hosts);
     CallerPort = freePort(Hosts);
     ReadyPort = freePort(Hosts);
@@ -103,7 +111,7 @@
         << (IsVoter ? "" : At(CallerPort))
         << "\nreadiness = " << (IsVoter ? "" : At(ReadyPort))
         << "\ncontrol = " << (IsVoter ? At(ControlPort) : "")
-        << "\nmetrics = " << At(MetricsPort) << "\npeer-port = " << PeerPort
+        << "\nmetrics = " << At(MetricsPort) << "\npeer-port = " << PeerPorts.at(Host)
         << "\n[cell]\nseeds = ";
     for (std::size_t Index = 0; Index < Voters.size(); ++Index) {
       Ini << (Index == 0 ? "" : ",") << Voters[Index] << ":" << ControlPort;
@@ -143,6 +151,17 @@
   }
 
   bool startAll() {
+    for (const auto &[From, FromPort] : PeerPorts) {
+      for (const auto &[To, ToPort] : PeerPorts) {
+        if (Options.HasTunnels && From != To) {
+          Tunnels.push_back(std::make_unique<Tunnel>(Address{To, FromPort},
+                                                     Address{To, ToPort}));
+          if (!Tunnels.back()->start()) {
+            return false;
+          }
+        }
+      }
+    }
     for (const std::string &Host : Voters) {
       start(Host);
     }
@@ -240,12 +259,13 @@
   std::vector<std::string> Relays;
   std::vector<std::string> WorkerHosts;
   std::string Folder;
+  std::vector<std::unique_ptr<Tunnel>> Tunnels;
 
 private:
   Record &Log;
   CellOptions Options;
   std::map<std::string, pid_t> Pids;
-  int PeerPort = 0;
+  std::map<std::string, int> PeerPorts;
   int ControlPort = 0;
   int CallerPort = 0;
   int ReadyPort = 0;
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -204,6 +204,10 @@
     return Found;
   }
 
+  Address addressOf(const std::string &Id) const {
+    return Workers.at(Id)->Where;
+  }
+
   Interceptor Intercept;
 
 private:
