--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -92,6 +92,7 @@
     std::string Id;
     Address Where;
     std::string Rack;
+    std::string Kind;
     Json Capacity;
     std::unique_ptr<Server> Http;
     bool IsUp = false;
@@ -129,23 +130,25 @@
   }
 
   Worker &add(const std::string &Id, Address Where, const std::string &Rack,
-              Json Capacity) {
+              Json Capacity, const std::string &Kind = "a") {
     const std::lock_guard Guard{Mutex};
     auto &Row = Workers[Id];
     Row = std::make_unique<Worker>();
     Row->Id = Id;
     Row->Where = std::move(Where);
     Row->Rack = Rack;
+    Row->Kind = Kind;
     Row->Capacity = std::move(Capacity);
     return *Row;
   }
 
   // Starts a life of a worker; it knows nothing of an earlier one.
-  bool boot(const std::string &Id) {
+  // @param WallOffsetMs  How far the time of day of its machine is ahead.
+  bool boot(const std::string &Id, long WallOffsetMs = 0) {
     Worker &Row = *Workers.at(Id);
     {
       const std::lock_guard Guard{Mutex};
-      Row.Born = wallMs();
+      Row.Born = wallMs() + WallOffsetMs;
       Row.ClockStart = steadyMs();
       Row.Sequence = 0;
       Row.Fence = 0;
@@ -204,6 +207,9 @@
     return Found;
   }
 
+  void closeAfterAnswers(const std::string &Id, bool Closes) {
+    Workers.at(Id)->Http->IsClosing = Closes;
+  }
   Address addressOf(const std::string &Id) const {
     return Workers.at(Id)->Where;
   }
@@ -491,7 +497,7 @@
                   {"state", Row.IsDraining ? "draining" : "ready"},
                   {"warmup_left_ms", 0},
                   {"capacity", Row.Capacity},
-                  {"labels", {"a", Row.Rack}},
+                  {"labels", {Row.Kind, Row.Rack}},
                   {"machine", "m-" + Id},
                   {"clock_ms", clock(Row)},
                   {"seq", Row.Sequence},
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -165,6 +165,9 @@
       : Where{std::move(Where)}, OnRequest{std::move(OnRequest)} {}
   ~Server() { stop(); }
 
+  // Closes each connection after one answer, which it announces.
+  std::atomic<bool> IsClosing{false};
+
   bool start() {
     Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int Yes = 1;
@@ -255,8 +258,10 @@
           !sendAll(Socket, "HTTP/1.1 " + std::to_string(Answer.Status) +
                                " X\r\nContent-Type: application/json\r\n"
                                "Content-Length: " +
-                               std::to_string(Answer.Body.size()) + "\r\n\r\n" +
-                               Answer.Body)) {
+                               std::to_string(Answer.Body.size()) +
+                               (IsClosing ? "\r\nConnection: close" : "") +
+                               "\r\n\r\n" + Answer.Body) ||
+          IsClosing) {
         break;
       }
     }
