--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -52,18 +52,14 @@
   std::string Zone = "zone-a";
   long HeartbeatMs = 1500;
   long HoldMaxMs = 6000;
-  long GangTimeoutMs = 3000;
   long StopMs = 50;
 };
 
 // The text of a job says how its tasks behave: a JSON object with `ms` (length
-// of the work), `save` (time between checkpoints, 0 for none), `gang` (number
-// of members, 0 for none), `fail` (true: the tasks end as failed) and `lasts`
-// (true: the tasks are at work at once and do not end).
+// of the work), `fail` (true: the tasks end as failed) and `lasts` (true: the
+// tasks are at work at once and do not end).
 struct Behaviour {
   long Ms = 500;
-  long Save = 0;
-  int Gang = 0;
   bool Fails = false;
   bool Lasts = false;
 };
@@ -74,10 +70,7 @@
     int Attempt = 0;
     Behaviour Work;
     std::string Checkpoint; // that it was started with
-    std::string Saved;
     long StartedAt = 0;
-    long WorkingSince = 0; // 0: waits for the other members of its gang
-    long BaseMs = 0;       // work that the checkpoint holds
     long StopAt = 0;
   };
   struct End {
@@ -176,7 +169,6 @@
       const std::lock_guard Guard{Mutex};
       for (const auto &[Task, Run] : Row.Runs) {
         Ended.push_back({Task, Run.Attempt, Id, "(crash)", Log.now(), 0});
-        breakGang(Task, Run.Attempt, Id);
       }
       Row.Runs.clear();
       Row.IsUp = false;
@@ -207,9 +199,6 @@
     return Found;
   }
 
-  void closeAfterAnswers(const std::string &Id, bool Closes) {
-    Workers.at(Id)->Http->IsClosing = Closes;
-  }
   Address addressOf(const std::string &Id) const {
     return Workers.at(Id)->Where;
   }
@@ -219,17 +208,11 @@
 private:
   long clock(const Worker &Row) const { return steadyMs() - Row.ClockStart; }
 
-  static std::string gangOf(const std::string &Task) {
-    return Task.substr(0, Task.rfind('.'));
-  }
-
   static Behaviour behaviourOf(const std::string &Text) {
     Behaviour Work;
     const Json Parsed = Json::parse(Text, nullptr, false);
     if (Parsed.is_object()) {
       Work.Ms = Parsed.value("ms", 500L);
-      Work.Save = Parsed.value("save", 0L);
-      Work.Gang = Parsed.value("gang", 0);
       Work.Fails = Parsed.value("fail", false);
       Work.Lasts = Parsed.value("lasts", false);
     }
@@ -315,10 +298,7 @@
     Begun.Attempt = Attempt;
     Begun.Work = behaviourOf(Body.value("spec", ""));
     Begun.Checkpoint = Body.value("checkpoint", "");
-    Begun.Saved = Begun.Checkpoint;
-    Begun.BaseMs = Begun.Checkpoint.empty() ? 0 : std::stol(Begun.Checkpoint);
     Begun.StartedAt = steadyMs();
-    Begun.WorkingSince = Begun.Work.Gang == 0 ? Begun.StartedAt : 0;
     Row.Runs[Task] = Begun;
     Started.push_back({Task, Attempt, Row.Id, Begun.Checkpoint, Log.now()});
     Log.add("start " + Task + " run " + std::to_string(Attempt) + " on " +
@@ -349,7 +329,7 @@
     Json Running = Json::array();
     for (const auto &[Task, Run] : Row.Runs) {
       const long Done = workOf(Run);
-      Running.push_back({Task, Run.Attempt, Run.Saved,
+      Running.push_back({Task, Run.Attempt, Run.Checkpoint,
                          Run.Work.Lasts ? 100L
                                         : std::min(99L, 100 * Done / Run.Work.Ms),
                          0});
@@ -363,9 +343,7 @@
   }
 
   static long workOf(const Run &Running) {
-    return Running.WorkingSince == 0
-               ? Running.BaseMs
-               : Running.BaseMs + steadyMs() - Running.WorkingSince;
+    return steadyMs() - Running.StartedAt;
   }
 
   void finish(Worker &Row, const std::string &Task, const Run &Over,
@@ -375,7 +353,7 @@
     Listed.Task = Task;
     Listed.Attempt = Over.Attempt;
     Listed.How = How;
-    Listed.Saved = How == "done" ? "" : Over.Saved;
+    Listed.Saved = How == "done" ? "" : Over.Checkpoint;
     Listed.Logged = Ended.size();
     Ended.push_back({Task, Over.Attempt, Row.Id, How, Log.now(), 0});
     Row.Ends.push_back(Listed);
@@ -384,73 +362,19 @@
             Row.Id + " " + How + " saved \"" + Listed.Saved + "\"");
   }
 
-  // The other members of a gang end with one that did not end as done.
-  void breakGang(const std::string &Task, int Attempt,
-                 const std::string &Except) {
-    for (auto &[Id, Row] : Workers) {
-      for (auto It = Row->Runs.begin(); It != Row->Runs.end();) {
-        const bool IsMember = It->second.Work.Gang != 0 &&
-                              It->second.Attempt == Attempt &&
-                              It->first != Task &&
-                              gangOf(It->first) == gangOf(Task);
-        if (IsMember && Id != Except) {
-          finish(*Row, It->first, It->second, "broken");
-          It = Row->Runs.erase(It);
-        } else {
-          ++It;
-        }
-      }
-    }
-  }
-
-  // Lets a gang work once all members of one run are there with one value.
-  void joinGangs() {
-    std::map<std::pair<std::string, int>, std::vector<Run *>> Gangs;
-    for (auto &[Id, Row] : Workers) {
-      for (auto &[Task, Running] : Row->Runs) {
-        if (Row->IsUp && Running.Work.Gang != 0) {
-          Gangs[{gangOf(Task), Running.Attempt}].push_back(&Running);
-        }
-      }
-    }
-    for (auto &[Key, Members] : Gangs) {
-      const bool IsWhole =
-          static_cast<int>(Members.size()) == Members.front()->Work.Gang;
-      const bool IsOneValue =
-          std::all_of(Members.begin(), Members.end(), [&](const Run *Member) {
-            return Member->Checkpoint == Members.front()->Checkpoint;
-          });
-      if (IsWhole && IsOneValue && Members.front()->WorkingSince == 0) {
-        for (Run *Member : Members) {
-          Member->WorkingSince = steadyMs();
-        }
-      }
-    }
-  }
-
   void tick(Worker &Row) {
     const bool IsLapsed = clock(Row) >= Row.LeaseEnd;
     for (auto It = Row.Runs.begin(); It != Row.Runs.end();) {
       Run &Running = It->second;
       const long Now = steadyMs();
-      if (Running.Work.Save != 0 && Running.WorkingSince != 0) {
-        const long Whole =
-            workOf(Running) / Running.Work.Save * Running.Work.Save;
-        if (Whole > Running.BaseMs) {
-          Running.Saved = std::to_string(Whole);
-        }
-      }
       std::string How;
       if (IsLapsed) {
         How = "lapsed";
       } else if (Running.StopAt != 0 && Now >= Running.StopAt) {
         How = "stopped";
-      } else if (!Running.Work.Lasts && Running.WorkingSince != 0 &&
+      } else if (!Running.Work.Lasts &&
                  workOf(Running) >= Running.Work.Ms) {
         How = Running.Work.Fails ? "failed" : "done";
-      } else if (Running.Work.Gang != 0 && Running.WorkingSince == 0 &&
-                 Now - Running.StartedAt >= Options.GangTimeoutMs) {
-        How = "alone";
       }
       if (How.empty()) {
         ++It;
@@ -460,10 +384,6 @@
       const Run Over = Running;
       It = Row.Runs.erase(It);
       finish(Row, Task, Over, How);
-      if (Over.Work.Gang != 0 && How != "done" && How != "alone") {
-        breakGang(Task, Over.Attempt, Row.Id);
-        It = Row.Runs.begin();
-      }
       Wake.notify_all();
     }
   }
@@ -472,7 +392,6 @@
     while (!IsStopping) {
       sleepMs(5);
       const std::lock_guard Guard{Mutex};
-      joinGangs();
       for (auto &[Id, Row] : Workers) {
         if (Row->IsUp) {
           tick(*Row);
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -165,9 +165,6 @@
       : Where{std::move(Where)}, OnRequest{std::move(OnRequest)} {}
   ~Server() { stop(); }
 
-  // Closes each connection after one answer, which it announces.
-  std::atomic<bool> IsClosing{false};
-
   bool start() {
     Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int Yes = 1;
@@ -259,9 +256,7 @@
                                " X\r\nContent-Type: application/json\r\n"
                                "Content-Length: " +
                                std::to_string(Answer.Body.size()) +
-                               (IsClosing ? "\r\nConnection: close" : "") +
-                               "\r\n\r\n" + Answer.Body) ||
-          IsClosing) {
+                               "\r\n\r\n" + Answer.Body)) {
         break;
       }
     }
