--- a/review/standins-2/cell.h
+++ b/review/standins-2/cell.h
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace standin {
@@ -135,6 +136,7 @@
         "target/mulberryramp-platform").string();
     const pid_t Pid = ::fork();
     if (Pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Also if the case is cut off.
       const int Output = ::open((Folder + "/" + Host + ".log").c_str(),
                                 O_WRONLY | O_CREAT | O_APPEND, 0640);
       ::dup2(Output, 1);
