--- a/review/13/spread.cc
+++ b/review/13/spread.cc
@@ -41,7 +41,7 @@
     }
   }
   sleepMs(3000);
-  const int GapMs = std::getenv("GAP") ? std::atoi(std::getenv("GAP")) : 250;
+  constexpr std::int64_t GapMs = 250;
   std::atomic<bool> IsOver{false};
   std::thread Traffic{[&] {
     const Json Quick{{"spec", "s"},
