Move the choice of a worker out of the start planner

The choice of a worker for a task, with the trials of its rack, is now in worker_choice.{hpp,cpp}; the planner keeps the steps, gangs, reservations and queries.

--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -10,9 +10,9 @@
 #include "mulberryramp/cell/schedulable_workers.hpp"
 #include "mulberryramp/cell/step_order.hpp"
 #include "mulberryramp/cell/trials.hpp"
+#include "mulberryramp/cell/worker_choice.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 
 namespace mulberryramp {
@@ -39,9 +39,6 @@
 /// still progress.
 constexpr std::size_t WorkersPerReservedWorker = 2;
 
-/// Score penalty, per task on the worker, for a task that may crash it.
-constexpr double SuspectCompanyPenalty = 0.2;
-
 /// One planning pass.
 class StartPlanner {
 public:
@@ -72,58 +69,6 @@
   }
 
 private:
-  /// Chooses the worker with the lowest score for a task, or null.
-  /// @param Advice Advice on the step, or null if it needs none.
-  /// @param Rack Rack that the worker must be on, or null for any.
-  /// @param Counts Tasks of the step on each worker.
-  WorkerSnapshot *pickBestWorker(const Job &Owner, const StepSpec &Step,
-                                 const StepAdvice *Advice, const JobTask *Task,
-                                 const std::string *Rack,
-                                 const TaskCounts &Counts, CrashRisk Risk) {
-    const Resources Need = requiredResources(Step);
-    WorkerSnapshot *Best = nullptr;
-    double BestScore = std::numeric_limits<double>::max();
-    const auto Consider = [&](WorkerSnapshot &Snapshot) {
-      if (!fitsIn(Need, Snapshot.Available) ||
-          !isFeasible(Snapshot, Owner, Step, Now) ||
-          (Rack != nullptr && Snapshot.Instance->Report.Rack != *Rack) ||
-          (Risk != CrashRisk::None && Snapshot.HasRecentStart) ||
-          (Risk == CrashRisk::Trial &&
-           !canBeginTrial(trialsIn(Snapshot.Instance->Report.Rack))) ||
-          isAtMaxPerWorker(Step, Snapshot, Counts)) {
-        return;
-      }
-      double Score = scoreWorker(Snapshot, Step, Need, Task);
-      if (Risk != CrashRisk::None) {
-        Score += SuspectCompanyPenalty * Snapshot.Instance->Tasks;
-      }
-      if (Score < BestScore) {
-        BestScore = Score;
-        Best = &Snapshot;
-      }
-    };
-    if (Advice == nullptr) {
-      std::for_each(Schedulable.Rows.begin(), Schedulable.Rows.end(), Consider);
-      return Best;
-    }
-    for (const auto &[Worker, Admission] : Advice->Admitted) {
-      WorkerSnapshot *Snapshot = Now < Admission.ExpiresAt
-                                     ? findSnapshot(Schedulable, Worker)
-                                     : nullptr;
-      if (Snapshot != nullptr) {
-        Consider(*Snapshot);
-      }
-    }
-    return Best;
-  }
-
-  RackTrials &trialsIn(const std::string &Rack) {
-    if (!Racks) {
-      Racks = collectRackTrials(Dispatch, State, Now);
-    }
-    return (*Racks)[Rack];
-  }
-
   void reserveWorker(WorkerSnapshot &Snapshot, const StepSpec &Step,
                      const TaskKey &Key, std::uint32_t Attempt) {
     Snapshot.Available -= requiredResources(Step);
@@ -374,10 +319,9 @@
       const bool IsTrial = Risk == CrashRisk::Trial;
       const bool MayFit = (!LowestWithoutRoom || Risk < *LowestWithoutRoom) &&
                           (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
-      WorkerSnapshot *Chosen = MayFit
-                                   ? pickBestWorker(Owner, Spec, Advice, &Task,
-                                                    nullptr, Counts, Risk)
-                                   : nullptr;
+      WorkerSnapshot *Chosen =
+          MayFit ? Choice.pickBest({Owner, Spec, Advice, Counts}, Task, Risk)
+                 : nullptr;
       if (Chosen == nullptr) {
         if (MayFit) {
           LowestWithoutRoom = Risk;
@@ -391,7 +335,7 @@
       Chosen->HasRecentStart = true;
       Chosen->HasRecentSuspect = Risk != CrashRisk::None;
       if (IsTrial) {
-        trialsIn(Chosen->Instance->Report.Rack).Affected += 1;
+        Choice.noteTrial(*Chosen);
       }
     }
     return Unplaced;
@@ -440,8 +384,8 @@
     TaskCounts Counts;
     const CrashRisk Risk = gangCrashRiskOf(Unresolved, Key, Step);
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-      WorkerSnapshot *Chosen = pickBestWorker(
-          Owner, Spec, Advice, &Step.Tasks[Index], Rack, Counts, Risk);
+      WorkerSnapshot *Chosen = Choice.pickBest(
+          {Owner, Spec, Advice, Counts, Rack}, Step.Tasks[Index], Risk);
       if (Chosen == nullptr) {
         Schedulable.Rows = SavedSnapshots;
         Assignments.resize(AssignmentCount);
@@ -497,12 +441,11 @@
   Instant Now;
   WallTime WallNow;
   SchedulableWorkers Schedulable;
+  WorkerChoice Choice{Dispatch, State, Schedulable, Now};
   /// Use of the organisation of the current step; null if the configuration has
   /// no organisations.
   OrganisationUse *Use = nullptr;
   std::set<TaskKey> Unresolved; ///< See `collectUnresolvedTasks`.
-  /// Trials by rack; collected when first needed, as most passes have none.
-  std::optional<std::map<std::string, RackTrials>> Racks;
   /// Expected ends of the tasks on a worker; computed when first needed.
   std::map<WorkerInstanceId, std::vector<ExpectedRelease>> Releases;
   std::vector<TaskAssignment> Assignments;
