Hold a worker for a suspect that finds none without a recent start

Cause: a suspect may only start on a worker without any start for SuspectWindow, so that a crash shows its cause. The planner took such a worker if there was one, but nothing brought one about, and steady starts keep it from ever coming. Class: a condition for a start that other work can keep false without limit, and that nobody brings about.

Change: a worker is held for a suspect that has waited for 300 ms; no other task starts there, so its last start is 600 ms old one window later. The trial itself is as lonely as before, so a crash still has one suspect. A step begins holds in planning order. A worker that a more urgent task waits for is not held again before that task had its turn. Gangs hold all their workers at once; tickets are renewed while a worker is held. Holds end with their step, their worker, or after 0.8 s.

Ruled out: letting the suspect into company after some time. Its crash would have several suspects again, so sound tasks are blamed and BUDGET breaks.

--- a/src/celld/cell_metrics.cpp
+++ b/src/celld/cell_metrics.cpp
@@ -133,6 +133,12 @@
   Out.set("mulberryramp_worker_crashes_total",
           "Workers that ended without notice while tasks were assigned to them",
           Counters.WorkerCrashes);
+  Out.set("mulberryramp_trial_holds_total",
+          "Workers held until a suspect could start there",
+          Counters.TrialHolds);
+  Out.set("mulberryramp_trial_holds_abandoned_total",
+          "Workers released before the suspect that they were held for started",
+          Counters.TrialHoldsAbandoned);
   Out.set("mulberryramp_preemptions_total",
           "Tasks stopped to make room for urgent jobs", Counters.Preemptions);
   Out.set("mulberryramp_submissions_refused_as_excess_total",
--- a/src/mulberryramp/cell/dispatcher.hpp
+++ b/src/mulberryramp/cell/dispatcher.hpp
@@ -245,6 +245,14 @@
   Instant PlannedAt; ///< When it was last planned.
 };
 
+/// @brief Suspects of a step that wait for a worker without a recent start, see
+/// `trial_holds.hpp`.
+struct TrialWait {
+  Instant Since; ///< When they began to wait.
+  /// Workers that get no other starts, with the time since when.
+  std::map<WorkerInstanceId, Instant> Held;
+};
+
 /// @brief Run times of the finished tasks of a step. They predict the other
 /// tasks of the step better than its estimate, which may be far off.
 struct StepTimes {
@@ -306,6 +314,10 @@
   std::uint64_t Unanswered = 0;
   std::uint64_t WorkerCrashes = 0;
   std::uint64_t Preemptions = 0;
+  std::uint64_t TrialHolds = 0; ///< Workers held for a suspect.
+  /// Those of them that were released without a start of the suspect, while it
+  /// still waited.
+  std::uint64_t TrialHoldsAbandoned = 0;
   std::uint64_t RefusedAsExcess = 0;
   std::uint64_t RefusedForBacklog = 0;
 };
@@ -338,6 +350,7 @@
   std::map<StepKey, StepAdvice> Advice;
   std::map<StepKey, StepTimes> Times;
   std::map<StepKey, StepReservation> Reservations;
+  std::map<StepKey, TrialWait> TrialWaits;
   /// Organisations that use something or wait; empty if the configuration has
   /// no organisations.
   std::vector<OrganisationStatus> Organisations;
--- a/src/mulberryramp/cell/schedulable_workers.cpp
+++ b/src/mulberryramp/cell/schedulable_workers.cpp
@@ -35,8 +35,10 @@
               *Snapshot.ReservedFrom);
 }
 
-bool isWithinSuspectWindow(Instant StartedAt, Instant Now) {
-  return StartedAt != Instant{} && Now - StartedAt < SuspectWindow;
+/// Returns when a start of that time is no longer recent; zero if there is
+/// none.
+Instant endOfSuspectWindow(Instant StartedAt) {
+  return StartedAt == Instant{} ? StartedAt : StartedAt + SuspectWindow;
 }
 
 void addToPool(SchedulableWorkers &Workers, const WorkerReport &Report) {
@@ -69,9 +71,9 @@
     Snapshot.HasLatencyViolation = Session.HasLatencyViolation;
     Snapshot.HadRecentMiss = Session.LastMissAt != Instant{} &&
                              Now - Session.LastMissAt < OrderLossWindow;
-    Snapshot.HasRecentStart = isWithinSuspectWindow(Session.LastStartAt, Now);
+    Snapshot.QuietAt = endOfSuspectWindow(Session.LastStartAt);
     Snapshot.HasRecentSuspect =
-        isWithinSuspectWindow(Session.SuspectStartedAt, Now);
+        Now < endOfSuspectWindow(Session.SuspectStartedAt);
     for (const TaskKey &Key : Session.Tasks) {
       const StepSpec *Spec = findStepSpec(State, Key);
       Snapshot.LongRunningTasks +=
@@ -111,6 +113,9 @@
   if (isReserved(Snapshot, Step, Now)) {
     return Infeasibility::Reserved;
   }
+  if (Snapshot.Hold == TrialHoldState::ForOtherStep) {
+    return Infeasibility::Held;
+  }
   if (Snapshot.HasRecentSuspect) {
     return Infeasibility::RecentSuspect;
   }
@@ -125,6 +130,13 @@
   return findInfeasibility(Snapshot, Owner, Step, Now) == Infeasibility::None;
 }
 
+bool isFeasibleWhenOpen(WorkerSnapshot Snapshot, const Job &Owner,
+                        const StepSpec &Step, Instant Now) {
+  Snapshot.Hold = TrialHoldState::None;
+  Snapshot.HasRecentSuspect = false;
+  return isFeasible(Snapshot, Owner, Step, Now);
+}
+
 bool isCandidate(const WorkerSnapshot &Snapshot, const Job &Owner,
                  const StepSpec &Step, const StepAdvice *Advice, Instant Now) {
   return isFeasible(Snapshot, Owner, Step, Now) &&
--- a/src/mulberryramp/cell/schedulable_workers.hpp
+++ b/src/mulberryramp/cell/schedulable_workers.hpp
@@ -13,6 +13,13 @@
 
 namespace mulberryramp {
 
+/// @brief Whether a worker is held for suspects, see `trial_holds.hpp`.
+enum class TrialHoldState : std::uint8_t {
+  None,
+  ForThisStep, ///< For suspects of the step that is being planned.
+  ForOtherStep
+};
+
 /// @brief Resources and state of a schedulable worker during one planning pass.
 struct WorkerSnapshot {
   WorkerInstanceId Worker;
@@ -23,10 +30,15 @@
   double RuntimeRatio = 1;
   /// A service there exceeds its tail latency limit.
   bool HasLatencyViolation = false;
-  bool HadRecentMiss = false;  ///< An order went unanswered recently.
-  bool HasRecentStart = false; ///< A task was started within `SuspectWindow`.
+  bool HadRecentMiss = false; ///< An order went unanswered recently.
+  /// When `SuspectWindow` has passed since the last start.
+  Instant QuietAt;
   /// A task that may crash workers was started within `SuspectWindow`.
   bool HasRecentSuspect = false;
+  TrialHoldState Hold = TrialHoldState::None;
+  /// A step that was planned before would use it if it were not closed for a
+  /// suspect.
+  bool IsAwaited = false;
   /// When a step that was planned before needs the worker, if one reserved it.
   std::optional<Instant> ReservedFrom;
 };
@@ -35,6 +47,7 @@
 struct PoolSummary {
   std::size_t Workers = 0;
   std::size_t Reserved = 0;   ///< Workers that steps have reserved.
+  std::size_t Held = 0;       ///< Workers that are held for suspects.
   std::int64_t MilliCpus = 0; ///< Sum of the processors of its workers.
   Resources Largest;          ///< Largest amount of each resource of a worker.
 };
@@ -62,6 +75,7 @@
   OtherPool,
   MissingLabel,
   Reserved,        ///< A step that was planned before needs it.
+  Held,            ///< It is held for a suspect of another step.
   RecentSuspect,   ///< It just started a task that may crash it.
   LatencyViolation ///< A service there exceeds its tail latency limit.
 };
@@ -74,11 +88,16 @@
 
 /// @brief Tells whether a worker may run a step, apart from its free resources.
 /// A worker that a step planned before has reserved may only run tasks that end
-/// before that step needs it, and one that just started a task that may crash
-/// it may run none.
+/// before that step needs it, and one that is held for a suspect of another
+/// step, or just started a task that may crash it, may run none.
 [[nodiscard]] bool isFeasible(const WorkerSnapshot &Snapshot, const Job &Owner,
                               const StepSpec &Step, Instant Now);
 
+/// @brief Tells whether a worker may run a step, apart from its free resources,
+/// once no suspect keeps it closed.
+[[nodiscard]] bool isFeasibleWhenOpen(WorkerSnapshot Snapshot, const Job &Owner,
+                                      const StepSpec &Step, Instant Now);
+
 /// @brief Tells whether a worker may run a step, as far as the advisor has
 /// decided.
 /// @param Advice Advice on the step, or null if it needs none.
--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -1,6 +1,7 @@
 #include "mulberryramp/cell/start_planner.hpp"
 
 #include "mulberryramp/cell/advice.hpp"
+#include "mulberryramp/cell/crash_attribution.hpp"
 #include "mulberryramp/cell/orders.hpp"
 #include "mulberryramp/cell/pending_steps.hpp"
 #include "mulberryramp/cell/preemption.hpp"
@@ -9,6 +10,7 @@
 #include "mulberryramp/cell/run_time.hpp"
 #include "mulberryramp/cell/schedulable_workers.hpp"
 #include "mulberryramp/cell/step_order.hpp"
+#include "mulberryramp/cell/trial_holds.hpp"
 #include "mulberryramp/cell/trials.hpp"
 #include "mulberryramp/cell/worker_choice.hpp"
 
@@ -52,11 +54,15 @@
     Dispatch.Backlog.clear();
     const PendingSteps Steps =
         collectPendingSteps(Dispatch, State, Now, WallNow);
+    Holds.begin(Steps.Ready);
     forEachInOrder(Dispatch, State, Schedulable, Steps.Ready, Now,
                    [this](const PendingStep &Pending, OrganisationUse *Used) {
                      Use = Used;
+                     Holds.enter(Pending.Key);
                      planStep(Pending);
+                     Holds.leave();
                    });
+    beginDeferredHolds();
     for (const PendingStep &Pending : Steps.SoonReady) {
       prefetchAdvice(Pending.Key);
     }
@@ -98,6 +104,9 @@
     const std::size_t Unplaced =
         Spec.IsGang ? planGang(Key, Owner, Spec, Step, Advice)
                     : planTasks(Key, Owner, Spec, Step, Advice);
+    if (Unplaced != 0 && !Holds.isWaiting()) {
+      Holds.noteAwaited(Owner, Spec, countTasks(Step), false);
+    }
     if (Unplaced == 0) {
       Dispatch.Reservations.erase(Key);
       Dispatch.BlockedSince.erase(Key);
@@ -125,6 +134,10 @@
       return;
     }
     if (Advice != nullptr) {
+      const std::set<WorkerInstanceId> Held = Holds.heldWorkers();
+      if (!Held.empty()) {
+        renewTickets(Key, Owner, *Advice, Held, Holds.quietAt());
+      }
       queryWorkers(Key, Owner, Spec, Step, Unplaced);
     }
   }
@@ -222,7 +235,8 @@
       }
     }
     if (Advice != nullptr) {
-      renewTickets(Key, Owner, *Advice, Reservation);
+      renewTickets(Key, Owner, *Advice, Reservation.Workers,
+                   Reservation.StartsAt);
     }
     return true;
   }
@@ -277,20 +291,19 @@
     queryAdvisor(Dispatch, State, Key, *Owner.Queue.Advice, Workers, Now);
   }
 
-  /// Renews the tickets of reserved workers once the step is expected to have
-  /// room soon, so that all of them are valid when it starts.
+  /// Renews the tickets of reserved or held workers shortly before the step is
+  /// expected to start there, so that all of them are valid then.
   void renewTickets(const StepKey &Key, const Job &Owner,
                     const StepAdvice &Advice,
-                    const StepReservation &Reservation) {
+                    const std::set<WorkerInstanceId> &Kept, Instant StartsAt) {
     const Instant AnswerAt =
-        Now +
-        expectedAnswerTime(*Owner.Queue.Advice, Reservation.Workers.size());
-    if (Reservation.StartsAt > AnswerAt + TicketRenewalLead) {
+        Now + expectedAnswerTime(*Owner.Queue.Advice, Kept.size());
+    if (StartsAt > AnswerAt + TicketRenewalLead) {
       return;
     }
     std::vector<WorkerInstanceId> Workers;
-    for (const WorkerInstanceId Worker : Reservation.Workers) {
-      if (!isAdmitted(Advice, Worker, AnswerAt)) {
+    for (const WorkerInstanceId Worker : Kept) {
+      if (!isAdmitted(Advice, Worker, std::max(AnswerAt, StartsAt))) {
         Workers.push_back(Worker);
       }
     }
@@ -308,39 +321,124 @@
     // a higher risk has room either.
     std::optional<CrashRisk> LowestWithoutRoom;
     std::size_t Trials = countTrials(Dispatch, Key, Step, Spec, Now);
+    WaitingSuspects Waiting;
     for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
       const JobTask &Task = Step.Tasks[Index];
       const TaskKey Candidate{Key.Job, Key.Run, Key.Step, Index};
-      if (Task.State != JobTaskState::Waiting ||
-          !isTrialDue(Dispatch, Candidate, Task, Spec, Now)) {
+      if (Task.State != JobTaskState::Waiting) {
         continue;
       }
       const CrashRisk Risk = crashRiskOf(Unresolved, Candidate, Task);
       const bool IsTrial = Risk == CrashRisk::Trial;
-      const bool MayFit = (!LowestWithoutRoom || Risk < *LowestWithoutRoom) &&
-                          (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
+      if (!isTrialDue(Dispatch, Candidate, Task, Spec, Now)) {
+        if (isTrialDue(Dispatch, Candidate, Task, Spec, Now + SuspectWindow)) {
+          Waiting.add(Risk);
+        }
+        continue;
+      }
+      // Only suspects may use the workers that are held for the step.
+      const bool IsFull = LowestWithoutRoom && Risk >= *LowestWithoutRoom &&
+                          (*LowestWithoutRoom != CrashRisk::None ||
+                           Risk == CrashRisk::None || !Holds.hasFormer());
+      const bool MayFit =
+          !IsFull && (Trials != 0 || !IsTrial) && fitsInOwnCap(Spec, 1);
       WorkerSnapshot *Chosen =
-          MayFit ? Choice.pickBest({Owner, Spec, Advice, Counts}, Task, Risk)
+          MayFit ? Choice.pickBest({Owner, Spec, Advice, Counts}, &Task, Risk,
+                                   PickPurpose::Start)
                  : nullptr;
       if (Chosen == nullptr) {
         if (MayFit) {
-          LowestWithoutRoom = Risk;
+          LowestWithoutRoom = std::min(Risk, LowestWithoutRoom.value_or(Risk));
         }
+        Waiting.add(Risk);
         Unplaced += 1;
         continue;
       }
       Trials -= IsTrial ? 1 : 0;
       Counts[Chosen->Worker] += 1;
       reserveWorker(*Chosen, Spec, Candidate, Task.Attempt + 1);
-      Chosen->HasRecentStart = true;
-      Chosen->HasRecentSuspect = Risk != CrashRisk::None;
+      noteStart(*Chosen, Risk);
       if (IsTrial) {
         Choice.noteTrial(*Chosen);
       }
     }
+    Waiting.Trials =
+        std::min(Waiting.Trials,
+                 countTrials(Dispatch, Key, Step, Spec, Now + SuspectWindow));
+    holdWorkers(Key, {Owner, Spec, Advice, Counts}, Waiting);
     return Unplaced;
   }
 
+  /// Notes that this pass starts tasks on a worker.
+  void noteStart(WorkerSnapshot &Snapshot, CrashRisk Risk) const {
+    Snapshot.QuietAt = Now + SuspectWindow;
+    Snapshot.HasRecentSuspect = Risk != CrashRisk::None;
+    Snapshot.Hold = TrialHoldState::None;
+  }
+
+  /// Holds workers for suspects of the current step that have none.
+  void holdWorkers(const StepKey &Key, const PlacedStep &Placed,
+                   const WaitingSuspects &Waiting) {
+    if (Waiting.Trials + Waiting.Suspects == 0 ||
+        !fitsInOwnCap(Placed.Spec, 1) || !Holds.noteWaiting() ||
+        beginHolds(Placed, Waiting)) {
+      return;
+    }
+    const CrashRisk Risk =
+        Waiting.Trials != 0 ? CrashRisk::Trial : CrashRisk::Suspect;
+    if (Holds.isDeferring() ||
+        Choice.pickBest(Placed, nullptr, Risk,
+                        PickPurpose::HoldUnlessContended) != nullptr) {
+      Holds.setDeferring(true);
+      Deferred.push_back({Key, Placed.Counts, Waiting});
+    }
+  }
+
+  /// Holds a worker for each waiting suspect of the current step.
+  /// @return Whether there are enough workers.
+  bool beginHolds(const PlacedStep &Placed, const WaitingSuspects &Waiting) {
+    const std::size_t Tasks = Waiting.Trials + Waiting.Suspects;
+    for (std::size_t Index = Holds.heldWorkers().size(); Index < Tasks;
+         ++Index) {
+      const CrashRisk Risk =
+          Index < Waiting.Trials ? CrashRisk::Trial : CrashRisk::Suspect;
+      WorkerSnapshot *Chosen =
+          Choice.pickBest(Placed, nullptr, Risk, PickPurpose::Hold);
+      if (Chosen == nullptr) {
+        return false;
+      }
+      Holds.hold(*Chosen);
+    }
+    return true;
+  }
+
+  /// Begins the holds that were deferred, as far as the holds of other steps
+  /// allow it now.
+  void beginDeferredHolds() {
+    Use = nullptr;
+    Holds.setDeferring(false);
+    for (const auto &[Key, Counts, Waiting] : Deferred) {
+      const Job &Owner = State.Jobs[Key.Job];
+      const StepSpec &Spec = Owner.Spec.Steps[Key.Step];
+      const JobStep &Step = findRun(Owner, Key.Run)->Steps[Key.Step];
+      const StepAdvice *Advice =
+          Owner.Queue.Advice ? &Dispatch.Advice[Key] : nullptr;
+      Holds.enter(Key);
+      Holds.noteWaiting();
+      bool IsHeld = false;
+      if (Spec.IsGang) {
+        IsHeld = placeGang(Key, Owner, Spec, Step, Advice, PickPurpose::Hold);
+      } else {
+        Holds.keep();
+        IsHeld = beginHolds({Owner, Spec, Advice, Counts}, Waiting);
+      }
+      if (!IsHeld) {
+        Holds.noteAwaited(Owner, Spec, Counts, true);
+      }
+      Holds.leave();
+    }
+  }
+
   /// Assigns all members of a gang or none, on one rack if the step prefers it
   /// and a rack has capacity. A gang with an assigned member is not planned.
   /// @return Number of unplaced tasks.
@@ -353,27 +451,46 @@
     if (!fitsInOwnCap(Spec, Step.Tasks.size())) {
       return Step.Tasks.size();
     }
+    if (placeGang(Key, Owner, Spec, Step, Advice, PickPurpose::Start)) {
+      return 0;
+    }
+    if (gangCrashRiskOf(Unresolved, Key, Step) != CrashRisk::None &&
+        Holds.noteWaiting() &&
+        !placeGang(Key, Owner, Spec, Step, Advice, PickPurpose::Hold) &&
+        (Holds.isDeferring() || placeGang(Key, Owner, Spec, Step, Advice,
+                                          PickPurpose::HoldUnlessContended))) {
+      Holds.setDeferring(true);
+      Deferred.push_back({Key, {}, {}});
+    }
+    return Step.Tasks.size();
+  }
+
+  /// Finds workers for all members of a gang, on one rack if the step prefers
+  /// it and a rack has capacity.
+  /// @return Whether there are such workers.
+  bool placeGang(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
+                 const JobStep &Step, const StepAdvice *Advice,
+                 PickPurpose Purpose) {
     if (Spec.PrefersSameRack) {
       std::set<std::string> Racks;
       for (const WorkerSnapshot &Snapshot : Schedulable.Rows) {
         Racks.insert(Snapshot.Instance->Report.Rack);
       }
       for (const std::string &Rack : Racks) {
-        if (tryPlanGang(Key, Owner, Spec, Step, Advice, &Rack)) {
-          return 0;
+        if (tryPlaceGang(Key, Owner, Spec, Step, Advice, &Rack, Purpose)) {
+          return true;
         }
       }
     }
-    return tryPlanGang(Key, Owner, Spec, Step, Advice, nullptr)
-               ? 0
-               : Step.Tasks.size();
+    return tryPlaceGang(Key, Owner, Spec, Step, Advice, nullptr, Purpose);
   }
 
-  /// Assigns all members of a gang, or restores the snapshots.
-  /// @return Whether all members were assigned.
-  bool tryPlanGang(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
-                   const JobStep &Step, const StepAdvice *Advice,
-                   const std::string *Rack) {
+  /// Assigns all members of a gang, or holds workers that have room for all of
+  /// them. Restores the snapshots unless it assigns them.
+  /// @return Whether there are workers for all members.
+  bool tryPlaceGang(const StepKey &Key, const Job &Owner, const StepSpec &Spec,
+                    const JobStep &Step, const StepAdvice *Advice,
+                    const std::string *Rack, PickPurpose Purpose) {
     const std::vector<WorkerSnapshot> SavedSnapshots = Schedulable.Rows;
     const std::size_t AssignmentCount = Assignments.size();
     const OrganisationUse SavedUse = Use == nullptr ? OrganisationUse{} : *Use;
@@ -383,28 +500,37 @@
     }
     TaskCounts Counts;
     const CrashRisk Risk = gangCrashRiskOf(Unresolved, Key, Step);
-    for (std::uint32_t Index = 0; Index < Step.Tasks.size(); ++Index) {
-      WorkerSnapshot *Chosen = Choice.pickBest(
-          {Owner, Spec, Advice, Counts, Rack}, Step.Tasks[Index], Risk);
-      if (Chosen == nullptr) {
-        Schedulable.Rows = SavedSnapshots;
-        Assignments.resize(AssignmentCount);
-        if (Use != nullptr) {
-          *Use = SavedUse;
-        }
-        return false;
+    bool IsComplete = true;
+    for (std::uint32_t Index = 0; IsComplete && Index < Step.Tasks.size();
+         ++Index) {
+      WorkerSnapshot *Chosen =
+          Choice.pickBest({Owner, Spec, Advice, Counts, Rack},
+                          &Step.Tasks[Index], Risk, Purpose);
+      IsComplete = Chosen != nullptr;
+      if (IsComplete) {
+        Counts[Chosen->Worker] += 1;
+        reserveWorker(*Chosen, Spec, {Key.Job, Key.Run, Key.Step, Index},
+                      Attempt);
+      }
+    }
+    const bool IsAssigned = IsComplete && Purpose == PickPurpose::Start;
+    if (!IsAssigned) {
+      Schedulable.Rows = SavedSnapshots;
+      Assignments.resize(AssignmentCount);
+      if (Use != nullptr) {
+        *Use = SavedUse;
       }
-      Counts[Chosen->Worker] += 1;
-      reserveWorker(*Chosen, Spec, {Key.Job, Key.Run, Key.Step, Index},
-                    Attempt);
     }
     // The members count as one cause and may share workers.
     for (const auto &[Worker, Count] : Counts) {
       WorkerSnapshot &Snapshot = *findSnapshot(Schedulable, Worker);
-      Snapshot.HasRecentStart = true;
-      Snapshot.HasRecentSuspect = Risk != CrashRisk::None;
+      if (IsAssigned) {
+        noteStart(Snapshot, Risk);
+      } else if (IsComplete && Purpose == PickPurpose::Hold) {
+        Holds.hold(Snapshot);
+      }
     }
-    return true;
+    return IsComplete;
   }
 
   /// Queries the advisor about workers for the unplaced tasks of a step.
@@ -441,7 +567,9 @@
   Instant Now;
   WallTime WallNow;
   SchedulableWorkers Schedulable;
-  WorkerChoice Choice{Dispatch, State, Schedulable, Now};
+  TrialHolds Holds{Dispatch, State, Schedulable, Now};
+  std::vector<DeferredHolds> Deferred;
+  WorkerChoice Choice{Dispatch, State, Schedulable, Holds, Now};
   /// Use of the organisation of the current step; null if the configuration has
   /// no organisations.
   OrganisationUse *Use = nullptr;
--- a/src/mulberryramp/cell/wait_log.hpp
+++ b/src/mulberryramp/cell/wait_log.hpp
@@ -38,6 +38,7 @@
   NoRoom,                 ///< No worker has room.
   WorkersReserved,        ///< Workers with room are kept for another step.
   LatencyLimit,           ///< Services there exceed their tail latency limit.
+  WorkersHeld,            ///< Workers with room are held for other suspects.
   RecentStart,            ///< Workers with room just started another task.
   NoRackForTrial,         ///< All racks have trials or recent crashes.
   MaxPerWorker,           ///< Workers with room run as many as they may.
@@ -46,7 +47,7 @@
 };
 
 /// @brief Names of the reasons, by value.
-constexpr std::array<std::string_view, 21>
+constexpr std::array<std::string_view, 22>
 nameTable(WaitReason /*Reason*/) noexcept {
   return {"worker-unresponsive",
           "start-unanswered",
@@ -64,6 +65,7 @@
           "no-room",
           "workers-reserved",
           "latency-limit",
+          "workers-held",
           "recent-start",
           "no-rack-for-trial",
           "max-per-worker",
--- a/src/mulberryramp/cell/wait_reasons.cpp
+++ b/src/mulberryramp/cell/wait_reasons.cpp
@@ -27,6 +27,8 @@
     const auto OwnIt = Dispatch.Reservations.find(Key);
     OwnReservation =
         OwnIt == Dispatch.Reservations.end() ? nullptr : &OwnIt->second;
+    const auto WaitIt = Dispatch.TrialWaits.find(Key);
+    OwnWait = WaitIt == Dispatch.TrialWaits.end() ? nullptr : &WaitIt->second;
   }
 
   std::vector<TaskWait> explain(std::size_t MaxTasks) {
@@ -131,6 +133,11 @@
     if (Why.Reason == WaitReason::NoAdmission) {
       describeAdvice(Why);
     }
+    if (Risk != CrashRisk::None && OwnWait != nullptr &&
+        (Why.Reason == WaitReason::RecentStart ||
+         Why.Reason == WaitReason::WorkersHeld)) {
+      describeHolds(Why);
+    }
     return Why;
   }
 
@@ -172,6 +179,19 @@
     }
   }
 
+  /// Names the held worker that is the first without a recent start.
+  void describeHolds(WaitExplanation &Why) const {
+    Why.Since = OwnWait->Since;
+    Why.Detail = " held=" + std::to_string(OwnWait->Held.size());
+    for (const WorkerSnapshot &Snapshot : Context.Schedulable.Rows) {
+      if (OwnWait->Held.contains(Snapshot.Worker) &&
+          (!Why.EndsAt || Snapshot.QuietAt < *Why.EndsAt)) {
+        Why.Worker = Snapshot.Worker;
+        Why.EndsAt = Snapshot.QuietAt;
+      }
+    }
+  }
+
   /// Returns why a worker may not run a task of the step, in spite of room if
   /// it has any; `NotPlanned` if it may. Workers of other pools are unsuitable.
   WaitReason hindranceOf(const WorkerSnapshot &Snapshot, CrashRisk Risk) const {
@@ -188,12 +208,14 @@
       return WaitReason::WorkersReserved;
     case Infeasibility::LatencyViolation:
       return WaitReason::LatencyLimit;
+    case Infeasibility::Held:
+      return WaitReason::WorkersHeld;
     case Infeasibility::RecentSuspect:
       return WaitReason::RecentStart;
     default:
       break;
     }
-    if (Risk != CrashRisk::None && Snapshot.HasRecentStart) {
+    if (Risk != CrashRisk::None && Context.Now < Snapshot.QuietAt) {
       return WaitReason::RecentStart;
     }
     if (Risk == CrashRisk::Trial && !canBeginTrialOn(Snapshot)) {
@@ -208,20 +230,36 @@
     return IsAdmitted ? WaitReason::NotPlanned : WaitReason::NoAdmission;
   }
 
-  /// A step may use the workers that it has reserved itself.
+  /// A step may use the workers that it has reserved itself, or that are held
+  /// for it.
   Infeasibility infeasibilityOf(const WorkerSnapshot &Snapshot) const {
-    if (OwnReservation == nullptr ||
-        !OwnReservation->Workers.contains(Snapshot.Worker)) {
-      return findInfeasibility(Snapshot, Owner, Spec, Context.Now);
+    WorkerSnapshot Own = Snapshot;
+    if (OwnReservation != nullptr &&
+        OwnReservation->Workers.contains(Snapshot.Worker)) {
+      Own.ReservedFrom.reset();
+    }
+    if (isHeldForOwn(Snapshot)) {
+      Own.Hold = TrialHoldState::ForThisStep;
     }
-    WorkerSnapshot Unreserved = Snapshot;
-    Unreserved.ReservedFrom.reset();
-    return findInfeasibility(Unreserved, Owner, Spec, Context.Now);
+    return findInfeasibility(Own, Owner, Spec, Context.Now);
+  }
+
+  bool isHeldForOwn(const WorkerSnapshot &Snapshot) const {
+    return OwnWait != nullptr && OwnWait->Held.contains(Snapshot.Worker);
   }
 
   bool canBeginTrialOn(const WorkerSnapshot &Snapshot) const {
-    const auto It = Context.Racks.find(Snapshot.Instance->Report.Rack);
-    return canBeginTrial(It == Context.Racks.end() ? RackTrials{} : It->second);
+    const std::string &Rack = Snapshot.Instance->Report.Rack;
+    const auto It = Context.Racks.find(Rack);
+    RackTrials Trials = It == Context.Racks.end() ? RackTrials{} : It->second;
+    Trials.Affected += static_cast<std::size_t>(std::count_if(
+        Context.Schedulable.Rows.begin(), Context.Schedulable.Rows.end(),
+        [&](const WorkerSnapshot &Other) {
+          return Other.Hold == TrialHoldState::ForOtherStep &&
+                 !isHeldForOwn(Other) && Other.Worker != Snapshot.Worker &&
+                 Other.Instance->Report.Rack == Rack;
+        }));
+    return canBeginTrial(Trials);
   }
 
   WaitReason closestForTask(CrashRisk Risk) const {
@@ -268,12 +306,20 @@
   Resources Need = requiredResources(Spec);
   const StepAdvice *Advice = nullptr;
   const StepReservation *OwnReservation = nullptr;
+  const TrialWait *OwnWait = nullptr;
   std::array<std::optional<WaitExplanation>, 3> ByRisk; ///< By `CrashRisk`.
 };
 
-/// Marks the workers that steps have reserved.
-void markReservations(const DispatchState &Dispatch,
-                      SchedulableWorkers &Workers) {
+/// Marks the workers that steps have reserved, or that are held for suspects.
+void markKeptWorkers(const DispatchState &Dispatch,
+                     SchedulableWorkers &Workers) {
+  for (const auto &[Key, Wait] : Dispatch.TrialWaits) {
+    for (const auto &[Worker, Since] : Wait.Held) {
+      if (WorkerSnapshot *Snapshot = findSnapshot(Workers, Worker)) {
+        Snapshot->Hold = TrialHoldState::ForOtherStep;
+      }
+    }
+  }
   for (const auto &[Key, Reservation] : Dispatch.Reservations) {
     if (!Reservation.IsNeeded) {
       continue;
@@ -297,7 +343,7 @@
                       collectUnresolvedTasks(Dispatch, Now),
                       collectRackTrials(Dispatch, State, Now),
                       {}};
-  markReservations(Dispatch, Context.Schedulable);
+  markKeptWorkers(Dispatch, Context.Schedulable);
   if (!State.Configuration.Organisations.empty()) {
     Resources Total;
     for (const WorkerSnapshot &Snapshot : Context.Schedulable.Rows) {
--- a/src/mulberryramp/cell/wait_reasons.hpp
+++ b/src/mulberryramp/cell/wait_reasons.hpp
@@ -20,7 +20,8 @@
 /// @brief Why a task has nothing running.
 struct WaitExplanation {
   WaitReason Reason = WaitReason::NotPlanned;
-  WorkerInstanceId Worker;       ///< Worker that holds the task, or null.
+  /// Worker that holds the task, or is held for it; null if there is none.
+  WorkerInstanceId Worker;
   std::optional<Instant> Since;  ///< When the reason began, if recorded.
   std::optional<Instant> EndsAt; ///< When it ends at the latest, if known.
   std::string Detail; ///< Further log keys with a leading space, or empty.
--- a/test/cell/cell_callers.cpp
+++ b/test/cell/cell_callers.cpp
@@ -14,16 +14,28 @@
 /// With lost workers: jobs of one or two tasks, on at most 10 of 16 places.
 constexpr int MaxLongRunningJobsWithLosses = 5;
 constexpr std::size_t MaxCrashingJobs = 3;
+/// Four tasks of steady jobs take the room of one other task, and usually one
+/// to three run on a worker. Fewer other jobs are submitted beside them, so
+/// that there is room.
+constexpr std::int64_t SteadyTaskCpus = TaskCpus / 4;
+constexpr Millis SteadyRunTime{100};
+constexpr std::uint64_t SteadySubmitFactor = 2;
 
 } // namespace
 
 void CellSimulation::issueCalls() {
+  const std::uint64_t SubmitOneIn = hasCaps()              ? 45
+                                    : hasLongFaultPeriod() ? LongSubmitOneIn
+                                                           : 90;
   if (Frontend->isReadyForCallers(Now) && Now < FaultsEnd &&
-      Rng.below(hasCaps()              ? 45
-                : hasLongFaultPeriod() ? LongSubmitOneIn
-                                       : 90) == 0) {
+      Rng.below(SubmitOneIn * (SteadyInterval ? SteadySubmitFactor : 1)) == 0) {
     submit();
   }
+  if (SteadyInterval && Frontend->isReadyForCallers(Now) && Now < FaultsEnd &&
+      Now >= NextSteadyAt) {
+    NextSteadyAt = Now + *SteadyInterval;
+    submitSteady();
+  }
   if (shouldInject(CellFault::Cancel, 150) && !Jobs.empty() &&
       Now < FaultsEnd) {
     auto It = Jobs.begin();
@@ -133,6 +145,20 @@
   call(JobVerb::Submit, Name, Spec);
 }
 
+void CellSimulation::submitSteady() {
+  const std::string Name = "j" + std::to_string(Jobs.size());
+  JobSpec Spec;
+  Spec.Payload = "work " + std::to_string(SteadyRunTime.count());
+  StepSpec &Step = Spec.Steps.emplace_back();
+  Step.Tasks = WorkerCount;
+  Step.Need.MilliCpus = SteadyTaskCpus;
+  Step.Estimate = SteadyRunTime;
+  Step.MaxPerWorker = 1;
+  Jobs[Name].Spec = Spec;
+  Result.Submitted += 1;
+  call(JobVerb::Submit, Name, Spec);
+}
+
 void CellSimulation::cancel(const std::string &Name, TrackedJob &Job) {
   Job.IsCancelSent = true;
   call(JobVerb::Cancel, Name, {});
--- a/test/cell/cell_simulation.hpp
+++ b/test/cell/cell_simulation.hpp
@@ -102,6 +102,8 @@
   void retryCancels();
   void call(JobVerb Verb, const std::string &Name, const JobSpec &Spec);
   void submit();
+  /// Submits a short job of a task for each worker.
+  void submitSteady();
   void cancel(const std::string &Name, TrackedJob &Job);
   void onReplies(const std::vector<LocalReply> &Replies);
   void onReply(const OpenCallerCall &Call, const CellReply &Reply);
@@ -237,6 +239,8 @@
   /// Key and time of the open calls that only check a key, by call.
   std::map<std::uint64_t, std::pair<std::string, Instant>> KeyProbes;
   Instant NextKeyProbeAt;
+  std::optional<Millis> SteadyInterval; ///< Between steady jobs, if any.
+  Instant NextSteadyAt;
   NodeId LastLeader = 0;
   std::map<GangKey, GangAttempt> Gangs;
   std::set<TaskName> DoneTasks;
--- a/test/cell/cell_world.cpp
+++ b/test/cell/cell_world.cpp
@@ -29,6 +29,9 @@
   }
   LastLeader = 0;
   beginLeaderSeries();
+  if (Options.Faults.contains(CellFault::SteadyStarts)) {
+    SteadyInterval = randomDuration(100, 500);
+  }
   if (Options.Faults.contains(CellFault::ChangeKeys)) {
     Keys.emplace(Options.Seed, Options.Trap);
   }
@@ -196,6 +199,7 @@
   Faults.erase(CellFault::HandOver);
   Faults.erase(CellFault::LeaderSeries);
   Faults.erase(CellFault::LoseWorker);
+  Faults.erase(CellFault::SteadyStarts);
   return Faults;
 }
 
--- a/test/cell/cell_world.hpp
+++ b/test/cell/cell_world.hpp
@@ -44,12 +44,14 @@
   HandOver,     ///< A voter hands over its leadership and stops later.
   LeaderSeries, ///< The leader is killed, frozen, partitioned or hands over
                 ///< every 5 to 10 s.
-  LoseWorker    ///< Workers die for good, or for 60 s, shortly after they have
+  LoseWorker,   ///< Workers die for good, or for 60 s, shortly after they have
                 ///< started a long-running task; new workers join.
+  SteadyStarts  ///< Callers submit short jobs of a task for each worker every
+                ///< 100 to 500 ms.
 };
 
 /// @brief Returns the names of the faults, as the --faults flag takes them.
-constexpr std::array<std::string_view, 24>
+constexpr std::array<std::string_view, 25>
 nameTable(CellFault /*Kind*/) noexcept {
   return {
       "kill-node",         "wipe-node",     "replace-node",  "pause-node",
@@ -57,7 +59,8 @@
       "late-orders",       "lose-messages", "power-off",     "cancel",
       "reset-connections", "cut-path",      "freeze-node",   "crashing-task",
       "crash-rack",        "shrink-worker", "change-cap",    "change-keys",
-      "drain-worker",      "hand-over",     "leader-series", "lose-worker"};
+      "drain-worker",      "hand-over",     "leader-series", "lose-worker",
+      "steady-starts"};
 }
 
 /// @brief Seed and faults of a schedule.
@@ -92,8 +95,8 @@
 };
 
 /// @brief Lists the faults of a default schedule: all except `CrashingTask`,
-/// `CrashRack`, `ChangeCap`, `DrainWorker`, `HandOver`, `LeaderSeries` and
-/// `LoseWorker`.
+/// `CrashRack`, `ChangeCap`, `DrainWorker`, `HandOver`, `LeaderSeries`,
+/// `LoseWorker` and `SteadyStarts`.
 [[nodiscard]] std::set<CellFault> allCellFaults();
 
 /// @brief Runs a schedule. The same options give the same result.
