Keep the number of held workers of a rack up to date

It was counted over all workers for each candidate of a trial: with 540 workers some 300,000 steps for each choice. Suspects that need no rack for a trial are now also held for if one that does finds no worker.

--- a/src/mulberryramp/cell/start_planner.cpp
+++ b/src/mulberryramp/cell/start_planner.cpp
@@ -370,10 +370,10 @@
   }
 
   /// Notes that this pass starts tasks on a worker.
-  void noteStart(WorkerSnapshot &Snapshot, CrashRisk Risk) const {
+  void noteStart(WorkerSnapshot &Snapshot, CrashRisk Risk) {
     Snapshot.QuietAt = Now + SuspectWindow;
     Snapshot.HasRecentSuspect = Risk != CrashRisk::None;
-    Snapshot.Hold = TrialHoldState::None;
+    Holds.use(Snapshot);
   }
 
   /// Holds workers for suspects of the current step that have none.
@@ -397,11 +397,19 @@
   /// Holds a worker for each waiting suspect of the current step.
   /// @return Whether there are enough workers.
   bool beginHolds(const PlacedStep &Placed, const WaitingSuspects &Waiting) {
-    const std::size_t Tasks = Waiting.Trials + Waiting.Suspects;
-    for (std::size_t Index = Holds.heldWorkers().size(); Index < Tasks;
-         ++Index) {
-      const CrashRisk Risk =
-          Index < Waiting.Trials ? CrashRisk::Trial : CrashRisk::Suspect;
+    const std::size_t Former = Holds.heldWorkers().size();
+    const std::size_t FormerTrials = std::min(Former, Waiting.Trials);
+    const bool HasTrials =
+        beginHolds(Placed, CrashRisk::Trial, Waiting.Trials - FormerTrials);
+    const std::size_t FormerOthers =
+        std::min(Former - FormerTrials, Waiting.Suspects);
+    return beginHolds(Placed, CrashRisk::Suspect,
+                      Waiting.Suspects - FormerOthers) &&
+           HasTrials;
+  }
+
+  bool beginHolds(const PlacedStep &Placed, CrashRisk Risk, std::size_t Count) {
+    for (std::size_t Begun = 0; Begun < Count; ++Begun) {
       WorkerSnapshot *Chosen =
           Choice.pickBest(Placed, nullptr, Risk, PickPurpose::Hold);
       if (Chosen == nullptr) {
--- a/src/mulberryramp/cell/trial_holds.cpp
+++ b/src/mulberryramp/cell/trial_holds.cpp
@@ -49,8 +49,7 @@
         logEnd(Key, Held.first, Held.second, "worker-unavailable");
         return true;
       }
-      Snapshot->Hold = TrialHoldState::ForOtherStep;
-      Workers.Pools[Snapshot->Instance->Report.Pool].Held += 1;
+      setHold(*Snapshot, TrialHoldState::ForOtherStep);
       return false;
     });
   }
@@ -67,7 +66,7 @@
   }
   MaxHold = maxHoldOf(State.Jobs[Key.Job].Queue);
   for (const auto &[Worker, Since] : Wait->Held) {
-    findSnapshot(Workers, Worker)->Hold = TrialHoldState::ForThisStep;
+    setHold(*findSnapshot(Workers, Worker), TrialHoldState::ForThisStep);
   }
 }
 
@@ -100,8 +99,7 @@
     Next[Snapshot.Worker] = Wait->Held.at(Snapshot.Worker);
     return;
   }
-  Snapshot.Hold = TrialHoldState::ForThisStep;
-  Workers.Pools[Snapshot.Instance->Report.Pool].Held += 1;
+  setHold(Snapshot, TrialHoldState::ForThisStep);
   Next[Snapshot.Worker] = Now;
   Dispatch.Counters.TrialHolds += 1;
   const Millis Remaining = std::max(Millis{0}, Snapshot.QuietAt - Now);
@@ -116,6 +114,10 @@
   }
 }
 
+void TrialHolds::use(WorkerSnapshot &Snapshot) {
+  setHold(Snapshot, TrialHoldState::None);
+}
+
 std::set<WorkerInstanceId> TrialHolds::heldWorkers() const {
   std::set<WorkerInstanceId> Held;
   for (const auto &[Worker, Since] : Next) {
@@ -169,11 +171,10 @@
            IsUsed   ? "used"
            : IsOver ? "expired"
                     : "released");
-    Snapshot.Hold = TrialHoldState::None;
-    Workers.Pools[Snapshot.Instance->Report.Pool].Held -= 1;
+    setHold(Snapshot, TrialHoldState::None);
   }
   for (const auto &[Worker, Since] : Next) {
-    findSnapshot(Workers, Worker)->Hold = TrialHoldState::ForOtherStep;
+    setHold(*findSnapshot(Workers, Worker), TrialHoldState::ForOtherStep);
   }
   if (IsWaiting) {
     Wait->Held = std::move(Next);
@@ -184,20 +185,32 @@
   Next.clear();
 }
 
-std::size_t TrialHolds::heldIn(const std::string &Rack, WorkerInstanceId Except,
-                               bool WithOwn) const {
-  if (Dispatch.TrialWaits.empty()) {
+std::size_t TrialHolds::heldBeside(const WorkerSnapshot &Snapshot,
+                                   bool WithOwn) const {
+  const auto It = ByRack.find(Snapshot.Instance->Report.Rack);
+  if (It == ByRack.end()) {
     return 0;
   }
-  return static_cast<std::size_t>(std::count_if(
-      Workers.Rows.begin(), Workers.Rows.end(),
-      [&](const WorkerSnapshot &Snapshot) {
-        const bool IsCounted =
-            Snapshot.Hold == TrialHoldState::ForOtherStep ||
-            (WithOwn && Snapshot.Hold == TrialHoldState::ForThisStep);
-        return IsCounted && Snapshot.Worker != Except &&
-               Snapshot.Instance->Report.Rack == Rack;
-      }));
+  const bool IsCounted =
+      Snapshot.Hold == TrialHoldState::ForOtherStep ||
+      (WithOwn && Snapshot.Hold == TrialHoldState::ForThisStep);
+  return It->second.Others + (WithOwn ? It->second.Own : 0) -
+         (IsCounted ? 1 : 0);
+}
+
+void TrialHolds::setHold(WorkerSnapshot &Snapshot, TrialHoldState Hold) {
+  if (Snapshot.Hold == Hold) {
+    return;
+  }
+  std::size_t &Pool = Workers.Pools[Snapshot.Instance->Report.Pool].Held;
+  RackHolds &Rack = ByRack[Snapshot.Instance->Report.Rack];
+  Pool -= Snapshot.Hold != TrialHoldState::None ? 1 : 0;
+  Rack.Own -= Snapshot.Hold == TrialHoldState::ForThisStep ? 1 : 0;
+  Rack.Others -= Snapshot.Hold == TrialHoldState::ForOtherStep ? 1 : 0;
+  Snapshot.Hold = Hold;
+  Pool += Hold != TrialHoldState::None ? 1 : 0;
+  Rack.Own += Hold == TrialHoldState::ForThisStep ? 1 : 0;
+  Rack.Others += Hold == TrialHoldState::ForOtherStep ? 1 : 0;
 }
 
 bool TrialHolds::isExpired(Instant Since) const {
--- a/src/mulberryramp/cell/trial_holds.hpp
+++ b/src/mulberryramp/cell/trial_holds.hpp
@@ -85,6 +85,10 @@
   /// @brief Goes on to hold all workers that are held for the entered step.
   void keep();
 
+  /// @brief Ends the hold of a worker, if any, on which this pass starts a
+  /// task.
+  void use(WorkerSnapshot &Snapshot);
+
   /// @brief Returns the workers that are held for the entered step from this
   /// pass on.
   [[nodiscard]] std::set<WorkerInstanceId> heldWorkers() const;
@@ -117,13 +121,19 @@
   /// were not held again.
   void leave();
 
-  /// @brief Counts the held workers of a rack.
-  /// @param Except A worker that is not counted, or null.
+  /// @brief Counts the other workers in the rack of a worker that are held.
   /// @param WithOwn Counts those that are held for the entered step, too.
-  [[nodiscard]] std::size_t heldIn(const std::string &Rack,
-                                   WorkerInstanceId Except, bool WithOwn) const;
+  [[nodiscard]] std::size_t heldBeside(const WorkerSnapshot &Snapshot,
+                                       bool WithOwn) const;
 
 private:
+  /// Held workers of a rack.
+  struct RackHolds {
+    std::size_t Own = 0; ///< For the entered step.
+    std::size_t Others = 0;
+  };
+
+  void setHold(WorkerSnapshot &Snapshot, TrialHoldState Hold);
   [[nodiscard]] bool isExpired(Instant Since) const;
   void logHold(std::string_view Event, const StepKey &Key,
                WorkerInstanceId Worker, const std::string &Detail);
@@ -140,6 +150,7 @@
   bool IsDeferring = false;  ///< No step may begin a hold.
   Millis MaxHold{0};         ///< For the entered step.
   std::map<WorkerInstanceId, Instant> Next; ///< Holds of the entered step.
+  std::map<std::string, RackHolds> ByRack;
 };
 
 } // namespace mulberryramp
--- a/src/mulberryramp/cell/worker_choice.cpp
+++ b/src/mulberryramp/cell/worker_choice.cpp
@@ -78,8 +78,7 @@
                                   : Now >= Snapshot.QuietAt) &&
          (Risk != CrashRisk::Trial ||
           canBeginTrialOn(Snapshot, Racks, Now,
-                          Holds.heldIn(Snapshot.Instance->Report.Rack,
-                                       Snapshot.Worker, false)));
+                          Holds.heldBeside(Snapshot, false)));
 }
 
 bool WorkerChoice::canHoldFor(const WorkerSnapshot &Snapshot,
@@ -89,10 +88,7 @@
       !isFeasibleWhenOpen(Snapshot, Placed.Owner, Placed.Spec, Now)) {
     return false;
   }
-  const std::size_t Held =
-      IsContended
-          ? Holds.heldIn(Snapshot.Instance->Report.Rack, Snapshot.Worker, true)
-          : 0;
+  const std::size_t Held = IsContended ? Holds.heldBeside(Snapshot, true) : 0;
   return Risk != CrashRisk::Trial ||
          canBeginTrialOn(Snapshot, RacksAfterWindow, Now + SuspectWindow, Held);
 }
