--- a/src/mulberryramp/cell/trial_holds.cpp
+++ b/src/mulberryramp/cell/trial_holds.cpp
@@ -41,12 +41,12 @@
     }
     return !Pending.contains(Row.first);
   });
-  for (auto &[Key, Row] : Dispatch.TrialWaits) {
-    std::erase_if(Row.Held, [&](const auto &Held) {
+  for (auto &Row : Dispatch.TrialWaits) {
+    std::erase_if(Row.second.Held, [&](const auto &Held) {
       WorkerSnapshot *Snapshot = findSnapshot(Workers, Held.first);
       if (Snapshot == nullptr) {
         Dispatch.Counters.TrialHoldsAbandoned += 1;
-        logEnd(Key, Held.first, Held.second, "worker-unavailable");
+        logEnd(Row.first, Held.first, Held.second, "worker-unavailable");
         return true;
       }
       setHold(*Snapshot, TrialHoldState::ForOtherStep);
