--- a/test/cell/busy_cell.cpp
+++ b/test/cell/busy_cell.cpp
@@ -57,16 +57,18 @@
 }
 
 void BusyCell::crashUnder(const std::string &Name) {
+  const Job &Owner = State.Jobs[findJob(State, Name)];
+  for (std::uint32_t Task = 0; Task < Owner.Spec.Steps.front().Tasks; ++Task) {
+    endTask(Name, Task, EndKind::CrashedWithOthers);
+  }
+}
+
+void BusyCell::endTask(const std::string &Name, std::uint32_t Task,
+                       EndKind Kind) {
+  const TaskKey Key{findJob(State, Name), 0, 0, Task};
   RecordTaskEndsCommand Command;
   Command.At = wallNow();
-  const JobId Id = findJob(State, Name);
-  const JobStep &Step = findRun(State.Jobs[Id], 0)->Steps.front();
-  for (std::uint32_t Task = 0; Task < Step.Tasks.size(); ++Task) {
-    Command.Ends.push_back({{Id, 0, 0, Task},
-                            Step.Tasks[Task].Attempt,
-                            EndKind::CrashedWithOthers,
-                            ""});
-  }
+  Command.Ends.push_back({Key, findTask(State, Key)->Attempt, Kind, ""});
   apply(Command);
 }
 
@@ -124,13 +126,9 @@
   return Held;
 }
 
-std::vector<std::string> BusyCell::workersOf(const std::string &Name) {
-  std::vector<std::string> Names;
-  const Job &Owner = State.Jobs[findJob(State, Name)];
-  for (const JobTask &Task : findRun(Owner, 0)->Steps.front().Tasks) {
-    Names.push_back(workerName(State, Task.Worker));
-  }
-  return Names;
+JobTaskState BusyCell::stateOf(const std::string &Name,
+                               std::uint32_t Task) const {
+  return findTask(State, {findJob(State, Name), 0, 0, Task})->State;
 }
 
 WallTime BusyCell::wallNow() const { return WallTime{Now.time_since_epoch()}; }
--- a/test/cell/busy_cell.hpp
+++ b/test/cell/busy_cell.hpp
@@ -51,6 +51,9 @@
   /// back at once.
   void crashUnder(const std::string &Name);
 
+  /// @brief Ends the attempt of one task of a job.
+  void endTask(const std::string &Name, std::uint32_t Task, EndKind Kind);
+
   /// @brief Lets time pass.
   void run(Millis Time);
 
@@ -82,7 +85,8 @@
     return Events;
   }
   [[nodiscard]] std::size_t heldWorkers() const;
-  [[nodiscard]] std::vector<std::string> workersOf(const std::string &Name);
+  [[nodiscard]] JobTaskState stateOf(const std::string &Name,
+                                     std::uint32_t Task) const;
 
 private:
   [[nodiscard]] WallTime wallNow() const;
--- a/test/cell/trial_hold_test.cpp
+++ b/test/cell/trial_hold_test.cpp
@@ -206,6 +206,26 @@
   CHECK_EQUAL(0, Cell.heldWorkers());
 }
 
+/// Guards against a start of a sound task of the same step on the worker that
+/// is held for a suspect.
+TEST(CellTrialHold, OnlySuspectsOfAStepUseItsHeldWorker) {
+  BusyCellOptions Options;
+  Options.Labels = {"gpu"};
+  BusyCell Cell{Options};
+  StepSpec Step = makeStep(2, false);
+  Step.Label = "gpu";
+  Cell.start("batch", Step);
+  Cell.run(TimeToCrash);
+  Cell.endTask("batch", 0, EndKind::CrashedWithOthers);
+  Cell.run(MinWaitForHold + Millis{100});
+  CHECK_EQUAL(1, Cell.heldWorkers());
+  Cell.endTask("batch", 1, EndKind::Stopped);
+  Cell.run(Millis{200});
+  CHECK(JobTaskState::Waiting == Cell.stateOf("batch", 1));
+  CHECK_EQUAL(1, Cell.heldWorkers());
+  CHECK(Cell.timeUntilRunning("batch", MaxGap) < MaxGap);
+}
+
 /// Guards against a suspect that waits for a worker that no longer responds.
 TEST(CellTrialHold, AnUnresponsiveWorkerIsGivenUp) {
   BusyCell Cell{{}};
