Compare the trials of a rack with its other workers, as the attribution does

Cause: canBeginTrial compares the trials with all workers of the rack, hasCommonCause with the others only. In a rack of an odd number of workers, as many trials could begin as excuse each other: of five, two.

Test: CellCrash, TrialsOfARackOfFiveThatCrashTogetherAreBlamed; before, both began and neither crash counted.

--- a/src/mulberryramp/cell/trials.cpp
+++ b/src/mulberryramp/cell/trials.cpp
@@ -167,7 +167,10 @@
 }
 
 bool canBeginTrial(const RackTrials &Rack) noexcept {
-  return !isCommonCause(Rack.Affected + 1, Rack.Workers);
+  // The attribution of a crash compares with the other workers of the rack.
+  const std::size_t Others =
+      Rack.Workers - std::min<std::size_t>(Rack.Workers, 1);
+  return !isCommonCause(Rack.Affected + 1, Others);
 }
 
 } // namespace mulberryramp
--- a/test/cell/crash_test.cpp
+++ b/test/cell/crash_test.cpp
@@ -521,6 +521,24 @@
   CHECK_EQUAL(2, Cell.start());
 }
 
+/// Guards against two trials that excuse each other: half of the other workers
+/// of a rack is a common cause of their crashes.
+TEST(CellCrash, TrialsOfARackOfFiveThatCrashTogetherAreBlamed) {
+  CrashFixture Cell{5, 3, "rack"};
+  Cell.submit("bad", 1);
+  Cell.submit("worse", 1);
+  CHECK_EQUAL(2, Cell.start());
+  Cell.crash(Cell.workerOf("bad", 0), "n1");
+  Cell.pass(Millis{3000});
+  const std::size_t Started = Cell.start();
+  Cell.crash(Cell.workerOf("bad", 0), "n2");
+  if (Started == 2) {
+    Cell.crash(Cell.workerOf("worse", 0), "n3");
+    CHECK_EQUAL(1, Cell.task("worse", 0).SoleCrashes);
+  }
+  CHECK_EQUAL(1, Cell.task("bad", 0).SoleCrashes);
+}
+
 /// Guards against starts beside a task that may crash the worker at once.
 TEST(CellCrash, NoTaskIsStartedBesideASuspectThatWasJustStarted) {
   CrashFixture Cell{1};
